--- a/src/main/java/bendproxy/Adapter.java
+++ b/src/main/java/barleyspur/Adapter.java
@@ -1,4 +1,4 @@
-package bendproxy;
+package barleyspur;
 
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
@@ -24,7 +24,7 @@
     /** Runs the adapter on standard input and output; exit code 0 at the end of input. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar bendproxy.jar adapter (the wire on standard input, output)");
+            System.err.println("usage: java -jar barleyspur.jar adapter (the wire on standard input, output)");
             System.exit(2);
         }
         System.exit(run(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)));
@@ -42,9 +42,9 @@
             }
             return 0;
         } catch (Wire.Malformed e) {
-            System.err.println("bendproxy: " + e.getMessage());
+            System.err.println("barleyspur: " + e.getMessage());
         } catch (IOException e) {
-            System.err.println("bendproxy: standard input or output failed: " + e.getMessage());
+            System.err.println("barleyspur: standard input or output failed: " + e.getMessage());
         }
         return 1;
     }
--- a/src/main/java/bendproxy/Attempt.java
+++ b/src/main/java/barleyspur/Attempt.java
@@ -1,4 +1,4 @@
-package bendproxy;
+package barleyspur;
 
 /** One attempt of a request, as it was sent. */
 final class Attempt {
--- a/src/main/java/bendproxy/Carried.java
+++ b/src/main/java/barleyspur/Carried.java
@@ -1,4 +1,4 @@
-package bendproxy;
+package barleyspur;
 
 /** What peers carry for us: lately in all, and at most for one of them, for when all are cold. */
 final class Carried {
--- a/src/main/java/bendproxy/Decide.java
+++ b/src/main/java/barleyspur/Decide.java
@@ -1,4 +1,4 @@
-package bendproxy;
+package barleyspur;
 
 // The interface - settings, events, actions - is in Director.java.
 
--- a/src/main/java/bendproxy/Fleet.java
+++ b/src/main/java/barleyspur/Fleet.java
@@ -1,4 +1,4 @@
-package bendproxy;
+package barleyspur;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/bendproxy/Part.java
+++ b/src/main/java/barleyspur/Part.java
@@ -1,4 +1,4 @@
-package bendproxy;
+package barleyspur;
 
 /** One part of an object: what caches keep by itself. */
 record Part(long object, int part) { }
--- a/src/main/java/bendproxy/Server.java
+++ b/src/main/java/barleyspur/Server.java
@@ -1,4 +1,4 @@
-package bendproxy;
+package barleyspur;
 
 /** What is known of one node, as target and as source. */
 final class Server {
--- a/src/main/java/bendproxy/Wire.java
+++ b/src/main/java/barleyspur/Wire.java
@@ -1,4 +1,4 @@
-package bendproxy;
+package barleyspur;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/src/test/java/bendproxy/Bench.java
+++ b/src/test/java/barleyspur/Bench.java
@@ -1,15 +1,15 @@
-package bendproxy;
-
-import bendproxy.Director.Action;
-import bendproxy.Director.Effect;
-import bendproxy.Director.Event;
-import bendproxy.Director.Get;
-import bendproxy.Director.ListKind;
-import bendproxy.Director.Node;
-import bendproxy.Director.Note;
-import bendproxy.Director.Outcome;
-import bendproxy.Director.Result;
-import bendproxy.Director.State;
+package barleyspur;
+
+import barleyspur.Director.Action;
+import barleyspur.Director.Effect;
+import barleyspur.Director.Event;
+import barleyspur.Director.Get;
+import barleyspur.Director.ListKind;
+import barleyspur.Director.Node;
+import barleyspur.Director.Note;
+import barleyspur.Director.Outcome;
+import barleyspur.Director.Result;
+import barleyspur.Director.State;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/bendproxy/HistoriesTest.java
+++ b/src/test/java/barleyspur/HistoriesTest.java
@@ -1,20 +1,20 @@
-package bendproxy;
+package barleyspur;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import bendproxy.Director.Action;
-import bendproxy.Director.Alarm;
-import bendproxy.Director.Get;
-import bendproxy.Director.Node;
-import bendproxy.Director.Note;
-import bendproxy.Director.Outcome;
-import bendproxy.Director.Purged;
-import bendproxy.Director.Request;
-import bendproxy.Director.Result;
-import bendproxy.Director.State;
-import bendproxy.Director.WakeAt;
+import barleyspur.Director.Action;
+import barleyspur.Director.Alarm;
+import barleyspur.Director.Get;
+import barleyspur.Director.Node;
+import barleyspur.Director.Note;
+import barleyspur.Director.Outcome;
+import barleyspur.Director.Purged;
+import barleyspur.Director.Request;
+import barleyspur.Director.Result;
+import barleyspur.Director.State;
+import barleyspur.Director.WakeAt;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/bendproxy/LimitsTest.java
+++ b/src/test/java/barleyspur/LimitsTest.java
@@ -1,17 +1,17 @@
-package bendproxy;
+package barleyspur;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import bendproxy.Director.Action;
-import bendproxy.Director.Alarm;
-import bendproxy.Director.Get;
-import bendproxy.Director.Note;
-import bendproxy.Director.Refuse;
-import bendproxy.Director.Request;
-import bendproxy.Director.Result;
-import bendproxy.Director.WakeAt;
+import barleyspur.Director.Action;
+import barleyspur.Director.Alarm;
+import barleyspur.Director.Get;
+import barleyspur.Director.Note;
+import barleyspur.Director.Refuse;
+import barleyspur.Director.Request;
+import barleyspur.Director.Result;
+import barleyspur.Director.WakeAt;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/bendproxy/ManyDirectorsTest.java
+++ b/src/test/java/barleyspur/ManyDirectorsTest.java
@@ -1,9 +1,9 @@
-package bendproxy;
+package barleyspur;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import bendproxy.Director.Get;
-import bendproxy.Director.State;
+import barleyspur.Director.Get;
+import barleyspur.Director.State;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
--- a/src/test/java/bendproxy/ModuleSizeTest.java
+++ b/src/test/java/barleyspur/ModuleSizeTest.java
@@ -1,4 +1,4 @@
-package bendproxy;
+package barleyspur;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,7 +13,7 @@
 
     @Test
     void decideStaysWithinItsLimits() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/bendproxy/Decide.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/barleyspur/Decide.java"));
         long filled = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(filled <= 850, filled + " lines");
         for (int i = 0; i < lines.size(); i++) {
--- a/src/test/java/bendproxy/OrdinaryPathTest.java
+++ b/src/test/java/barleyspur/OrdinaryPathTest.java
@@ -1,13 +1,13 @@
-package bendproxy;
+package barleyspur;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import bendproxy.Director.Get;
-import bendproxy.Director.Note;
-import bendproxy.Director.Request;
-import bendproxy.Director.Result;
+import barleyspur.Director.Get;
+import barleyspur.Director.Note;
+import barleyspur.Director.Request;
+import barleyspur.Director.Result;
 import java.util.HashSet;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/bendproxy/RulesTest.java
+++ b/src/test/java/barleyspur/RulesTest.java
@@ -1,23 +1,23 @@
-package bendproxy;
+package barleyspur;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import bendproxy.Director.Action;
-import bendproxy.Director.Alarm;
-import bendproxy.Director.Cancel;
-import bendproxy.Director.Fail;
-import bendproxy.Director.Get;
-import bendproxy.Director.ListKind;
-import bendproxy.Director.Members;
-import bendproxy.Director.Note;
-import bendproxy.Director.Purged;
-import bendproxy.Director.Refuse;
-import bendproxy.Director.Result;
-import bendproxy.Director.State;
-import bendproxy.Director.WakeAt;
+import barleyspur.Director.Action;
+import barleyspur.Director.Alarm;
+import barleyspur.Director.Cancel;
+import barleyspur.Director.Fail;
+import barleyspur.Director.Get;
+import barleyspur.Director.ListKind;
+import barleyspur.Director.Members;
+import barleyspur.Director.Note;
+import barleyspur.Director.Purged;
+import barleyspur.Director.Refuse;
+import barleyspur.Director.Result;
+import barleyspur.Director.State;
+import barleyspur.Director.WakeAt;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
--- a/src/test/java/bendproxy/WireTest.java
+++ b/src/test/java/barleyspur/WireTest.java
@@ -1,4 +1,4 @@
-package bendproxy;
+package barleyspur;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
