--- a/src/main/java/barleyspur/Adapter.java
+++ b/src/main/java/barleyspur/Adapter.java
@@ -2,9 +2,6 @@
 
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
-import java.io.FileDescriptor;
-import java.io.FileInputStream;
-import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -21,17 +18,8 @@
 
     private final Map<Integer, Director> directors = new HashMap<>();
 
-    /** Runs the adapter on standard input and output; exit code 0 at the end of input. */
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar barleyspur.jar adapter (the wire on standard input, output)");
-            System.exit(2);
-        }
-        System.exit(run(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)));
-    }
-
     /** Answers batches until the input ends: 0 then, 1 after one line on standard error if malformed. */
-    static int run(InputStream rawIn, OutputStream rawOut) {
+    public static int run(InputStream rawIn, OutputStream rawOut) {
         try {
             InputStream in = new BufferedInputStream(rawIn, STREAM_BUFFER);
             OutputStream out = new BufferedOutputStream(rawOut, STREAM_BUFFER);
--- /dev/null
+++ b/src/main/java/barleyspur/Node.java
@@ -0,0 +1,74 @@
+package barleyspur;
+
+import barleyspur.channel.CommandChannel;
+import barleyspur.channel.CommandReader;
+import barleyspur.config.Configuration;
+import barleyspur.depot.DepotClient;
+import barleyspur.doorman.Clock;
+import barleyspur.doorman.Doorman;
+import barleyspur.front.thrift.ThriftFront;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One doorman, whole: puts its parts together on one event loop thread, and takes it down again. */
+public final class Node {
+
+    private static final Logger LOG = LoggerFactory.getLogger("node");
+    /** Clients hold a third of the descriptors at most; the depots get as many, and the rest is left to the process. */
+    private static final int SHARES = 3;
+
+    private final Configuration configuration;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final Doorman doorman;
+    private final CommandChannel channel;
+    private final ThriftFront front;
+    private final CommandReader commands;
+
+    public Node(Configuration configuration) {
+        this.configuration = configuration;
+        Configuration.Limits limits = configuration.limits();
+        Director.Settings settings = configuration.settings();
+        Clock clock = new LoopClock(group.next());
+        DepotClient depots = new DepotClient(group, clock, new DepotClient.Limits(limits.streams(),
+            limits.connectTimeoutMs(), limits.idleMs(), limits.sockets() / SHARES), settings.reportFields());
+        Director director = new Decide(settings, configuration.seed());
+        doorman = new Doorman(settings, limits.maxOpen(), director, clock, depots);
+        commands = new CommandReader(configuration.names().zones(), configuration.names().kinds(), doorman);
+        channel = new CommandChannel(group, configuration.channel(), clock, commands);
+        front = new ThriftFront(group, doorman, configuration.names().classes(), limits.sockets() / SHARES + 1);
+    }
+
+    /** Learns what is known, then listens; throws where the address can't be had. */
+    public void start() throws IOException, InterruptedException {
+        group.submit(() -> {
+            commands.known(configuration.known());
+            channel.start();
+        }).sync();
+        var bound = front.listen(configuration.listen()).await();
+        if (!bound.isSuccess()) {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            throw new IOException("can't listen on " + configuration.listen() + ": " + bound.cause().getMessage());
+        }
+        LOG.info("{} serves on {}", configuration.name(), configuration.listen());
+    }
+
+    /** Answers what is open and what still comes for a while, then ends. */
+    public void drain() {
+        group.execute(() -> doorman.drain(() -> front.close(() -> {
+            channel.close();
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> ended.countDown());
+        })));
+    }
+
+    /** Waits until a drain has ended. */
+    public void awaitEnd() throws InterruptedException {
+        ended.await();
+    }
+}
--- a/src/main/java/barleyspur/Wire.java
+++ b/src/main/java/barleyspur/Wire.java
@@ -1,5 +1,6 @@
 package barleyspur;
 
+import barleyspur.config.SettingsReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -9,12 +10,9 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
-/** The bench's binary wire: batches of events in, replies of actions out, and the settings text. */
+/** The bench's binary wire: batches of events in, replies of actions out, and hands the settings text on. */
 final class Wire {
 
     private static final int BATCH_HEADER = 20;
@@ -120,7 +118,7 @@
             int instance = u16(body);
             if (code == 1) {
                 long seed = body.getLong();
-                return new Record(instance, new Born(seed, Setup.parse(text(u32(body)))), null);
+                return new Record(instance, new Born(seed, SettingsReader.read(SettingsReader.lines(text(u32(body))))), null);
             }
             return new Record(instance, null, code == 10 ? null : event(code));
         }
@@ -346,161 +344,4 @@
             count++;
         }
     }
-
-    // ---- settings -------------------------------------------------------------------------------------
-
-    /** The settings text: one path=value a line. Unknown keys are passed over; a missing one is named. */
-    static final class Setup {
-        private final Map<String, String> values = new HashMap<>();
-
-        static Director.Settings parse(String text) {
-            Setup setup = new Setup();
-            for (String line : text.split("\n")) {
-                int eq = line.indexOf('=');
-                if (eq > 0) {
-                    setup.values.put(line.substring(0, eq), line.substring(eq + 1).strip());
-                }
-            }
-            return setup.settings();
-        }
-
-        private Director.Settings settings() {
-            List<Director.RequestClass> classes = new ArrayList<>();
-            int n = integer("grades.count");
-            for (int i = 0; i < n; i++) {
-                classes.add(requestClass(i));
-            }
-            double fallSpanMs = number("rules.fallMs");
-            return new Director.Settings(List.copyOf(classes), integer("myNumber"), integer("groupSize"),
-                integer("myZone"), integers("familyInfo.zoneBalancers"), integer("familyInfo.midKind"),
-                integer("familyInfo.masterKind"), stableSizes(),
-                word("discovery", "pushed").equals("on_request"), number("rules.mustAskInMs", 0),
-                number("resolutionMs"), number("rules.answerSlackMs"), number("rules.drainGraceMs"),
-                new Director.ColdRule(number("rules.coldFrom"), number("rules.coldMs"),
-                    number("rules.tipMultiple")),
-                new Director.ColdRule(number("familyInfo.upperColdFrom", 1),
-                    number("familyInfo.upperColdMs", 0),
-                    number("familyInfo.upperFallMultiple", number("rules.tipMultiple"))),
-                fallSpanMs, number("familyInfo.obeyAfterMs", 0), number("familyInfo.clearedWithinMs", 0),
-                flag("familyInfo.passThroughOk"), flag("familyInfo.joins"), siblings(), notes(),
-                number("familyInfo.paceKbPerS") / 1000, reports(), list("report.fields"),
-                integer("limits.sendCap"), flag("limits.mayDuplicate"), flag("limits.cancel"),
-                flag("limits.mayProbe"), flag("limits.peers"),
-                flag("limits.retryAfter") ? number("limits.maxRetryAfterMs", 0) : 0);
-        }
-
-        /** Live weights vary with load, so they are no measure of size. */
-        private boolean stableSizes() {
-            return List.of("nominal", "rough").contains(word("weights", "silent"));
-        }
-
-        private Director.RequestClass requestClass(int i) {
-            String at = "grades." + i + ".";
-            return new Director.RequestClass(effect(at), scope(at), number(at + "keyTtlMs", 0),
-                number(at + "promiseMs"), number(at + "aimStretch", 0), number(at + "hardLimitMs"),
-                number(at + "value", 1), number(at + "lateWorth", 0), flag(at + "stream"),
-                flag(item("familyInfo.inParts", i)), flag(item("familyInfo.passOn", i)),
-                decimal("familyInfo.goodForMs", i), decimal("familyInfo.staleForMs", i),
-                decimal("familyInfo.worthWhenOld", i));
-        }
-
-        private Director.Effect effect(String at) {
-            return switch (word(at + "repeat", null)) {
-                case "repeatable" -> Director.Effect.SAFE;
-                case "by_key" -> Director.Effect.KEYED;
-                case "once" -> Director.Effect.UNSAFE;
-                default -> throw bad(at + "repeat", "repeatable, by_key or once");
-            };
-        }
-
-        private Director.Scope scope(String at) {
-            return switch (word(at + "keyScope", "all")) {
-                case "all" -> Director.Scope.ALL;
-                case "zone" -> Director.Scope.ZONE;
-                default -> Director.Scope.CELL;
-            };
-        }
-
-        private Director.Siblings siblings() {
-            return switch (word("familyInfo.lateral", "silent")) {
-                case "location" -> Director.Siblings.LOCATION;
-                case "any" -> Director.Siblings.ANY;
-                default -> Director.Siblings.NONE;
-            };
-        }
-
-        private Director.Notes notes() {
-            return switch (word("familyInfo.tells", "silent")) {
-                case "all" -> Director.Notes.ALL;
-                case "hit" -> Director.Notes.HIT;
-                default -> Director.Notes.NONE;
-            };
-        }
-
-        private Director.Reports reports() {
-            return switch (word("report.how", "silent")) {
-                case "piggyback" -> Director.Reports.WITH_ANSWERS;
-                case "pull" -> Director.Reports.WITH_PROBES;
-                default -> Director.Reports.NONE;
-            };
-        }
-
-        private List<String> list(String path) {
-            String value = values.getOrDefault(path, "");
-            return value.isEmpty() ? List.of() : List.of(value.split(","));
-        }
-
-        private List<Integer> integers(String path) {
-            return list(path).stream().map(v -> (int) toNumber(path, v)).toList();
-        }
-
-        /** Item {@code i} of a list by class; empty where the list is shorter or missing. */
-        private String item(String path, int i) {
-            List<String> items = list(path);
-            String key = path + "." + i;
-            values.put(key, i < items.size() ? items.get(i) : "");
-            return key;
-        }
-
-        private double decimal(String path, int i) {
-            String key = item(path, i);
-            return values.get(key).isEmpty() ? 0 : number(key);
-        }
-
-        private String word(String path, String otherwise) {
-            String value = values.getOrDefault(path, otherwise);
-            if (value == null) {
-                throw new IllegalArgumentException("setting " + path + " is missing");
-            }
-            return value;
-        }
-
-        private boolean flag(String path) {
-            return Arrays.asList("true", "1").contains(values.getOrDefault(path, ""));
-        }
-
-        private int integer(String path) {
-            return (int) number(path);
-        }
-
-        private double number(String path) {
-            return toNumber(path, word(path, null));
-        }
-
-        private double number(String path, double otherwise) {
-            return values.containsKey(path) ? number(path) : otherwise;
-        }
-
-        private static double toNumber(String path, String value) {
-            try {
-                return Double.parseDouble(value);
-            } catch (NumberFormatException e) {
-                throw bad(path, "a number");
-            }
-        }
-
-        private static IllegalArgumentException bad(String path, String wanted) {
-            return new IllegalArgumentException("setting " + path + " is not " + wanted);
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/barleyspur/cli/Main.java
@@ -0,0 +1,14 @@
+package barleyspur.cli;
+
+/** The program: a few lines round the commands. */
+public final class Main {
+
+    private Main() { }
+
+    public static void main(String[] args) {
+        int code = Commands.run(args);
+        if (code != Commands.RUNNING) {
+            System.exit(code);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/barleyspur/config/Configuration.java
@@ -0,0 +1,157 @@
+package barleyspur.config;
+
+import barleyspur.Director;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.json.JSONArray;
+import org.json.JSONException;
+import org.json.JSONObject;
+
+/**
+ * All that one doorman is told: read, checked and defaulted here and nowhere else. {@code known} is the
+ * command channel's own form, for the channel's parser to read.
+ */
+public record Configuration(String name, InetSocketAddress listen, InetSocketAddress channel, long seed,
+                            JSONObject known, Director.Settings settings, Names names, Limits limits) {
+
+    /** The names that sockets use for what the settings number. */
+    public record Names(List<String> classes, List<String> zones, List<String> kinds) { }
+
+    /** The node's own limits, none of which the decisions see. */
+    public record Limits(int sockets, int maxOpen, int streams, int connectTimeoutMs, int idleMs) { }
+
+    /** A configuration that can't be used; the message names the key. */
+    public static final class Invalid extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Invalid(String message) {
+            super(message);
+        }
+    }
+
+    private static final int LEAST_SOCKETS = 64;
+    private static final int HEX = 16;
+
+    /** Reads the file that {@code RELAY_CONFIG} names; name and address may also come as variables. */
+    public static Configuration load(Map<String, String> variables) throws Invalid {
+        String file = variables.get("RELAY_CONFIG");
+        if (file == null || file.isBlank()) {
+            throw new Invalid("variable RELAY_CONFIG is missing");
+        }
+        try {
+            return read(new JSONObject(Files.readString(Path.of(file))), variables);
+        } catch (IOException e) {
+            throw new Invalid("variable RELAY_CONFIG: " + file + " can't be read: " + e.getMessage());
+        } catch (JSONException e) {
+            throw new Invalid("variable RELAY_CONFIG: " + file + " is not JSON: " + e.getMessage());
+        }
+    }
+
+    static Configuration read(JSONObject json, Map<String, String> variables) throws Invalid {
+        String name = variables.getOrDefault("RELAY_NAME", json.optString("name"));
+        if (name.isBlank()) {
+            throw new Invalid("key name is missing");
+        }
+        String listen = variables.getOrDefault("RELAY_LISTEN", json.optString("listen"));
+        JSONObject settings = object(json, "settings");
+        JSONObject known = object(json, "known");
+        if (!known.has("cursor") || known.optJSONArray("cmds") == null) {
+            throw new Invalid("key known does not hold cursor and cmds");
+        }
+        try {
+            Map<String, String> flat = SettingsReader.flatten(settings);
+            return new Configuration(name, address("listen", listen), address("channel", json.optString("channel")),
+                seed(json), known, SettingsReader.read(flat), names(settings), limits(json, flat));
+        } catch (IllegalArgumentException e) {
+            throw new Invalid(e.getMessage());
+        }
+    }
+
+    /** The address in {@code text}, as {@code 10.0.0.4:7001}; a literal, since there is no DNS. */
+    public static InetSocketAddress address(String key, String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            String host = text.substring(0, Math.max(0, colon));
+            if (host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+                return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+            }
+        } catch (IllegalArgumentException e) {
+            // Said below, with the key.
+        }
+        throw new IllegalArgumentException("key " + key + " is not an address with a port: '" + text + "'");
+    }
+
+    private static JSONObject object(JSONObject json, String key) throws Invalid {
+        JSONObject value = json.optJSONObject(key);
+        if (value == null) {
+            throw new Invalid("key " + key + " is missing or no object");
+        }
+        return value;
+    }
+
+    private static long seed(JSONObject json) {
+        try {
+            return Long.parseUnsignedLong(json.optString("seed"), HEX);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("key seed is not a number in hex digits");
+        }
+    }
+
+    private static Names names(JSONObject settings) {
+        JSONArray grades = settings.optJSONArray("grades");
+        if (grades == null) {
+            throw new IllegalArgumentException("setting grades is missing or no list");
+        }
+        String[] classes = new String[grades.length()];
+        for (int i = 0; i < classes.length; i++) {
+            JSONObject grade = grades.optJSONObject(i);
+            classes[i] = grade == null ? "" : grade.optString("name");
+            if (classes[i].isEmpty()) {
+                throw new IllegalArgumentException("setting grades." + i + ".name is missing");
+            }
+        }
+        return new Names(List.of(classes), words(settings, "areas"), words(settings, "flavors"));
+    }
+
+    private static List<String> words(JSONObject settings, String key) {
+        Object value = settings.opt(key);
+        if (value instanceof JSONArray array && !array.isEmpty()) {
+            return array.toList().stream().map(String::valueOf).toList();
+        }
+        if (value instanceof String text && !text.isEmpty()) {
+            return Arrays.asList(text.split(","));
+        }
+        throw new IllegalArgumentException("setting " + key + " is missing or empty");
+    }
+
+    private static Limits limits(JSONObject json, Map<String, String> flat) {
+        JSONObject limits = json.optJSONObject("limits");
+        int sockets = limits == null ? 0 : limits.optInt("sockets");
+        if (sockets < LEAST_SOCKETS) {
+            throw new IllegalArgumentException("key limits.sockets is missing or under " + LEAST_SOCKETS);
+        }
+        return new Limits(sockets, positive(flat, "limits.maxOpen", 20_000), positive(flat, "limits.multiplex", 32),
+            positive(flat, "limits.connectTimeoutMs", 400), positive(flat, "limits.connIdleMs", 15_000));
+    }
+
+    private static int positive(Map<String, String> flat, String key, int otherwise) {
+        String text = flat.get(key);
+        if (text == null) {
+            return otherwise;
+        }
+        try {
+            double value = Double.parseDouble(text);
+            if (value >= 1 && value <= Integer.MAX_VALUE) {
+                return (int) value;
+            }
+        } catch (NumberFormatException e) {
+            // Said below, with the key.
+        }
+        throw new IllegalArgumentException("setting " + key + " is not a number from 1 on: '" + text + "'");
+    }
+}
--- /dev/null
+++ b/src/main/java/barleyspur/config/SettingsReader.java
@@ -0,0 +1,207 @@
+package barleyspur.config;
+
+import barleyspur.Director;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.json.JSONArray;
+import org.json.JSONObject;
+
+/**
+ * Reads {@link Director.Settings} from flat {@code path -> value} entries. The simulator's text and the
+ * node's JSON both come down to that form, so each key is checked and defaulted in one place. Unknown keys
+ * are passed over; a missing or unreadable one is named.
+ */
+public final class SettingsReader {
+
+    private final Map<String, String> values;
+
+    private SettingsReader(Map<String, String> values) {
+        this.values = values;
+    }
+
+    /** The settings in {@code values}; throws {@link IllegalArgumentException} naming the faulty key. */
+    public static Director.Settings read(Map<String, String> values) {
+        return new SettingsReader(values).settings();
+    }
+
+    /** The simulator's form: one {@code path=value} a line. */
+    public static Map<String, String> lines(String text) {
+        Map<String, String> values = new HashMap<>();
+        for (String line : text.split("\n")) {
+            int eq = line.indexOf('=');
+            if (eq > 0) {
+                values.put(line.substring(0, eq), line.substring(eq + 1).strip());
+            }
+        }
+        return values;
+    }
+
+    /** The node's form: the same object as nested JSON. */
+    static Map<String, String> flatten(JSONObject json) {
+        Map<String, String> values = new HashMap<>();
+        flatten("", json, values);
+        return values;
+    }
+
+    private static void flatten(String path, Object value, Map<String, String> into) {
+        if (value instanceof JSONObject object) {
+            for (String key : object.keySet()) {
+                flatten(path.isEmpty() ? key : path + "." + key, object.get(key), into);
+            }
+        } else if (value instanceof JSONArray array) {
+            boolean objects = !array.isEmpty() && array.get(0) instanceof JSONObject;
+            if (objects) {
+                into.put(path + ".count", Integer.toString(array.length()));
+                for (int i = 0; i < array.length(); i++) {
+                    flatten(path + "." + i, array.get(i), into);
+                }
+            } else {
+                into.put(path, String.join(",", array.toList().stream().map(String::valueOf).toList()));
+            }
+        } else {
+            into.put(path, String.valueOf(value));
+        }
+    }
+
+    private Director.Settings settings() {
+        List<Director.RequestClass> classes = new ArrayList<>();
+        int n = integer("grades.count");
+        for (int i = 0; i < n; i++) {
+            classes.add(requestClass(i));
+        }
+        return new Director.Settings(List.copyOf(classes), integer("myNumber"), integer("groupSize"),
+            integer("myZone"), integers("familyInfo.zoneBalancers"), integer("familyInfo.midKind"),
+            integer("familyInfo.masterKind"), stableSizes(),
+            word("discovery", "pushed").equals("on_request"), number("rules.mustAskInMs", 0),
+            number("resolutionMs"), number("rules.answerSlackMs"), number("rules.drainGraceMs"),
+            new Director.ColdRule(number("rules.coldFrom"), number("rules.coldMs"),
+                number("rules.tipMultiple")),
+            new Director.ColdRule(number("familyInfo.upperColdFrom", 1),
+                number("familyInfo.upperColdMs", 0),
+                number("familyInfo.upperFallMultiple", number("rules.tipMultiple"))),
+            number("rules.fallMs"), number("familyInfo.obeyAfterMs", 0),
+            number("familyInfo.clearedWithinMs", 0), flag("familyInfo.passThroughOk"),
+            flag("familyInfo.joins"), siblings(), notes(), number("familyInfo.paceKbPerS") / 1000, reports(),
+            list("report.fields"), integer("limits.sendCap"), flag("limits.mayDuplicate"),
+            flag("limits.cancel"), flag("limits.mayProbe"), flag("limits.peers"),
+            flag("limits.retryAfter") ? number("limits.maxRetryAfterMs", 0) : 0);
+    }
+
+    /** Live weights vary with load, so they are no measure of size. */
+    private boolean stableSizes() {
+        return List.of("nominal", "rough").contains(word("weights", "silent"));
+    }
+
+    private Director.RequestClass requestClass(int i) {
+        String at = "grades." + i + ".";
+        return new Director.RequestClass(effect(at), scope(at), number(at + "keyTtlMs", 0),
+            number(at + "promiseMs"), number(at + "aimStretch", 0), number(at + "hardLimitMs"),
+            number(at + "value", 1), number(at + "lateWorth", 0), flag(at + "stream"),
+            isTrue(item("familyInfo.inParts", i)), isTrue(item("familyInfo.passOn", i)),
+            decimal("familyInfo.goodForMs", i), decimal("familyInfo.staleForMs", i),
+            decimal("familyInfo.worthWhenOld", i));
+    }
+
+    private Director.Effect effect(String at) {
+        return switch (word(at + "repeat", null)) {
+            case "repeatable" -> Director.Effect.SAFE;
+            case "by_key" -> Director.Effect.KEYED;
+            case "once" -> Director.Effect.UNSAFE;
+            default -> throw bad(at + "repeat", "repeatable, by_key or once");
+        };
+    }
+
+    private Director.Scope scope(String at) {
+        return switch (word(at + "keyScope", "all")) {
+            case "all" -> Director.Scope.ALL;
+            case "zone" -> Director.Scope.ZONE;
+            default -> Director.Scope.CELL;
+        };
+    }
+
+    private Director.Siblings siblings() {
+        return switch (word("familyInfo.lateral", "silent")) {
+            case "location" -> Director.Siblings.LOCATION;
+            case "any" -> Director.Siblings.ANY;
+            default -> Director.Siblings.NONE;
+        };
+    }
+
+    private Director.Notes notes() {
+        return switch (word("familyInfo.tells", "silent")) {
+            case "all" -> Director.Notes.ALL;
+            case "hit" -> Director.Notes.HIT;
+            default -> Director.Notes.NONE;
+        };
+    }
+
+    private Director.Reports reports() {
+        return switch (word("report.how", "silent")) {
+            case "piggyback" -> Director.Reports.WITH_ANSWERS;
+            case "pull" -> Director.Reports.WITH_PROBES;
+            default -> Director.Reports.NONE;
+        };
+    }
+
+    private List<String> list(String path) {
+        String value = values.getOrDefault(path, "");
+        return value.isEmpty() ? List.of() : List.of(value.split(","));
+    }
+
+    private List<Integer> integers(String path) {
+        return list(path).stream().map(v -> (int) toNumber(path, v)).toList();
+    }
+
+    /** Item {@code i} of a list by class; empty where the list is shorter or missing. */
+    private String item(String path, int i) {
+        List<String> items = list(path);
+        return i < items.size() ? items.get(i) : "";
+    }
+
+    private double decimal(String path, int i) {
+        String value = item(path, i);
+        return value.isEmpty() ? 0 : toNumber(path + "." + i, value);
+    }
+
+    private String word(String path, String otherwise) {
+        String value = values.getOrDefault(path, otherwise);
+        if (value == null) {
+            throw new IllegalArgumentException("setting " + path + " is missing");
+        }
+        return value;
+    }
+
+    private boolean flag(String path) {
+        return isTrue(values.getOrDefault(path, ""));
+    }
+
+    private static boolean isTrue(String value) {
+        return value.equals("true") || value.equals("1");
+    }
+
+    private int integer(String path) {
+        return (int) number(path);
+    }
+
+    private double number(String path) {
+        return toNumber(path, word(path, null));
+    }
+
+    private double number(String path, double otherwise) {
+        return values.containsKey(path) ? number(path) : otherwise;
+    }
+
+    private static double toNumber(String path, String value) {
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw bad(path, "a number");
+        }
+    }
+
+    private static IllegalArgumentException bad(String path, String wanted) {
+        return new IllegalArgumentException("setting " + path + " is not " + wanted);
+    }
+}
--- /dev/null
+++ b/src/main/java/barleyspur/depot/DepotClient.java
@@ -0,0 +1,187 @@
+package barleyspur.depot;
+
+import barleyspur.Director.Result;
+import barleyspur.doorman.Clock;
+import barleyspur.doorman.Depots;
+import barleyspur.doorman.Listing;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.resolver.NoopAddressResolverGroup;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The depots' RESP client: a few connections to each node, opened as needed and closed when idle. */
+public final class DepotClient implements Depots {
+
+    private static final Logger LOG = LoggerFactory.getLogger("depot");
+    private static final double SWEEP_MS = 500;
+    /** Ours close this much sooner than the depots', so that no request crosses their close. */
+    private static final int IDLE_MARGIN_MS = 2_000;
+
+    /** What connections are held to. */
+    public record Limits(int streams, int connectTimeoutMs, int idleMs, int mostConnections) { }
+
+    private final Bootstrap bootstrap;
+    private final Clock clock;
+    private final Limits limits;
+    private final List<String> reportFields;
+    private final Map<Long, Depot> depots = new HashMap<>();
+    private int connections;
+    private long probes;
+
+    public DepotClient(EventLoopGroup group, Clock clock, Limits limits, List<String> reportFields) {
+        this.clock = clock;
+        this.limits = limits;
+        this.reportFields = reportFields;
+        this.bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+            .resolver(NoopAddressResolverGroup.INSTANCE)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
+        sweepLater();
+    }
+
+    /** One node: where it listens, and the connections to it. */
+    private final class Depot {
+        private Listing listing;
+        private final List<DepotConnection> pool = new ArrayList<>(2);
+
+        Depot(Listing listing) {
+            this.listing = listing;
+        }
+
+        /** The fullest one that is up and has room, else one that is coming up, else a new one; null: no room. */
+        DepotConnection connection(String id) {
+            DepotConnection best = null;
+            for (DepotConnection c : pool) {
+                if (c.takes(id, limits.streams()) && (best == null || better(c, best))) {
+                    best = c;
+                }
+            }
+            if (best == null) {
+                best = connect();
+            }
+            return best != null && best.takes(id, limits.streams()) ? best : null;
+        }
+
+        private boolean better(DepotConnection c, DepotConnection than) {
+            return c.isUp() == than.isUp() ? c.load() > than.load() : c.isUp();
+        }
+
+        private DepotConnection connect() {
+            if (connections >= limits.mostConnections()) {
+                LOG.warn("{}: no connection: {} are open", listing.uid(), connections);
+                return null;
+            }
+            connections++;
+            DepotConnection[] made = new DepotConnection[1];
+            DepotConnection c = new DepotConnection(listing.uid(), reportFields, () -> {
+                if (pool.remove(made[0])) {
+                    connections--;
+                }
+            });
+            made[0] = c;
+            pool.add(c);
+            c.connecting(bootstrap.clone().handler(new ChannelInitializer<>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new RespDecoder(), c);
+                }
+            }).connect(listing.address()));
+            return c;
+        }
+
+        void retire() {
+            new ArrayList<>(pool).forEach(DepotConnection::retire);
+        }
+
+        void closeIdle(long nanos) {
+            for (DepotConnection c : new ArrayList<>(pool)) {
+                if (c.isUp() && c.idleFor(nanos)) {
+                    c.close();
+                }
+            }
+        }
+    }
+
+    @Override
+    public void list(long node, Listing listing) {
+        Depot depot = depots.computeIfAbsent(node, k -> new Depot(listing));
+        Listing before = depot.listing;
+        depot.listing = listing;
+        if (!before.address().equals(listing.address()) || before.bootMs() != listing.bootMs()) {
+            // Connections to the process before, or to who holds its address now, are of no use for new work.
+            depot.retire();
+        }
+    }
+
+    @Override
+    public void retire(long node) {
+        Depot depot = depots.remove(node);
+        if (depot != null) {
+            depot.retire();
+        }
+    }
+
+    @Override
+    public Call send(long node, Order order, End end) {
+        Depot depot = depots.get(node);
+        DepotConnection c = depot == null ? null : depot.connection(order.ask().id());
+        if (c == null) {
+            return never(end);
+        }
+        ByteBufAllocator alloc = c.channel().alloc();
+        return c.open(order.ask().id(), Resp.serveHead(alloc, order, order.ask().body().readableBytes()),
+            order.ask().body().retainedDuplicate(), end);
+    }
+
+    @Override
+    public void probe(long node, double timeoutMs, End end) {
+        String tag = "p" + ++probes;
+        Depot depot = depots.get(node);
+        DepotConnection c = depot == null ? null : depot.connection(tag);
+        if (c == null) {
+            never(end);
+            return;
+        }
+        DepotConnection.Call[] made = new DepotConnection.Call[1];
+        Clock.Timer timeout = clock.after(timeoutMs, () -> {
+            made[0].giveUp();
+            end.ended(Answer.of(Result.TIMEOUT));
+        });
+        made[0] = c.open(tag, Resp.message(c.channel().alloc(), "gauges", tag), null, answer -> {
+            timeout.cancel();
+            end.ended(answer);
+        });
+    }
+
+    /** No connection can be had: told later, since an end never comes from within the call. */
+    private Call never(End end) {
+        return clock.after(0, () -> end.ended(Answer.of(Result.CONNECT_FAILED)))::cancel;
+    }
+
+    @Override
+    public void hangUp(long node) {
+        Depot depot = depots.get(node);
+        if (depot != null) {
+            depot.closeIdle(0);
+        }
+    }
+
+    private void sweepLater() {
+        clock.after(SWEEP_MS, () -> {
+            long idle = TimeUnit.MILLISECONDS.toNanos(Math.max(1, limits.idleMs() - IDLE_MARGIN_MS));
+            depots.values().forEach(d -> d.closeIdle(idle));
+            sweepLater();
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/barleyspur/depot/DepotConnection.java
@@ -0,0 +1,258 @@
+package barleyspur.depot;
+
+import barleyspur.Director.Result;
+import barleyspur.doorman.Depots;
+import barleyspur.doorman.Depots.Answer;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.CorruptedFrameException;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One connection to a depot, and all that is open on it. Calls given to it before it is up are written once it
+ * is; if it never comes up, they never ran. Nothing is sent again here: how a call ended is for the director.
+ */
+final class DepotConnection extends SimpleChannelInboundHandler<RespDecoder.Message> {
+
+    private static final Logger LOG = LoggerFactory.getLogger("depot");
+
+    /** More than can be cancelled on one connection while an answer is on its way. */
+    private static final int MOST_CANCELLED = 256;
+
+    private final String uid;
+    private final List<String> reportFields;
+    private final Runnable onClosed;
+    /** By id, since answers come in any order. */
+    private final Map<String, Call> open = new HashMap<>();
+    /** The ids cancelled here lately. */
+    private final Set<String> cancelled = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MOST_CANCELLED;
+        }
+    });
+    private Channel channel;
+    private boolean up;
+    private boolean closed;
+    private boolean retired;
+    private long idleSinceNanos = System.nanoTime();
+
+    DepotConnection(String uid, List<String> reportFields, Runnable onClosed) {
+        this.uid = uid;
+        this.reportFields = reportFields;
+        this.onClosed = onClosed;
+    }
+
+    /** One attempt or probe on this connection. */
+    final class Call implements Depots.Call {
+        private final String id;
+        private final Depots.End end;
+        private ByteBuf head;
+        private ByteBuf body;
+
+        private Call(String id, ByteBuf head, ByteBuf body, Depots.End end) {
+            this.id = id;
+            this.head = head;
+            this.body = body;
+            this.end = end;
+        }
+
+        @Override
+        public void cancel() {
+            if (!open.remove(id, this)) {
+                return;
+            }
+            if (up) {
+                cancelled.add(id);
+                channel.writeAndFlush(Resp.message(channel.alloc(), "cancel", id), channel.voidPromise());
+            } else {
+                drop();
+            }
+            idleFromNow();
+        }
+
+        /** Forgets the call; its answer, should one come, has nobody waiting for it. */
+        void giveUp() {
+            if (open.remove(id, this)) {
+                drop();
+                idleFromNow();
+            }
+        }
+
+        private void write() {
+            channel.write(head, channel.voidPromise());
+            if (body != null) {
+                channel.write(body, channel.voidPromise());
+                channel.write(Unpooled.wrappedBuffer(Resp.END), channel.voidPromise());
+            }
+            channel.flush();
+            head = null;
+            body = null;
+        }
+
+        private void drop() {
+            if (head != null) {
+                head.release();
+            }
+            if (body != null) {
+                body.release();
+            }
+        }
+    }
+
+    /** Follows the connect; called once, right after it was begun. */
+    void connecting(ChannelFuture connect) {
+        channel = connect.channel();
+        connect.addListener(done -> {
+            if (done.isSuccess()) {
+                up = true;
+                open.values().forEach(Call::write);
+                closeIfRetired();
+            } else {
+                LOG.debug("{}: no connection: {}", uid, done.cause().getMessage());
+                failAll(Result.CONNECT_FAILED);
+            }
+        });
+    }
+
+    /** Opens a call; {@code body} null: a message of words alone. Both buffers belong to the call from now on. */
+    Call open(String id, ByteBuf head, ByteBuf body, Depots.End end) {
+        Call call = new Call(id, head, body, end);
+        open.put(id, call);
+        if (up) {
+            call.write();
+        }
+        return call;
+    }
+
+    /**
+     * Whether a call under this id may go out here. Not while the id is out here or was cancelled here: an answer
+     * on its way to the earlier attempt of the same request would be taken for the later one's.
+     */
+    boolean takes(String id, int streams) {
+        return !closed && !retired && open.size() < streams && !open.containsKey(id) && !cancelled.contains(id);
+    }
+
+    boolean isUp() {
+        return up;
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    int load() {
+        return open.size();
+    }
+
+    boolean idleFor(long nanos) {
+        return open.isEmpty() && System.nanoTime() - idleSinceNanos >= nanos;
+    }
+
+    /** Takes nothing new, and closes once what is open has ended. */
+    void retire() {
+        retired = true;
+        closeIfRetired();
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    private void closeIfRetired() {
+        if (retired && open.isEmpty()) {
+            close();
+        }
+    }
+
+    private void idleFromNow() {
+        if (open.isEmpty()) {
+            idleSinceNanos = System.nanoTime();
+            closeIfRetired();
+        }
+    }
+
+    @Override
+    public boolean acceptInboundMessage(Object message) {
+        return message instanceof RespDecoder.Message;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, RespDecoder.Message message) {
+        ByteBuf body = message.body();
+        try {
+            List<String> words = message.words();
+            if (words.size() < 2) {
+                throw new CorruptedFrameException("an answer without a word");
+            }
+            Call call = open.remove(words.get(0));
+            // An answer that crossed its cancel has nobody waiting for it.
+            if (call != null) {
+                Answer answer = answer(words.get(1), words.size() > 2 ? words.get(2) : "-", body);
+                idleFromNow();
+                call.end.ended(answer);
+            }
+        } finally {
+            body.release();
+        }
+    }
+
+    private Answer answer(String word, String fields, ByteBuf body) {
+        Result result = switch (word) {
+            case "DONE", "KEEP", "FIT" -> Result.OK;
+            case "LACK" -> Result.MISS;
+            case "WAIT" -> Result.FULL;
+            case "PAST" -> Result.MOOT;
+            case "BROKE", "UNFIT" -> Result.ERROR;
+            default -> {
+                LOG.warn("{}: unknown answer {}", uid, word);
+                yield Result.ERROR;
+            }
+        };
+        ByteBuf kept = word.equals("DONE") ? body.retain() : null;
+        return new Answer(result, Resp.note(Resp.field(fields, "how")),
+            Resp.load(Resp.field(fields, "stats"), reportFields), kept, Resp.field(fields, "digest"));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        failAll(Result.RESET);
+    }
+
+    private void failAll(Result result) {
+        closed = true;
+        up = false;
+        onClosed.run();
+        List<Call> left = new ArrayList<>(open.values());
+        open.clear();
+        for (Call call : left) {
+            call.drop();
+            call.end.ended(Answer.of(result));
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof IOException) {
+            LOG.debug("{}: connection lost: {}", uid, cause.getMessage());
+        } else {
+            LOG.warn("{}: connection closed: {}", uid, cause.toString());
+        }
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/barleyspur/depot/Resp.java
@@ -0,0 +1,135 @@
+package barleyspur.depot;
+
+import barleyspur.Director.Note;
+import barleyspur.doorman.Ask;
+import barleyspur.doorman.Depots.Order;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.StringJoiner;
+
+/** The words of the depots' protocol: requests as RESP arrays of bulk strings, and the fields of answers. */
+final class Resp {
+
+    private static final int HEAD = 256;
+
+    private Resp() { }
+
+    /** A {@code serve} up to its body, which follows with {@link #END}. */
+    static ByteBuf serveHead(ByteBufAllocator alloc, Order order, int bodyBytes) {
+        ByteBuf out = alloc.buffer(HEAD);
+        words(out, 4, "serve", order.ask().id(), fields(order));
+        return line(out, '$', bodyBytes);
+    }
+
+    /** What ends a bulk string. */
+    static final byte[] END = {'\r', '\n'};
+
+    /** A message of words alone. */
+    static ByteBuf message(ByteBufAllocator alloc, String... words) {
+        return words(alloc.buffer(HEAD), words.length, words);
+    }
+
+    private static ByteBuf words(ByteBuf out, int count, String... words) {
+        line(out, '*', count);
+        for (String word : words) {
+            line(out, '$', ByteBufUtil.utf8Bytes(word));
+            out.writeCharSequence(word, StandardCharsets.UTF_8);
+            out.writeBytes(END);
+        }
+        return out;
+    }
+
+    private static ByteBuf line(ByteBuf out, char mark, int number) {
+        out.writeByte(mark);
+        out.writeCharSequence(Integer.toString(number), StandardCharsets.US_ASCII);
+        return out.writeBytes(END);
+    }
+
+    /** A request's fields. Ages are cut to whole milliseconds, so that no copy older than allowed will do. */
+    private static String fields(Order order) {
+        Ask ask = order.ask();
+        StringJoiner fields = new StringJoiner(",");
+        fields.add("class=" + ask.className()).add("key=" + ask.key()).add("part=" + ask.partWord())
+            .add("wait=" + Math.max(1, (long) order.waitMs()));
+        if (order.source() != null) {
+            fields.add("parent=" + order.source());
+        }
+        if (order.shelf() > 0) {
+            fields.add("shelf=" + order.shelf());
+        }
+        if (order.maxAgeMs() > 0) {
+            fields.add("accept=" + Math.max(1, (long) order.maxAgeMs()));
+        }
+        String hints = hints(order);
+        if (!hints.isEmpty()) {
+            fields.add("hints=" + hints);
+        }
+        if (ask.tag() != null) {
+            fields.add("got=" + ask.tag());
+        }
+        return fields.toString();
+    }
+
+    private static String hints(Order order) {
+        StringJoiner hints = new StringJoiner("+");
+        if (order.join()) {
+            hints.add("ride");
+        }
+        if (order.onlyHeld()) {
+            hints.add("have-only");
+        }
+        if (order.parentKeepsNone()) {
+            hints.add("through");
+        }
+        if (order.renew()) {
+            hints.add("update");
+        }
+        return hints.toString();
+    }
+
+    /** The value of {@code name} in a list of fields; null where there is none. */
+    static String field(String fields, String name) {
+        for (int at = 0; at < fields.length();) {
+            int comma = fields.indexOf(',', at);
+            int end = comma < 0 ? fields.length() : comma;
+            if (fields.startsWith(name, at) && at + name.length() < end && fields.charAt(at + name.length()) == '=') {
+                return fields.substring(at + name.length() + 1, end);
+            }
+            at = end + 1;
+        }
+        return null;
+    }
+
+    /** The note in {@code how}. */
+    static Note note(String how) {
+        return how == null ? Note.NONE : switch (how) {
+            case "h" -> Note.HIT;
+            case "f" -> Note.FILLED;
+            case "j" -> Note.JOINED;
+            case "s" -> Note.STALE;
+            default -> Note.NONE;
+        };
+    }
+
+    /** The report in {@code stats}, in the order of the settings; empty where a value is missing or no number. */
+    static List<Float> load(String stats, List<String> names) {
+        if (stats == null) {
+            return List.of();
+        }
+        String fields = stats.replace(';', ',').replace(':', '=');
+        List<Float> values = new ArrayList<>(names.size());
+        for (String name : names) {
+            String value = field(fields, name);
+            try {
+                values.add(Float.parseFloat(value == null ? "" : value));
+            } catch (NumberFormatException e) {
+                return List.of();
+            }
+        }
+        return values;
+    }
+}
--- /dev/null
+++ b/src/main/java/barleyspur/depot/RespDecoder.java
@@ -0,0 +1,96 @@
+package barleyspur.depot;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.handler.codec.CorruptedFrameException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads RESP arrays of bulk strings; a body is a slice of what was read. */
+final class RespDecoder extends ByteToMessageDecoder {
+
+    /** A message: its words, and its last bulk string as a body where there are four or more. */
+    record Message(List<String> words, ByteBuf body) { }
+
+    private static final int MOST_ITEMS = 8;
+    private static final int BODY_AT = 3;
+    private static final int MAX_WORD = 4_096;
+    /** An object holds at most 240,000 bytes. */
+    private static final int MAX_BODY = 256 * 1024;
+    private static final int MAX_DIGITS = 8;
+
+    /** Where the message being read goes on; what came before it is known to be whole. */
+    private int at;
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        at = in.readerIndex();
+        int items = line(in, '*');
+        if (items < 0) {
+            return;
+        }
+        if (items == 0 || items > MOST_ITEMS) {
+            throw new CorruptedFrameException("an array of " + items);
+        }
+        List<String> words = new ArrayList<>(items);
+        int bodyAt = 0;
+        int bodyBytes = 0;
+        for (int i = 0; i < items; i++) {
+            int length = line(in, '$');
+            if (length < 0) {
+                return;
+            }
+            if (length > (i == BODY_AT ? MAX_BODY : MAX_WORD)) {
+                throw new CorruptedFrameException("a bulk string of " + length);
+            }
+            if (in.writerIndex() - at < length + Resp.END.length) {
+                return;
+            }
+            if (in.getByte(at + length) != Resp.END[0] || in.getByte(at + length + 1) != Resp.END[1]) {
+                throw new CorruptedFrameException("a bulk string without its end");
+            }
+            if (i == BODY_AT) {
+                bodyAt = at;
+                bodyBytes = length;
+            } else {
+                words.add(in.toString(at, length, StandardCharsets.UTF_8));
+            }
+            at += length + Resp.END.length;
+        }
+        out.add(new Message(words, items > BODY_AT ? in.retainedSlice(bodyAt, bodyBytes) : in.retainedSlice(at, 0)));
+        in.readerIndex(at);
+    }
+
+    /** The number on a line that starts with {@code mark}; -1 where the line is not whole yet. */
+    private int line(ByteBuf in, char mark) {
+        int end = in.writerIndex();
+        if (at >= end) {
+            return -1;
+        }
+        if (in.getByte(at) != mark) {
+            throw new CorruptedFrameException("no '" + mark + "' where one is due");
+        }
+        int value = 0;
+        for (int i = at + 1; i < end; i++) {
+            byte b = in.getByte(i);
+            int digits = i - at - 1;
+            if (b >= '0' && b <= '9' && digits < MAX_DIGITS) {
+                value = value * 10 + b - '0';
+            } else if (b == Resp.END[0] && digits > 0) {
+                if (i + 1 >= end) {
+                    return -1;
+                }
+                if (in.getByte(i + 1) != Resp.END[1]) {
+                    throw new CorruptedFrameException("a line without its end");
+                }
+                at = i + Resp.END.length;
+                return value;
+            } else {
+                throw new CorruptedFrameException("no number after '" + mark + "'");
+            }
+        }
+        return -1;
+    }
+}
--- /dev/null
+++ b/src/main/java/barleyspur/doorman/Doorman.java
@@ -0,0 +1,315 @@
+package barleyspur.doorman;
+
+import barleyspur.Director;
+import barleyspur.Director.Result;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The core: gives a director the events of one doorman and carries out what it orders. It knows neither the
+ * clients' protocol nor the depots', and decides nothing itself. All calls come from one event loop thread.
+ */
+public final class Doorman implements Commands {
+
+    private static final Logger LOG = LoggerFactory.getLogger("doorman");
+    /** New requests may come for 0.6 s after a stop was asked for, and must still be answered. */
+    private static final double DRAIN_MS = 750;
+    /** Ids given to the director stay below 2^32, where its timer tokens begin. */
+    private static final long MOST_IDS = 1L << 32;
+    private static final double PROBE_TIMEOUT_MS = 250;
+
+    private final Director.Settings settings;
+    private final int maxOpen;
+    private final Director director;
+    private final Clock clock;
+    private final Depots depots;
+    private final Map<Long, Exchange> exchanges = new HashMap<>();
+    /** By node; also nodes that are gone, whose attempts may still be out. */
+    private final Map<Long, String> uids = new HashMap<>();
+    private final ArrayDeque<Director.Event> events = new ArrayDeque<>();
+    private final ArrayDeque<Director.Action> actions = new ArrayDeque<>();
+    private boolean telling;
+    private boolean listedOnce;
+    private long lastId;
+    /** Requests whose answer is owed. */
+    private int owed;
+    private boolean draining;
+    private Runnable drained;
+
+    public Doorman(Director.Settings settings, int maxOpen, Director director, Clock clock, Depots depots) {
+        this.settings = settings;
+        this.maxOpen = maxOpen;
+        this.director = director;
+        this.clock = clock;
+        this.depots = depots;
+    }
+
+    // ---- the front -------------------------------------------------------------------------------------
+
+    /** A request on its way through the core, to be named when its client leaves. */
+    public interface Ticket {
+        /** The client has left: no answer is owed any more. */
+        void gone();
+    }
+
+    /** Takes a request and its body. The caller may be answered from within this call. */
+    public Ticket take(Ask ask, Caller caller) {
+        if (owed >= maxOpen) {
+            LOG.warn("request {} refused: {} requests are open", ask.id(), owed);
+            ask.body().release();
+            caller.refused(settings.maxRetryAfterMs());
+            return () -> { };
+        }
+        double now = clock.nowMs();
+        lastId = (lastId + 1) % MOST_IDS;
+        Exchange x = new Exchange(lastId, ask, caller, now + ask.remainingMs());
+        exchanges.put(x.id, x);
+        owed++;
+        // Guards rule 1 against a director that leaves a request unanswered: half the slack is left by then.
+        x.guard = clock.after(ask.remainingMs() + settings.answerSlackMs() / 2, () -> overdue(x));
+        boolean write = settings.classes().get(ask.category()).write();
+        tell(new Director.Request(x.id, ask.category(), 0, ask.object(), ask.part(), ask.group(),
+            ask.remainingMs(), ask.sizeKb(), false, write));
+        return () -> gone(x);
+    }
+
+    /** Whether new clients are welcome. */
+    public boolean draining() {
+        return draining;
+    }
+
+    /** Goes on for a while, finishes what is open, then calls {@code then}, once. */
+    public void drain(Runnable then) {
+        if (draining) {
+            return;
+        }
+        draining = true;
+        LOG.info("drain: asked to stop, {} requests open", owed);
+        clock.after(DRAIN_MS, () -> {
+            drained = then;
+            leaveIfDone();
+        });
+    }
+
+    private void leaveIfDone() {
+        if (drained != null && owed == 0) {
+            Runnable then = drained;
+            drained = null;
+            LOG.info("drain: all requests answered");
+            then.run();
+        }
+    }
+
+    private void gone(Exchange x) {
+        if (!x.over) {
+            close(x);
+            tell(new Director.Gone(x.id));
+            forgetIfDone(x);
+        }
+    }
+
+    private void overdue(Exchange x) {
+        if (!x.over) {
+            LOG.error("request {} was left unanswered by the director: failed", x.ask.id());
+            close(x);
+            x.caller.failed();
+            tell(new Director.Gone(x.id));
+            forgetIfDone(x);
+        }
+    }
+
+    /** The request is over: nothing further is sent for it. */
+    private void close(Exchange x) {
+        x.over = true;
+        x.guard.cancel();
+        x.ask.body().release();
+        owed--;
+        if (drained != null) {
+            clock.after(0, this::leaveIfDone);
+        }
+    }
+
+    private void forgetIfDone(Exchange x) {
+        if (x.over && x.out == 0) {
+            exchanges.remove(x.id);
+        }
+    }
+
+    // ---- the command channel ---------------------------------------------------------------------------
+
+    @Override
+    public void listed(boolean whole, List<Listing> listings) {
+        List<Director.Node> nodes = new ArrayList<>(listings.size());
+        for (Listing l : listings) {
+            long node = l.node();
+            String before = uids.putIfAbsent(node, l.uid());
+            if (before == null) {
+                LOG.info("node {} is {} at {}", node, l.uid(), l.address());
+            }
+            if (l.state() == Director.State.GONE) {
+                depots.retire(node);
+            } else {
+                depots.list(node, l);
+            }
+            nodes.add(new Director.Node(node, l.zone(), l.kind(), l.cell(), l.state(), l.size(), l.bootMs()));
+        }
+        Director.ListKind full = listedOnce ? Director.ListKind.FULL : Director.ListKind.CACHED;
+        listedOnce = true;
+        tell(new Director.Members(whole ? full : Director.ListKind.DELTA, nodes));
+    }
+
+    @Override
+    public void purgedObject(long object, double whenMs) {
+        tell(new Director.Purged(0, object, clock.nowMs() - whenMs));
+    }
+
+    @Override
+    public void purgedGroup(int group, double whenMs) {
+        tell(new Director.Purged(group, 0, clock.nowMs() - whenMs));
+    }
+
+    // ---- the director ----------------------------------------------------------------------------------
+
+    /** Tells the director one event after another: what its actions bring about waits for its turn. */
+    private void tell(Director.Event event) {
+        events.add(event);
+        if (telling) {
+            return;
+        }
+        telling = true;
+        try {
+            for (Director.Event e = events.poll(); e != null; e = events.poll()) {
+                handle(e);
+            }
+        } finally {
+            telling = false;
+        }
+    }
+
+    /** A fault in the decisions costs the request it struck, which the guard then fails, not the process. */
+    private void handle(Director.Event event) {
+        try {
+            director.handle(clock.nowMs(), event, actions::add);
+        } catch (RuntimeException e) {
+            LOG.error("director failed on {}", event.getClass().getSimpleName(), e);
+        }
+        for (Director.Action a = actions.poll(); a != null; a = actions.poll()) {
+            carryOut(a);
+        }
+    }
+
+    private void carryOut(Director.Action action) {
+        if (action instanceof Director.Get a) {
+            send(a.request(), a.node(), a.timeoutMs(), a);
+        } else if (action instanceof Director.Send a) {
+            send(a.request(), a.node(), a.timeoutMs(), null);
+        } else if (action instanceof Director.Cancel a) {
+            cancel(a);
+        } else if (action instanceof Director.Refuse a) {
+            finish(a.request(), x -> x.caller.refused(a.pauseMs()));
+        } else if (action instanceof Director.Fail a) {
+            finish(a.request(), x -> x.caller.failed());
+        } else if (action instanceof Director.WakeAt a) {
+            clock.after(a.atMs() - clock.nowMs(), () -> tell(new Director.Alarm(a.token())));
+        } else if (action instanceof Director.Probe a) {
+            probe(a.node());
+        } else if (action instanceof Director.HangUp a) {
+            depots.hangUp(a.node());
+        } else if (action instanceof Director.Log a) {
+            LOG.info("director: {}", a.line());
+        } else {
+            // Peers and a list that must be asked for do not exist on these sockets.
+            LOG.warn("director ordered {}, which this platform lacks", action.getClass().getSimpleName());
+        }
+    }
+
+    private void finish(long id, Consumer<Exchange> answer) {
+        Exchange x = exchanges.get(id);
+        if (x != null && !x.over) {
+            close(x);
+            answer.accept(x);
+            forgetIfDone(x);
+        }
+    }
+
+    private void probe(long node) {
+        double sentAt = clock.nowMs();
+        depots.probe(node, PROBE_TIMEOUT_MS, answer ->
+            tell(new Director.Probed(node, answer.result(), clock.nowMs() - sentAt, answer.load())));
+    }
+
+    // ---- attempts --------------------------------------------------------------------------------------
+
+    private void send(long id, long node, double timeoutMs, Director.Get get) {
+        Exchange x = exchanges.get(id);
+        if (x == null) {
+            return;
+        }
+        double now = clock.nowMs();
+        Exchange.Attempt attempt = new Exchange.Attempt(node, now);
+        int number = x.attempts.size();
+        x.attempts.add(attempt);
+        x.out++;
+        double left = x.deadline - now;
+        double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
+        if (x.over || number >= settings.maxAttempts() || wait <= 0) {
+            end(x, number, Depots.Answer.of(Result.MOOT));
+            return;
+        }
+        attempt.call = depots.send(node, order(x, node, wait, get), answer -> end(x, number, answer));
+        attempt.timeout = clock.after(wait, () -> {
+            attempt.call.cancel();
+            end(x, number, Depots.Answer.of(Result.TIMEOUT));
+        });
+    }
+
+    private Depots.Order order(Exchange x, long node, double wait, Director.Get get) {
+        if (get == null) {
+            return new Depots.Order(x.ask, wait, null, 0, 0, false, false, false, false);
+        }
+        String source = get.source() == node ? null : uids.get(get.source());
+        return new Depots.Order(x.ask, wait, source, get.rank(), get.maxAgeMs(), get.join(), get.onlyHeld(),
+            get.parentKeepsNone(), get.renew());
+    }
+
+    private void cancel(Director.Cancel a) {
+        Exchange x = exchanges.get(a.request());
+        if (x == null || a.attempt() >= x.attempts.size()) {
+            return;
+        }
+        Exchange.Attempt attempt = x.attempts.get(a.attempt());
+        if (!attempt.ended) {
+            attempt.call.cancel();
+            end(x, a.attempt(), Depots.Answer.of(Result.CANCELLED));
+        }
+    }
+
+    /** An attempt is back; the first OK is the request's answer. */
+    private void end(Exchange x, int number, Depots.Answer answer) {
+        Exchange.Attempt attempt = x.attempts.get(number);
+        attempt.ended = true;
+        x.out--;
+        if (attempt.timeout != null) {
+            attempt.timeout.cancel();
+        }
+        if (answer.result() == Result.OK && !x.over) {
+            close(x);
+            if (answer.body() == null) {
+                x.caller.unchanged(answer.tag());
+            } else {
+                x.caller.served(answer.body(), answer.tag());
+            }
+        } else if (answer.body() != null) {
+            answer.body().release();
+        }
+        tell(new Director.Outcome(x.id, number, attempt.node, answer.result(), clock.nowMs() - attempt.sentAt,
+            x.over, answer.note(), 0, answer.load()));
+        forgetIfDone(x);
+    }
+}
--- /dev/null
+++ b/src/main/java/barleyspur/doorman/Exchange.java
@@ -0,0 +1,39 @@
+package barleyspur.doorman;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One request from its arrival until it is over and all its attempts are back. */
+final class Exchange {
+
+    /** One attempt; its number is its place in the list. */
+    static final class Attempt {
+        final long node;
+        final double sentAt;
+        /** Null where the attempt was never sent. */
+        Depots.Call call;
+        Clock.Timer timeout;
+        boolean ended;
+
+        Attempt(long node, double sentAt) {
+            this.node = node;
+            this.sentAt = sentAt;
+        }
+    }
+
+    final long id;
+    final Ask ask;
+    final Caller caller;
+    final double deadline;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    Clock.Timer guard;
+    int out;
+    boolean over;
+
+    Exchange(long id, Ask ask, Caller caller, double deadline) {
+        this.id = id;
+        this.ask = ask;
+        this.caller = caller;
+        this.deadline = deadline;
+    }
+}
--- /dev/null
+++ b/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -0,0 +1,160 @@
+package barleyspur.front.thrift;
+
+import barleyspur.doorman.Ask;
+import barleyspur.doorman.Caller;
+import barleyspur.doorman.Doorman;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One client connection: its open requests by sequence number. */
+final class FrontConnection extends SimpleChannelInboundHandler<ByteBuf> {
+
+    private static final Logger LOG = LoggerFactory.getLogger("front");
+    private static final String DISPATCH = "dispatch";
+
+    private final Doorman doorman;
+    private final List<String> classes;
+    private final int mostOpen;
+    private final Map<Integer, Exchange> open = new HashMap<>();
+    private Channel channel;
+
+    FrontConnection(Doorman doorman, List<String> classes, int mostOpen) {
+        this.doorman = doorman;
+        this.classes = classes;
+        this.mostOpen = mostOpen;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws ThriftCall.Malformed {
+        ThriftCall call = ThriftCall.read(frame);
+        if (call instanceof ThriftCall.Dispatch c) {
+            dispatch(c);
+        } else if (call instanceof ThriftCall.CancelRequest c) {
+            Exchange cancelled = open.remove(c.cancelled());
+            if (cancelled != null) {
+                cancelled.leave();
+            }
+        } else if (call instanceof ThriftCall.Alive c) {
+            answer("alive", c.seqid(), Unpooled.EMPTY_BUFFER, Map.of(), !doorman.draining());
+        } else if (call instanceof ThriftCall.Unknown c) {
+            LOG.warn("client {}: unknown method {}", channel.remoteAddress(), c.method());
+            write(Thrift.exception(channel.alloc(), c.method(), c.seqid(), Thrift.UNKNOWN_METHOD, "unknown method"));
+        }
+    }
+
+    private void dispatch(ThriftCall.Dispatch call) throws ThriftCall.Malformed {
+        int seqid = call.seqid();
+        if (open.containsKey(seqid)) {
+            throw new ThriftCall.Malformed("sequence number " + seqid + " is in use");
+        }
+        Ask ask;
+        try {
+            ask = RequestFields.read(call.fields(), call.body(), classes);
+        } catch (IllegalArgumentException e) {
+            LOG.warn("client {}: bad request: {}", channel.remoteAddress(), e.getMessage());
+            write(Thrift.exception(channel.alloc(), DISPATCH, seqid, Thrift.PROTOCOL_ERROR, e.getMessage()));
+            return;
+        }
+        if (open.size() >= mostOpen) {
+            LOG.warn("client {}: more than {} open requests", channel.remoteAddress(), mostOpen);
+            write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of()));
+            return;
+        }
+        Exchange x = new Exchange(seqid);
+        open.put(seqid, x);
+        // The body outlives the frame that it is a slice of: until the request is over.
+        call.body().retain();
+        x.ticket = doorman.take(ask, x);
+    }
+
+    /** One open request of this connection. */
+    private final class Exchange implements Caller {
+        private final int seqid;
+        private Doorman.Ticket ticket;
+
+        Exchange(int seqid) {
+            this.seqid = seqid;
+        }
+
+        void leave() {
+            ticket.gone();
+        }
+
+        @Override
+        public void served(ByteBuf body, String tag) {
+            open.remove(seqid);
+            answer(DISPATCH, seqid, body, tag == null ? Map.of() : Map.of("etag", tag), true);
+        }
+
+        @Override
+        public void unchanged(String tag) {
+            open.remove(seqid);
+            Map<String, String> fields = tag == null ? Map.of("notmod", "1") : Map.of("notmod", "1", "etag", tag);
+            answer(DISPATCH, seqid, Unpooled.EMPTY_BUFFER, fields, true);
+        }
+
+        @Override
+        public void refused(double pauseMs) {
+            open.remove(seqid);
+            Map<String, String> advice = pauseMs > 0 ? Map.of("w", Long.toString(Math.round(pauseMs))) : Map.of();
+            write(Thrift.busy(channel.alloc(), DISPATCH, seqid, advice));
+        }
+
+        @Override
+        public void failed() {
+            open.remove(seqid);
+            write(Thrift.failed(channel.alloc(), DISPATCH, seqid));
+        }
+    }
+
+    /** Head, body and tail go out as they are: the body is not copied. */
+    private void answer(String method, int seqid, ByteBuf body, Map<String, String> fields, boolean good) {
+        ByteBuf tail = Thrift.answerTail(channel.alloc(), fields, good);
+        int bodyBytes = body.readableBytes();
+        channel.write(Thrift.answerHead(channel.alloc(), method, seqid, bodyBytes, tail.readableBytes()));
+        channel.write(body);
+        write(tail);
+    }
+
+    private void write(ByteBuf message) {
+        channel.writeAndFlush(message, channel.voidPromise());
+    }
+
+    /** Back-pressure: from a client that does not read its answers nothing more is read. */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        List<Exchange> left = new ArrayList<>(open.values());
+        open.clear();
+        left.forEach(Exchange::leave);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof IOException) {
+            LOG.debug("client {}: connection lost: {}", ctx.channel().remoteAddress(), cause.getMessage());
+        } else {
+            LOG.warn("client {}: connection closed: {}", ctx.channel().remoteAddress(), cause.toString());
+        }
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/barleyspur/front/thrift/RequestFields.java
@@ -0,0 +1,83 @@
+package barleyspur.front.thrift;
+
+import barleyspur.doorman.Ask;
+import io.netty.buffer.ByteBuf;
+import java.util.List;
+import java.util.Map;
+
+/** Reads a request's fields; what a client must not send is named in the exception's message. */
+final class RequestFields {
+
+    private static final int HEX = 16;
+    private static final int MOST_NUMBER = 1 << 20;
+    private static final int MOST_MS = 3_600_000;
+
+    private final Map<String, String> fields;
+
+    private RequestFields(Map<String, String> fields) {
+        this.fields = fields;
+    }
+
+    /** The request; its body is still the frame's. */
+    static Ask read(Map<String, String> fields, ByteBuf body, List<String> classes) {
+        return new RequestFields(fields).ask(body, classes);
+    }
+
+    private Ask ask(ByteBuf body, List<String> classes) {
+        String className = word("c");
+        int category = classes.indexOf(className);
+        if (category < 0) {
+            throw new IllegalArgumentException("field c: unknown class");
+        }
+        String id = word("i");
+        hex("i", id);
+        String key = word("o");
+        String size = fields.get("m");
+        return new Ask(id, category, className, key, hex("o", key), word("seg"), whole("seg", MOST_NUMBER),
+            whole("bucket", MOST_NUMBER), whole("d", MOST_MS), size == null ? 0 : decimal("m", size),
+            fields.get("etag"), body);
+    }
+
+    private String word(String name) {
+        String value = fields.get(name);
+        if (value == null) {
+            throw new IllegalArgumentException("field " + name + " is missing");
+        }
+        return value;
+    }
+
+    private static long hex(String name, String value) {
+        if (value.length() == HEX) {
+            try {
+                return Long.parseUnsignedLong(value, HEX);
+            } catch (NumberFormatException e) {
+                // Said below.
+            }
+        }
+        throw new IllegalArgumentException("field " + name + " is not 16 hex digits");
+    }
+
+    private int whole(String name, int most) {
+        try {
+            int value = Integer.parseInt(word(name));
+            if (value >= 0 && value <= most) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // Said below.
+        }
+        throw new IllegalArgumentException("field " + name + " is not a whole number up to " + most);
+    }
+
+    private static double decimal(String name, String value) {
+        try {
+            double number = Double.parseDouble(value);
+            if (number >= 0 && number <= Float.MAX_VALUE) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Said below.
+        }
+        throw new IllegalArgumentException("field " + name + " is not a size");
+    }
+}
--- /dev/null
+++ b/src/main/java/barleyspur/front/thrift/ThriftFrameDecoder.java
@@ -0,0 +1,34 @@
+package barleyspur.front.thrift;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.handler.codec.CorruptedFrameException;
+import java.util.List;
+
+/** Cuts a stream into Thrift frames, each a slice of what was read. */
+final class ThriftFrameDecoder extends ByteToMessageDecoder {
+
+    private static final int LENGTH_BYTES = 4;
+
+    private final int maxFrame;
+
+    ThriftFrameDecoder(int maxFrame) {
+        this.maxFrame = maxFrame;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (in.readableBytes() < LENGTH_BYTES) {
+            return;
+        }
+        int length = in.getInt(in.readerIndex());
+        if (length <= 0 || length > maxFrame) {
+            throw new CorruptedFrameException("a frame of " + (length & 0xFFFFFFFFL) + " bytes");
+        }
+        if (in.readableBytes() >= LENGTH_BYTES + length) {
+            in.skipBytes(LENGTH_BYTES);
+            out.add(in.readRetainedSlice(length));
+        }
+    }
+}
--- a/src/test/java/barleyspur/WireTest.java
+++ b/src/test/java/barleyspur/WireTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import barleyspur.config.SettingsReader;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -174,7 +175,7 @@
 
     @Test
     void readsTheSettingsAndPassesOverUnknownKeys() {
-        Director.Settings s = Wire.Setup.parse(SETUP);
+        Director.Settings s = SettingsReader.read(SettingsReader.lines(SETUP));
         assertEquals(3, s.directors());
         assertEquals(List.of(0, 3), s.zoneDirectors());
         assertEquals(8_000, s.classes().get(0).freshMs());
@@ -185,8 +186,8 @@
     @Test
     void namesAMissingOrWrongSetting() {
         assertEquals("setting limits.sendCap is missing", assertThrows(IllegalArgumentException.class,
-            () -> Wire.Setup.parse(SETUP.replace("limits.sendCap=8", ""))).getMessage());
+            () -> SettingsReader.read(SettingsReader.lines(SETUP.replace("limits.sendCap=8", "")))).getMessage());
         assertEquals("setting limits.sendCap is not a number", assertThrows(IllegalArgumentException.class,
-            () -> Wire.Setup.parse(SETUP.replace("limits.sendCap=8", "limits.sendCap=many"))).getMessage());
+            () -> SettingsReader.read(SettingsReader.lines(SETUP.replace("limits.sendCap=8", "limits.sendCap=many")))).getMessage());
     }
 }
