--- a/src/main/java/barleyspur/channel/CommandReader.java
+++ b/src/main/java/barleyspur/channel/CommandReader.java
@@ -1,6 +1,6 @@
 package barleyspur.channel;
 
-import barleyspur.Director.State;
+import barleyspur.decision.Director.State;
 import barleyspur.config.Configuration;
 import barleyspur.doorman.Commands;
 import barleyspur.doorman.Listing;
--- a/src/main/java/barleyspur/cli/Commands.java
+++ b/src/main/java/barleyspur/cli/Cli.java
@@ -1,6 +1,6 @@
 package barleyspur.cli;
 
-import barleyspur.Adapter;
+import barleyspur.sim.Adapter;
 import barleyspur.Node;
 import barleyspur.config.Configuration;
 import java.io.FileDescriptor;
@@ -14,7 +14,7 @@
 import org.apache.commons.cli.ParseException;
 
 /** The sub-commands. */
-final class Commands {
+final class Cli {
 
     /** No exit code: the process goes on in its other threads. */
     static final int RUNNING = -1;
@@ -30,7 +30,7 @@
           version   print the version
         """;
 
-    private Commands() { }
+    private Cli() { }
 
     static int run(String[] args) {
         String command = args.length == 0 ? "" : args[0];
@@ -65,7 +65,7 @@
     }
 
     private static int version() {
-        String version = Commands.class.getPackage().getImplementationVersion();
+        String version = Cli.class.getPackage().getImplementationVersion();
         System.out.println("barleyspur " + (version == null ? "(not packaged)" : version));
         return OK;
     }
--- a/src/main/java/barleyspur/cli/Main.java
+++ b/src/main/java/barleyspur/cli/Main.java
@@ -6,8 +6,8 @@
     private Main() { }
 
     public static void main(String[] args) {
-        int code = Commands.run(args);
-        if (code != Commands.RUNNING) {
+        int code = Cli.run(args);
+        if (code != Cli.RUNNING) {
             System.exit(code);
         }
     }
--- a/src/main/java/barleyspur/config/Configuration.java
+++ b/src/main/java/barleyspur/config/Configuration.java
@@ -1,6 +1,6 @@
 package barleyspur.config;
 
-import barleyspur.Director;
+import barleyspur.decision.Director;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/src/main/java/barleyspur/config/SettingsReader.java
+++ b/src/main/java/barleyspur/config/SettingsReader.java
@@ -1,6 +1,6 @@
 package barleyspur.config;
 
-import barleyspur.Director;
+import barleyspur.decision.Director;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/barleyspur/Attempt.java
+++ b/src/main/java/barleyspur/decision/Attempt.java
@@ -1,4 +1,4 @@
-package barleyspur;
+package barleyspur.decision;
 
 /** One attempt of a request, as it was sent. */
 final class Attempt {
--- a/src/main/java/barleyspur/Carried.java
+++ b/src/main/java/barleyspur/decision/Carried.java
@@ -1,4 +1,4 @@
-package barleyspur;
+package barleyspur.decision;
 
 /** What peers carry for us: lately in all, and at most for one of them, for when all are cold. */
 final class Carried {
--- a/src/main/java/barleyspur/Decide.java
+++ b/src/main/java/barleyspur/decision/Decide.java
@@ -1,4 +1,4 @@
-package barleyspur;
+package barleyspur.decision;
 
 // The interface - settings, events, actions - is in Director.java.
 
--- a/src/main/java/barleyspur/Director.java
+++ b/src/main/java/barleyspur/decision/Director.java
@@ -1,4 +1,4 @@
-package barleyspur;
+package barleyspur.decision;
 
 import java.util.List;
 import java.util.function.Consumer;
--- a/src/main/java/barleyspur/Gate.java
+++ b/src/main/java/barleyspur/decision/Gate.java
@@ -1,4 +1,4 @@
-package barleyspur;
+package barleyspur.decision;
 
 /** How late answers by one way have come lately, and how many attempts are let in by it. */
 final class Gate {
--- a/src/main/java/barleyspur/Rate.java
+++ b/src/main/java/barleyspur/decision/Rate.java
@@ -1,4 +1,4 @@
-package barleyspur;
+package barleyspur.decision;
 
 /** How much came in a millisecond, averaged over about a given time, from the first amount on. */
 final class Rate {
--- a/src/main/java/barleyspur/Server.java
+++ b/src/main/java/barleyspur/decision/Server.java
@@ -1,4 +1,4 @@
-package barleyspur;
+package barleyspur.decision;
 
 /** What is known of one node, as target and as source. */
 final class Server {
--- a/src/main/java/barleyspur/depot/DepotConnection.java
+++ b/src/main/java/barleyspur/depot/DepotConnection.java
@@ -1,6 +1,6 @@
 package barleyspur.depot;
 
-import barleyspur.Director.Result;
+import barleyspur.decision.Director.Result;
 import barleyspur.doorman.Depots;
 import barleyspur.doorman.Depots.Answer;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/barleyspur/depot/Resp.java
+++ b/src/main/java/barleyspur/depot/Resp.java
@@ -1,6 +1,6 @@
 package barleyspur.depot;
 
-import barleyspur.Director.Note;
+import barleyspur.decision.Director.Note;
 import barleyspur.doorman.Ask;
 import barleyspur.doorman.Depots.Order;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/barleyspur/doorman/Depots.java
+++ b/src/main/java/barleyspur/doorman/Depots.java
@@ -1,6 +1,6 @@
 package barleyspur.doorman;
 
-import barleyspur.Director;
+import barleyspur.decision.Director;
 import io.netty.buffer.ByteBuf;
 import java.util.List;
 
--- a/src/main/java/barleyspur/doorman/Doorman.java
+++ b/src/main/java/barleyspur/doorman/Doorman.java
@@ -1,7 +1,7 @@
 package barleyspur.doorman;
 
-import barleyspur.Director;
-import barleyspur.Director.Result;
+import barleyspur.decision.Director;
+import barleyspur.decision.Director.Result;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/barleyspur/doorman/Listing.java
+++ b/src/main/java/barleyspur/doorman/Listing.java
@@ -1,6 +1,6 @@
 package barleyspur.doorman;
 
-import barleyspur.Director;
+import barleyspur.decision.Director;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 
--- a/src/main/java/barleyspur/LoopClock.java
+++ b/src/main/java/barleyspur/doorman/LoopClock.java
@@ -1,12 +1,11 @@
-package barleyspur;
+package barleyspur.doorman;
 
-import barleyspur.doorman.Clock;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /** Time and timers of one event loop. */
-final class LoopClock implements Clock {
+public final class LoopClock implements Clock {
 
     private static final double NANOS_PER_MS = 1e6;
 
@@ -14,7 +13,7 @@
     private final double startedAtMs = System.currentTimeMillis();
     private final long startedAtNanos = System.nanoTime();
 
-    LoopClock(EventLoop loop) {
+    public LoopClock(EventLoop loop) {
         this.loop = loop;
     }
 
--- a/src/main/java/barleyspur/Adapter.java
+++ b/src/main/java/barleyspur/sim/Adapter.java
@@ -1,5 +1,7 @@
-package barleyspur;
+package barleyspur.sim;
 
+import barleyspur.decision.Decide;
+import barleyspur.decision.Director;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
--- a/src/main/java/barleyspur/Wire.java
+++ b/src/main/java/barleyspur/sim/Wire.java
@@ -1,6 +1,7 @@
-package barleyspur;
+package barleyspur.sim;
 
 import barleyspur.config.SettingsReader;
+import barleyspur.decision.Director;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/test/java/barleyspur/Bench.java
+++ b/src/test/java/barleyspur/decision/Bench.java
@@ -1,15 +1,15 @@
-package barleyspur;
-
-import barleyspur.Director.Action;
-import barleyspur.Director.Effect;
-import barleyspur.Director.Event;
-import barleyspur.Director.Get;
-import barleyspur.Director.ListKind;
-import barleyspur.Director.Node;
-import barleyspur.Director.Note;
-import barleyspur.Director.Outcome;
-import barleyspur.Director.Result;
-import barleyspur.Director.State;
+package barleyspur.decision;
+
+import barleyspur.decision.Director.Action;
+import barleyspur.decision.Director.Effect;
+import barleyspur.decision.Director.Event;
+import barleyspur.decision.Director.Get;
+import barleyspur.decision.Director.ListKind;
+import barleyspur.decision.Director.Node;
+import barleyspur.decision.Director.Note;
+import barleyspur.decision.Director.Outcome;
+import barleyspur.decision.Director.Result;
+import barleyspur.decision.Director.State;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/barleyspur/HistoriesTest.java
+++ b/src/test/java/barleyspur/decision/HistoriesTest.java
@@ -1,20 +1,20 @@
-package barleyspur;
+package barleyspur.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import barleyspur.Director.Action;
-import barleyspur.Director.Alarm;
-import barleyspur.Director.Get;
-import barleyspur.Director.Node;
-import barleyspur.Director.Note;
-import barleyspur.Director.Outcome;
-import barleyspur.Director.Purged;
-import barleyspur.Director.Request;
-import barleyspur.Director.Result;
-import barleyspur.Director.State;
-import barleyspur.Director.WakeAt;
+import barleyspur.decision.Director.Action;
+import barleyspur.decision.Director.Alarm;
+import barleyspur.decision.Director.Get;
+import barleyspur.decision.Director.Node;
+import barleyspur.decision.Director.Note;
+import barleyspur.decision.Director.Outcome;
+import barleyspur.decision.Director.Purged;
+import barleyspur.decision.Director.Request;
+import barleyspur.decision.Director.Result;
+import barleyspur.decision.Director.State;
+import barleyspur.decision.Director.WakeAt;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/barleyspur/LimitsTest.java
+++ b/src/test/java/barleyspur/decision/LimitsTest.java
@@ -1,17 +1,17 @@
-package barleyspur;
+package barleyspur.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import barleyspur.Director.Action;
-import barleyspur.Director.Alarm;
-import barleyspur.Director.Get;
-import barleyspur.Director.Note;
-import barleyspur.Director.Refuse;
-import barleyspur.Director.Request;
-import barleyspur.Director.Result;
-import barleyspur.Director.WakeAt;
+import barleyspur.decision.Director.Action;
+import barleyspur.decision.Director.Alarm;
+import barleyspur.decision.Director.Get;
+import barleyspur.decision.Director.Note;
+import barleyspur.decision.Director.Refuse;
+import barleyspur.decision.Director.Request;
+import barleyspur.decision.Director.Result;
+import barleyspur.decision.Director.WakeAt;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/barleyspur/ManyDirectorsTest.java
+++ b/src/test/java/barleyspur/decision/ManyDirectorsTest.java
@@ -1,9 +1,9 @@
-package barleyspur;
+package barleyspur.decision;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import barleyspur.Director.Get;
-import barleyspur.Director.State;
+import barleyspur.decision.Director.Get;
+import barleyspur.decision.Director.State;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
--- a/src/test/java/barleyspur/OrdinaryPathTest.java
+++ b/src/test/java/barleyspur/decision/OrdinaryPathTest.java
@@ -1,13 +1,13 @@
-package barleyspur;
+package barleyspur.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import barleyspur.Director.Get;
-import barleyspur.Director.Note;
-import barleyspur.Director.Request;
-import barleyspur.Director.Result;
+import barleyspur.decision.Director.Get;
+import barleyspur.decision.Director.Note;
+import barleyspur.decision.Director.Request;
+import barleyspur.decision.Director.Result;
 import java.util.HashSet;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/barleyspur/RulesTest.java
+++ b/src/test/java/barleyspur/decision/RulesTest.java
@@ -1,23 +1,23 @@
-package barleyspur;
+package barleyspur.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import barleyspur.Director.Action;
-import barleyspur.Director.Alarm;
-import barleyspur.Director.Cancel;
-import barleyspur.Director.Fail;
-import barleyspur.Director.Get;
-import barleyspur.Director.ListKind;
-import barleyspur.Director.Members;
-import barleyspur.Director.Note;
-import barleyspur.Director.Purged;
-import barleyspur.Director.Refuse;
-import barleyspur.Director.Result;
-import barleyspur.Director.State;
-import barleyspur.Director.WakeAt;
+import barleyspur.decision.Director.Action;
+import barleyspur.decision.Director.Alarm;
+import barleyspur.decision.Director.Cancel;
+import barleyspur.decision.Director.Fail;
+import barleyspur.decision.Director.Get;
+import barleyspur.decision.Director.ListKind;
+import barleyspur.decision.Director.Members;
+import barleyspur.decision.Director.Note;
+import barleyspur.decision.Director.Purged;
+import barleyspur.decision.Director.Refuse;
+import barleyspur.decision.Director.Result;
+import barleyspur.decision.Director.State;
+import barleyspur.decision.Director.WakeAt;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
--- a/src/test/java/barleyspur/WireTest.java
+++ b/src/test/java/barleyspur/sim/WireTest.java
@@ -1,4 +1,4 @@
-package barleyspur;
+package barleyspur.sim;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import barleyspur.config.SettingsReader;
+import barleyspur.decision.Director;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
