--- /dev/null
+++ b/src/test/java/barleyspur/channel/LinePropertiesTest.java
@@ -0,0 +1,88 @@
+package barleyspur.channel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.Cuts;
+import barleyspur.decision.Director.State;
+import barleyspur.doorman.Commands;
+import barleyspur.doorman.Listing;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.constraints.StringLength;
+import org.json.JSONObject;
+
+/** The command channel's parsers against lines in pieces, gaps and garbage. */
+class LinePropertiesTest implements Commands {
+
+    private static final int MAX_LINE = 1_000;
+    private static final String DROP = "{\"cursor\":%d,\"drop\":{\"family\":17,\"when\":1764576000480}}";
+
+    private final List<Object> told = new ArrayList<>();
+    private final CommandReader reader = new CommandReader(List.of("central", "east"), List.of("std"), this);
+
+    @Override
+    public void listed(boolean whole, List<Listing> listings) {
+        told.addAll(listings);
+    }
+
+    @Override
+    public void purgedObject(long object, double whenMs) {
+        told.add(object);
+    }
+
+    @Override
+    public void purgedGroup(int group, double whenMs) {
+        told.add(group);
+    }
+
+    @Property(seed = "31")
+    void linesSurviveAnyCuts(@ForAll @Size(max = 6) List<@StringLength(max = 80) String> texts, @ForAll long cuts) {
+        List<String> lines = texts.stream().map(t -> t.replaceAll("[\\n\\ud800-\\udfff]", "?")).toList();
+        byte[] bytes = lines.stream().map(l -> l + "\n").reduce("", String::concat).getBytes(StandardCharsets.UTF_8);
+        assertEquals(lines, Cuts.feed(new EmbeddedChannel(new LineDecoder(MAX_LINE)), bytes, cuts));
+    }
+
+    @Property(seed = "32")
+    void garbageIsReadWithoutAFault(@ForAll @StringLength(max = 60) String garbage, @ForAll boolean headed) {
+        reader.line(headed ? "{\"cursor\":1,\"nodes\":{\"targets\":[" + garbage : garbage);
+        assertEquals(List.of(), told);
+    }
+
+    @Property(seed = "33")
+    void aLineWithoutEndIsCutOff(@ForAll long cuts) {
+        assertEquals(null, Cuts.feedGarbage(new EmbeddedChannel(new LineDecoder(MAX_LINE)), new byte[2_000], cuts));
+    }
+
+    @Example
+    void eachCommandIsToldOnceAndAGapShows() {
+        reader.known(new JSONObject("{\"cursor\":4,\"cmds\":[]}"));
+        assertTrue(reader.line("4"));
+        assertTrue(reader.line(DROP.formatted(5)));
+        assertTrue(reader.line(DROP.formatted(5)), "what was told already is passed over");
+        assertEquals(List.of(17), told);
+        assertFalse(reader.line(DROP.formatted(7)), "command 6 was missed");
+        assertFalse(reader.line("6"), "a heartbeat shows that command 6 was missed");
+        assertEquals(5, reader.cursor());
+    }
+
+    @Example
+    void aNodeThatCantBeReadDoesNotHideTheOthers() {
+        String node = "{\"uid\":\"%s\",\"endpoint\":\"%s\",\"az\":\"east\",\"model\":\"std\",\"state\":\"in_service\"}";
+        reader.line("{\"cursor\":1,\"nodes\":{\"all\":true,\"targets\":[" + node.formatted("a", "nowhere") + ","
+            + node.formatted("b", "10.1.0.9:7001") + "]}}");
+        assertEquals(1, told.size());
+        Listing listing = (Listing) told.get(0);
+        assertEquals("b", listing.uid());
+        assertEquals(1, listing.zone());
+        assertEquals(State.READY, listing.state());
+        assertEquals(1, reader.cursor());
+    }
+}
--- /dev/null
+++ b/src/test/java/barleyspur/config/ConfigurationTest.java
@@ -0,0 +1,66 @@
+package barleyspur.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Test;
+
+/** The node's configuration: what it comes to, and which key is named where it is faulty. */
+class ConfigurationTest {
+
+    private static final String CONFIG = """
+        {"name":"n3","listen":"10.0.0.4:7001","seed":"8c1f30d27a5be964","channel":"10.2.0.1:2379",
+         "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"cursor":3,"cmds":[]},
+         "settings":{"areas":["central","edge-1"],"flavors":["small","large","parent","origin"],
+          "groupSize":3,"myNumber":2,"myZone":1,"resolutionMs":2.0,
+          "grades":[{"name":"parts","promiseMs":600.0,"hardLimitMs":6000.0,"repeat":"repeatable"},
+                    {"name":"record","promiseMs":700.0,"hardLimitMs":3000.0,"repeat":"once"}],
+          "familyInfo":{"midKind":2,"masterKind":3,"paceKbPerS":5800.0,"passOn":[false,true],"zoneBalancers":[0,3]},
+          "limits":{"sendCap":8,"multiplex":16},
+          "rules":{"fallMs":3000.0,"answerSlackMs":8.0,"drainGraceMs":2000.0,"coldFrom":0.24,"coldMs":17000.0,
+                   "tipMultiple":3.0}}}
+        """;
+
+    private static String fault(String from, String to) {
+        return assertThrows(Configuration.Invalid.class,
+            () -> Configuration.read(new JSONObject(CONFIG.replace(from, to)), Map.of())).getMessage();
+    }
+
+    @Test
+    void readsNestedSettingsIntoTheOneType() throws Configuration.Invalid {
+        Configuration c = Configuration.read(new JSONObject(CONFIG), Map.of("RELAY_LISTEN", "10.0.0.5:7002"));
+        assertEquals("n3", c.name());
+        assertEquals(7002, c.listen().getPort());
+        assertEquals(0x8c1f30d27a5be964L, c.seed());
+        assertEquals(List.of("parts", "record"), c.names().classes());
+        assertEquals(List.of(0, 3), c.settings().zoneDirectors());
+        assertTrue(c.settings().classes().get(1).write());
+        assertEquals(5.8, c.settings().paceKbPerMs());
+        assertEquals(new Configuration.Limits(1024, 20_000, 16, 400, 15_000), c.limits());
+    }
+
+    @Test
+    void namesTheFaultyKey() {
+        assertEquals("key listen is not an address with a port: 'here'", fault("10.0.0.4:7001", "here"));
+        assertEquals("key channel is not an address with a port: ''", fault("\"channel\":\"10.2.0.1:2379\",", ""));
+        assertEquals("key seed is not a number in hex digits", fault("8c1f30d27a5be964", "dice"));
+        assertEquals("key limits.sockets is missing or under 64", fault("\"sockets\":1024", "\"sockets\":3"));
+        assertEquals("key known does not hold cursor and cmds", fault("\"cursor\":3,", ""));
+        assertEquals("key settings is missing or no object", fault("\"settings\"", "\"setting\""));
+        assertEquals("setting grades.1.name is missing", fault("\"name\":\"record\",", ""));
+        assertEquals("setting areas is missing or empty", fault("\"areas\"", "\"zones\""));
+        assertEquals("setting limits.multiplex is not a number from 1 on: '0'", fault("\"multiplex\":16", "\"multiplex\":0"));
+        assertEquals("setting rules.fallMs is not a number", fault("\"fallMs\":3000.0", "\"fallMs\":\"long\""));
+        assertEquals("setting limits.sendCap is missing", fault("\"sendCap\":8,", ""));
+    }
+
+    @Test
+    void namesAMissingVariable() {
+        assertEquals("variable RELAY_CONFIG is missing",
+            assertThrows(Configuration.Invalid.class, () -> Configuration.load(Map.of())).getMessage());
+    }
+}
--- /dev/null
+++ b/src/test/java/barleyspur/depot/DepotConnectionTest.java
@@ -0,0 +1,116 @@
+package barleyspur.depot;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.decision.Director.Result;
+import barleyspur.doorman.Depots.Answer;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of the calls on one connection. */
+class DepotConnectionTest {
+
+    private static final int STREAMS = 2;
+
+    private final List<Result> ends = new ArrayList<>();
+    private int closed;
+    private final DepotConnection connection = new DepotConnection("s-1", List.of(), () -> closed++);
+    private final EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(), connection);
+    private final ChannelPromise connect = channel.newPromise();
+
+    private DepotConnection.Call open(String id) {
+        ByteBuf head = Unpooled.copiedBuffer("serve " + id, StandardCharsets.UTF_8);
+        return connection.open(id, head, null, (Answer answer) -> {
+            ends.add(answer.result());
+            if (answer.body() != null) {
+                answer.body().release();
+            }
+        });
+    }
+
+    private void up() {
+        connection.connecting(connect);
+        connect.setSuccess();
+        channel.runPendingTasks();
+    }
+
+    private void answer(String id, String word) {
+        channel.writeInbound(Resp.message(channel.alloc(), id, word, "-", ""));
+    }
+
+    @Test
+    void answersComeInAnyOrder() {
+        up();
+        open("a");
+        open("b");
+        assertFalse(connection.takes("c", STREAMS), "two streams are in use");
+        answer("b", "LACK");
+        answer("a", "DONE");
+        assertEquals(List.of(Result.MISS, Result.OK), ends);
+    }
+
+    /** The answer to a cancelled attempt may cross its cancel: it must not pass for a later attempt's. */
+    @Test
+    void anIdThatIsOutOrCancelledIsNotUsedAgain() {
+        up();
+        DepotConnection.Call call = open("a");
+        assertFalse(connection.takes("a", STREAMS));
+        call.cancel();
+        assertFalse(connection.takes("a", STREAMS));
+        assertTrue(connection.takes("b", STREAMS));
+        answer("a", "DONE");
+        assertEquals(List.of(), ends);
+    }
+
+    @Test
+    void aResetFailsAllThatIsOpen() {
+        up();
+        open("a");
+        open("b");
+        channel.close();
+        channel.runPendingTasks();
+        assertEquals(List.of(Result.RESET, Result.RESET), ends);
+        assertFalse(connection.takes("c", STREAMS));
+        assertEquals(1, closed);
+    }
+
+    /** Nothing of a call was written before the connection was up, so it never ran. */
+    @Test
+    void aConnectionThatNeverComesUpProvesThatNothingRan() {
+        connection.connecting(connect);
+        open("a");
+        connect.setFailure(new ConnectException("refused"));
+        channel.runPendingTasks();
+        assertEquals(List.of(Result.CONNECT_FAILED), ends);
+    }
+
+    @Test
+    void garbageEndsThisConnectionOnly() {
+        up();
+        open("a");
+        channel.writeInbound(Unpooled.copiedBuffer("*x\r\n", StandardCharsets.UTF_8));
+        channel.runPendingTasks();
+        assertFalse(channel.isOpen());
+        assertEquals(List.of(Result.RESET), ends);
+    }
+
+    @Test
+    void aRetiredConnectionClosesOnceItIsEmpty() {
+        up();
+        open("a");
+        connection.retire();
+        assertTrue(channel.isOpen());
+        answer("a", "KEEP");
+        assertFalse(channel.isOpen());
+        assertEquals(List.of(Result.OK), ends);
+    }
+}
--- /dev/null
+++ b/src/test/java/barleyspur/depot/RespPropertiesTest.java
@@ -0,0 +1,69 @@
+package barleyspur.depot;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.Cuts;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.AlphaChars;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.constraints.StringLength;
+
+/** The depots' parser against valid answers in pieces and against garbage. */
+class RespPropertiesTest {
+
+    private static byte[] answer(String id, String word, String fields, byte[] body) {
+        ByteBuf words = Resp.message(UnpooledByteBufAllocator.DEFAULT, id, word, fields);
+        words.setByte(1, '4');
+        words.writeBytes(("$" + body.length + "\r\n").getBytes()).writeBytes(body).writeBytes(Resp.END);
+        return Cuts.take(words);
+    }
+
+    @Property(seed = "21")
+    void answersSurviveAnyCuts(@ForAll @AlphaChars @StringLength(max = 40) String id, @ForAll @Size(max = 300) byte[] body,
+                               @ForAll long cuts) {
+        byte[] one = answer(id, "DONE", "digest=ab,how=h", body);
+        byte[] twice = Unpooled.wrappedBuffer(one, one).copy().array();
+        List<Object> read = Cuts.feed(new EmbeddedChannel(new RespDecoder()), twice, cuts);
+        assertEquals(2, read.size());
+        for (Object o : read) {
+            RespDecoder.Message message = (RespDecoder.Message) o;
+            assertEquals(List.of(id, "DONE", "digest=ab,how=h"), message.words());
+            assertArrayEquals(body, Cuts.take(message.body()));
+        }
+        read.forEach(o -> assertEquals(0, ((RespDecoder.Message) o).body().refCnt(), "nothing holds on to the bytes"));
+    }
+
+    @Property(seed = "22")
+    void garbageEndsInOneWayOnly(@ForAll @Size(max = 200) byte[] garbage, @ForAll boolean headed, @ForAll long cuts) {
+        byte[] bytes = headed ? Unpooled.wrappedBuffer("*4\r\n$2\r\nab\r\n".getBytes(), garbage).copy().array() : garbage;
+        check(Cuts.feedGarbage(new EmbeddedChannel(new RespDecoder()), bytes, cuts));
+    }
+
+    @Property(seed = "23")
+    void aDamagedAnswerEndsInOneWayOnly(@ForAll byte damage, @ForAll int at, @ForAll long cuts) {
+        byte[] bytes = answer("9b1f03aa5c7e2d41", "DONE", "digest=ab", new byte[30]);
+        bytes[Math.floorMod(at, bytes.length)] = damage;
+        check(Cuts.feedGarbage(new EmbeddedChannel(new RespDecoder()), bytes, cuts));
+    }
+
+    private static void check(List<Object> read) {
+        if (read != null) {
+            read.forEach(o -> assertTrue(((RespDecoder.Message) o).body().release()));
+        }
+    }
+
+    @Property(seed = "24")
+    void fieldsAreFoundByTheirWholeNames(@ForAll @AlphaChars @StringLength(min = 1, max = 5) String name,
+                                         @ForAll @AlphaChars @StringLength(max = 9) String value) {
+        assertEquals(value, Resp.field("x" + name + "=no," + name + "=" + value + ",z=1", name));
+        assertEquals(null, Resp.field("x" + name + "=no," + name + "y=1", name));
+    }
+}
--- /dev/null
+++ b/src/test/java/barleyspur/doorman/DoormanTest.java
@@ -0,0 +1,266 @@
+package barleyspur.doorman;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.config.SettingsReader;
+import barleyspur.decision.Director;
+import barleyspur.decision.Director.Result;
+import barleyspur.doorman.Depots.Answer;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The director's contract, with a director that does as each test says and a clock that the test moves. */
+class DoormanTest {
+
+    private static final Listing NODE = new Listing("s-1", new InetSocketAddress("127.0.0.1", 1), 0, 0, 0,
+        Director.State.READY, 1, 0);
+
+    private record Task(double at, int order, Runnable run, boolean[] cancelled) { }
+
+    private double now = 1_000;
+    private int tasks;
+    private final PriorityQueue<Task> timers = new PriorityQueue<>(
+        Comparator.comparingDouble(Task::at).thenComparingInt(Task::order));
+    private final List<Director.Event> events = new ArrayList<>();
+    private final List<Depots.End> sent = new ArrayList<>();
+    private final List<String> cancelled = new ArrayList<>();
+    private final List<String> answers = new ArrayList<>();
+    private final ByteBuf body = Unpooled.copiedBuffer(new byte[3]);
+    private Consumer<Director.Event> decide = e -> { };
+    private Consumer<Director.Action> out;
+    private Doorman doorman;
+    private Doorman.Ticket ticket;
+
+    private final Clock clock = new Clock() {
+        @Override
+        public double nowMs() {
+            return now;
+        }
+
+        @Override
+        public Timer after(double delayMs, Runnable run) {
+            Task task = new Task(now + Math.max(0, delayMs), tasks++, run, new boolean[1]);
+            timers.add(task);
+            return () -> task.cancelled()[0] = true;
+        }
+    };
+
+    private final Depots depots = new Depots() {
+        @Override
+        public void list(long node, Listing listing) { }
+
+        @Override
+        public void retire(long node) { }
+
+        @Override
+        public Call send(long node, Order order, End end) {
+            int number = sent.size();
+            sent.add(end);
+            return () -> cancelled.add("attempt " + number);
+        }
+
+        @Override
+        public void probe(long node, double timeoutMs, End end) {
+            sent.add(end);
+        }
+
+        @Override
+        public void hangUp(long node) { }
+    };
+
+    private final Caller caller = new Caller() {
+        @Override
+        public void served(ByteBuf served, String tag) {
+            answers.add("served " + served.readableBytes() + " " + tag);
+            served.release();
+        }
+
+        @Override
+        public void unchanged(String tag) {
+            answers.add("unchanged " + tag);
+        }
+
+        @Override
+        public void refused(double pauseMs) {
+            answers.add("refused " + pauseMs);
+        }
+
+        @Override
+        public void failed() {
+            answers.add("failed");
+        }
+    };
+
+    @BeforeEach
+    void start() {
+        Director.Settings settings = SettingsReader.read(SettingsReader.lines("""
+            groupSize=1\nmyNumber=0\nmyZone=0\nresolutionMs=2\ngrades.count=1\ngrades.0.promiseMs=400
+            grades.0.hardLimitMs=5000\ngrades.0.repeat=repeatable\nfamilyInfo.midKind=2\nfamilyInfo.masterKind=3
+            familyInfo.paceKbPerS=7600\nlimits.sendCap=2\nrules.fallMs=1500\nrules.answerSlackMs=8
+            rules.drainGraceMs=1000\nrules.coldFrom=0.24\nrules.coldMs=17000\nrules.tipMultiple=4
+            limits.retryAfter=true\nlimits.maxRetryAfterMs=700
+            """));
+        doorman = new Doorman(settings, 1, (at, event, sink) -> {
+            events.add(event);
+            out = sink;
+            decide.accept(event);
+        }, clock, depots);
+        doorman.listed(true, List.of(NODE));
+    }
+
+    private void take(Consumer<Director.Event> decisions) {
+        decide = decisions;
+        ticket = doorman.take(new Ask("9b1f03aa5c7e2d41", 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 0, 1_000, 0, null,
+            body), caller);
+    }
+
+    private void send(long id) {
+        out.accept(new Director.Get(id, NODE.node(), 1_000, NODE.node(), 2, 0, true, false, false, false));
+    }
+
+    private void sendAll(int attempts, Director.Event event) {
+        if (event instanceof Director.Request r) {
+            for (int i = 0; i < attempts; i++) {
+                send(r.id());
+            }
+        }
+    }
+
+    private void moveTo(double to) {
+        while (!timers.isEmpty() && timers.peek().at() <= to) {
+            Task task = timers.poll();
+            now = Math.max(now, task.at());
+            if (!task.cancelled()[0]) {
+                task.run().run();
+            }
+        }
+        now = to;
+    }
+
+    private static Answer ok(ByteBuf bytes) {
+        return new Answer(Result.OK, Director.Note.HIT, List.of(), bytes, "tag");
+    }
+
+    private List<Director.Outcome> outcomes() {
+        return events.stream().filter(e -> e instanceof Director.Outcome).map(e -> (Director.Outcome) e).toList();
+    }
+
+    @Test
+    void theFirstOkIsTheAnswerAndALaterOneIsReleased() {
+        take(e -> sendAll(2, e));
+        now += 40;
+        sent.get(1).ended(ok(Unpooled.copiedBuffer(new byte[5])));
+        ByteBuf late = Unpooled.copiedBuffer(new byte[5]);
+        sent.get(0).ended(ok(late));
+        assertEquals(List.of("served 5 tag"), answers);
+        assertEquals(0, late.refCnt());
+        assertEquals(0, body.refCnt());
+        assertEquals(List.of(1, 0), outcomes().stream().map(Director.Outcome::attempt).toList());
+        assertTrue(outcomes().stream().allMatch(Director.Outcome::closed));
+        assertEquals(40, outcomes().get(0).latencyMs());
+    }
+
+    @Test
+    void aFailedAttemptLeavesTheRequestOpen() {
+        take(e -> sendAll(1, e));
+        sent.get(0).ended(Answer.of(Result.MISS));
+        assertFalse(outcomes().get(0).closed());
+        assertEquals(List.of(), answers);
+        assertEquals(1, body.refCnt(), "a further attempt needs the body");
+    }
+
+    @Test
+    void whatIsOverIsNeverSent() {
+        take(e -> {
+            if (e instanceof Director.Request r) {
+                out.accept(new Director.Refuse(r.id(), 300));
+                send(r.id());
+            }
+        });
+        assertEquals(List.of("refused 300.0"), answers);
+        assertEquals(0, sent.size());
+    }
+
+    @Test
+    void moreAttemptsThanAllowedNeverRan() {
+        take(e -> sendAll(3, e));
+        assertEquals(2, sent.size());
+        assertEquals(List.of(Result.MOOT), outcomes().stream().map(Director.Outcome::result).toList());
+    }
+
+    /** A silent machine keeps its connections open: the time-out is the host's to keep. */
+    @Test
+    void aSilentDepotIsTimedOutAndCancelled() {
+        take(e -> sendAll(1, e));
+        moveTo(2_000);
+        assertEquals(List.of("attempt 0"), cancelled);
+        assertEquals(List.of(Result.TIMEOUT), outcomes().stream().map(Director.Outcome::result).toList());
+        assertFalse(outcomes().get(0).closed(), "the final answer is still owed");
+    }
+
+    @Test
+    void aClientThatLeavesIsOwedNothing() {
+        take(e -> {
+            sendAll(1, e);
+            if (e instanceof Director.Gone g) {
+                out.accept(new Director.Cancel(g.request(), 0));
+            }
+        });
+        ticket.gone();
+        ticket.gone();
+        moveTo(9_000);
+        assertEquals(List.of(), answers);
+        assertEquals(List.of("attempt 0"), cancelled);
+        assertEquals(Result.CANCELLED, outcomes().get(0).result());
+        assertTrue(outcomes().get(0).closed());
+        assertEquals(0, body.refCnt());
+    }
+
+    /** A fault in the decisions must not cost the client its answer, nor the process its life. */
+    @Test
+    void aDirectorThatFailsLeavesTheRequestToTheGuard() {
+        take(e -> {
+            throw new IllegalStateException("as a faulty decision would");
+        });
+        moveTo(2_004);
+        assertEquals(List.of("failed"), answers);
+    }
+
+    @Test
+    void requestsBeyondTheLimitAreRefused() {
+        take(e -> { });
+        doorman.take(new Ask("9b1f03aa5c7e2d42", 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 0, 1_000, 0, null,
+            Unpooled.EMPTY_BUFFER), caller);
+        assertEquals(List.of("refused 700.0"), answers);
+    }
+
+    @Test
+    void aDrainAnswersWhatIsOpenAndWhatStillComes() {
+        boolean[] ended = new boolean[1];
+        doorman.drain(() -> ended[0] = true);
+        moveTo(1_600);
+        take(e -> sendAll(1, e));
+        moveTo(1_900);
+        assertFalse(ended[0], "a request is open");
+        sent.get(0).ended(ok(Unpooled.copiedBuffer(new byte[5])));
+        moveTo(1_901);
+        assertTrue(ended[0]);
+        assertEquals(List.of("served 5 tag"), answers);
+    }
+
+    @Test
+    void purgesAreToldByTheirAge() {
+        doorman.purgedGroup(17, 900);
+        assertEquals(new Director.Purged(17, 0, 100), events.get(events.size() - 1));
+    }
+}
--- /dev/null
+++ b/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
@@ -0,0 +1,122 @@
+package barleyspur.front.thrift;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.Cuts;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.constraints.StringLength;
+
+/** The front's parser against valid calls in pieces and against garbage. */
+class ThriftPropertiesTest {
+
+    private static final int MAX_FRAME = 4_096;
+
+    /** A framed {@code dispatch}, with a field that this version does not know. */
+    private static ByteBuf dispatch(int seqid, Map<String, String> fields, byte[] body) {
+        ByteBuf out = Unpooled.buffer();
+        out.writeInt(0).writeInt(Thrift.VERSION | Thrift.CALL);
+        string(out, "dispatch".getBytes(StandardCharsets.UTF_8));
+        out.writeInt(seqid);
+        out.writeByte(Thrift.LIST).writeShort(9).writeByte(Thrift.I32).writeInt(2).writeInt(1).writeInt(2);
+        out.writeByte(Thrift.MAP).writeShort(1).writeByte(Thrift.STRING).writeByte(Thrift.STRING);
+        out.writeInt(fields.size());
+        fields.forEach((name, value) -> {
+            string(out, name.getBytes(StandardCharsets.UTF_8));
+            string(out, value.getBytes(StandardCharsets.UTF_8));
+        });
+        out.writeByte(Thrift.STRING).writeShort(2);
+        string(out, body);
+        out.writeByte(Thrift.STOP);
+        return out.setInt(0, out.readableBytes() - Integer.BYTES);
+    }
+
+    private static void string(ByteBuf out, byte[] bytes) {
+        out.writeInt(bytes.length).writeBytes(bytes);
+    }
+
+    @Property(seed = "11")
+    void callsSurviveAnyCuts(@ForAll @Size(max = 5) List<@StringLength(max = 30) String> values,
+                             @ForAll @Size(max = 200) byte[] body, @ForAll int seqid, @ForAll long cuts)
+        throws ThriftCall.Malformed {
+        Map<String, String> fields = new HashMap<>();
+        values.forEach(v -> fields.put("f" + fields.size(), v.replaceAll("[\\ud800-\\udfff]", "?")));
+        ByteBuf twice = Unpooled.buffer();
+        for (int i = 0; i < 2; i++) {
+            ByteBuf one = dispatch(seqid + i, fields, body);
+            twice.writeBytes(one);
+            one.release();
+        }
+        List<Object> frames = Cuts.feed(new EmbeddedChannel(new ThriftFrameDecoder(MAX_FRAME)), Cuts.take(twice), cuts);
+        assertEquals(2, frames.size());
+        for (int i = 0; i < 2; i++) {
+            ByteBuf frame = (ByteBuf) frames.get(i);
+            ThriftCall.Dispatch call = (ThriftCall.Dispatch) ThriftCall.read(frame);
+            assertEquals(seqid + i, call.seqid());
+            assertEquals(fields, call.fields());
+            assertArrayEquals(body, ByteBufUtil.getBytes(call.body()));
+            frame.release();
+        }
+        frames.forEach(f -> assertEquals(0, ((ByteBuf) f).refCnt(), "nothing holds on to the bytes"));
+    }
+
+    @Property(seed = "12")
+    void garbageInAFrameIsMalformedOrACall(@ForAll @Size(max = 60) byte[] garbage, @ForAll boolean headed) {
+        ByteBuf frame = Unpooled.buffer();
+        if (headed) {
+            frame.writeInt(Thrift.VERSION | Thrift.CALL);
+            string(frame, "dispatch".getBytes(StandardCharsets.UTF_8));
+            frame.writeInt(1);
+        }
+        frame.writeBytes(garbage);
+        try {
+            assertNotNull(ThriftCall.read(frame));
+        } catch (ThriftCall.Malformed e) {
+            assertNotNull(e.getMessage());
+        }
+    }
+
+    @Property(seed = "13")
+    void aDamagedCallIsMalformedOrACall(@ForAll byte damage, @ForAll int at) {
+        ByteBuf frame = dispatch(5, Map.of("c", "video-parts", "seg", "3"), new byte[20]).skipBytes(Integer.BYTES);
+        frame.setByte(frame.readerIndex() + Math.floorMod(at, frame.readableBytes()), damage);
+        try {
+            assertNotNull(ThriftCall.read(frame));
+        } catch (ThriftCall.Malformed e) {
+            assertNotNull(e.getMessage());
+        }
+    }
+
+    @Property(seed = "14")
+    void aStreamOfGarbageEndsInOneWayOnly(@ForAll @Size(max = 300) byte[] garbage, @ForAll long cuts) {
+        List<Object> frames = Cuts.feedGarbage(new EmbeddedChannel(new ThriftFrameDecoder(MAX_FRAME)), garbage, cuts);
+        if (frames != null) {
+            frames.forEach(f -> assertTrue(((ByteBuf) f).release()));
+        }
+    }
+
+    @Property(seed = "15")
+    void badFieldsAreNamed(@ForAll @StringLength(max = 20) String value) {
+        for (String name : List.of("c", "i", "d", "o", "seg", "bucket")) {
+            Map<String, String> fields = new HashMap<>(Map.of("c", "small", "i", "9b1f03aa5c7e2d41", "d",
+                "1500", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"));
+            fields.put(name, "x" + value);
+            IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
+                () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, List.of("small")));
+            assertTrue(e.getMessage().startsWith("field " + name), e.getMessage());
+        }
+    }
+}
