Bound unread answers and idle clients; forget gone nodes; check known at the start

Found by a probe with a handful of requests against a single doorman: garbage was logged twice, since what was left of it was decoded again when the connection ended (the three decoders); a faulty known.cmds ended the start with a trace while the loop thread lived on (Configuration.read). From reading: nodes that a whole list leaves out stayed known (Doorman.listed), answers for clients that do not read could fill the direct memory (FrontConnection.answer), connections of vanished clients were never closed, and a client that does not read could hold up the end of a drain (ThriftFront.close).

--- a/src/main/java/barleyspur/channel/LineDecoder.java
+++ b/src/main/java/barleyspur/channel/LineDecoder.java
@@ -24,6 +24,8 @@
         int end = in.indexOf(start + searched, in.writerIndex(), (byte) '\n');
         int length = (end < 0 ? in.writerIndex() : end) - start;
         if (length > maxLine) {
+            // Else what is left would be read, and complained of, once more when the connection ends.
+            in.skipBytes(in.readableBytes());
             throw new TooLongFrameException("a line of over " + maxLine + " bytes");
         }
         if (end < 0) {
--- a/src/main/java/barleyspur/config/Configuration.java
+++ b/src/main/java/barleyspur/config/Configuration.java
@@ -59,10 +59,7 @@
         }
         String listen = variables.getOrDefault("RELAY_LISTEN", json.optString("listen"));
         JSONObject settings = object(json, "settings");
-        JSONObject known = object(json, "known");
-        if (!known.has("cursor") || known.optJSONArray("cmds") == null) {
-            throw new Invalid("key known does not hold cursor and cmds");
-        }
+        JSONObject known = known(object(json, "known"));
         try {
             Map<String, String> flat = SettingsReader.flatten(settings);
             return new Configuration(name, address("listen", listen), address("channel", json.optString("channel")),
@@ -94,6 +91,22 @@
         return value;
     }
 
+    private static JSONObject known(JSONObject known) throws Invalid {
+        if (known.optLong("cursor", -1) < 0) {
+            throw new Invalid("key known.cursor is missing or no number from 0 on");
+        }
+        JSONArray cmds = known.optJSONArray("cmds");
+        if (cmds == null) {
+            throw new Invalid("key known.cmds is missing or no list");
+        }
+        for (int i = 0; i < cmds.length(); i++) {
+            if (cmds.optJSONObject(i) == null) {
+                throw new Invalid("key known.cmds." + i + " is no object");
+            }
+        }
+        return known;
+    }
+
     private static long seed(JSONObject json) {
         try {
             return Long.parseUnsignedLong(json.optString("seed"), HEX);
--- a/src/main/java/barleyspur/depot/RespDecoder.java
+++ b/src/main/java/barleyspur/depot/RespDecoder.java
@@ -26,6 +26,16 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        try {
+            message(in, out);
+        } catch (CorruptedFrameException e) {
+            // Else what is left would be read, and complained of, once more when the connection ends.
+            in.skipBytes(in.readableBytes());
+            throw e;
+        }
+    }
+
+    private void message(ByteBuf in, List<Object> out) {
         at = in.readerIndex();
         int items = line(in, '*');
         if (items < 0) {
--- a/src/main/java/barleyspur/doorman/Doorman.java
+++ b/src/main/java/barleyspur/doorman/Doorman.java
@@ -30,7 +30,7 @@
     private final Clock clock;
     private final Depots depots;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
-    /** By node; also nodes that are gone, whose attempts may still be out. */
+    /** The listed nodes' ids, by node. */
     private final Map<Long, String> uids = new HashMap<>();
     private final ArrayDeque<Director.Event> events = new ArrayDeque<>();
     private final ArrayDeque<Director.Action> actions = new ArrayDeque<>();
@@ -146,15 +146,20 @@
     @Override
     public void listed(boolean whole, List<Listing> listings) {
         List<Director.Node> nodes = new ArrayList<>(listings.size());
+        if (whole) {
+            // A node that a whole list leaves out has gone.
+            List<Long> left = new ArrayList<>(uids.keySet());
+            listings.forEach(l -> left.remove(l.node()));
+            left.forEach(this::retire);
+        }
         for (Listing l : listings) {
             long node = l.node();
-            String before = uids.putIfAbsent(node, l.uid());
-            if (before == null) {
-                LOG.info("node {} is {} at {}", node, l.uid(), l.address());
-            }
             if (l.state() == Director.State.GONE) {
-                depots.retire(node);
+                retire(node);
             } else {
+                if (uids.put(node, l.uid()) == null) {
+                    LOG.info("node {} is {} at {}", node, l.uid(), l.address());
+                }
                 depots.list(node, l);
             }
             nodes.add(new Director.Node(node, l.zone(), l.kind(), l.cell(), l.state(), l.size(), l.bootMs()));
@@ -164,6 +169,11 @@
         tell(new Director.Members(whole ? full : Director.ListKind.DELTA, nodes));
     }
 
+    private void retire(long node) {
+        uids.remove(node);
+        depots.retire(node);
+    }
+
     @Override
     public void purgedObject(long object, double whenMs) {
         tell(new Director.Purged(0, object, clock.nowMs() - whenMs));
--- a/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,13 +23,16 @@
     private static final Logger LOG = LoggerFactory.getLogger("front");
     private static final String DISPATCH = "dispatch";
 
+    private final ThriftFront front;
     private final Doorman doorman;
     private final List<String> classes;
     private final int mostOpen;
     private final Map<Integer, Exchange> open = new HashMap<>();
     private Channel channel;
+    private long lastReadNanos = System.nanoTime();
 
-    FrontConnection(Doorman doorman, List<String> classes, int mostOpen) {
+    FrontConnection(ThriftFront front, Doorman doorman, List<String> classes, int mostOpen) {
+        this.front = front;
         this.doorman = doorman;
         this.classes = classes;
         this.mostOpen = mostOpen;
@@ -41,6 +45,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws ThriftCall.Malformed {
+        lastReadNanos = System.nanoTime();
         ThriftCall call = ThriftCall.read(frame);
         if (call instanceof ThriftCall.Dispatch c) {
             dispatch(c);
@@ -70,8 +75,9 @@
             write(Thrift.exception(channel.alloc(), DISPATCH, seqid, Thrift.PROTOCOL_ERROR, e.getMessage()));
             return;
         }
-        if (open.size() >= mostOpen) {
-            LOG.warn("client {}: more than {} open requests", channel.remoteAddress(), mostOpen);
+        if (open.size() >= mostOpen || front.full()) {
+            LOG.warn("client {}: refused, {} requests are open here{}", channel.remoteAddress(), open.size(),
+                front.full() ? " and too much is unread" : "");
             write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of()));
             return;
         }
@@ -128,7 +134,15 @@
         int bodyBytes = body.readableBytes();
         channel.write(Thrift.answerHead(channel.alloc(), method, seqid, bodyBytes, tail.readableBytes()));
         channel.write(body);
-        write(tail);
+        front.unread(bodyBytes);
+        channel.writeAndFlush(tail).addListener(written -> front.unread(-bodyBytes));
+    }
+
+    /** Closes the connection of a client that has vanished without a word. */
+    void closeIfIdle(long idleMs) {
+        if (open.isEmpty() && System.nanoTime() - lastReadNanos > TimeUnit.MILLISECONDS.toNanos(idleMs)) {
+            channel.close();
+        }
     }
 
     private void write(ByteBuf message) {
--- a/src/main/java/barleyspur/front/thrift/Thrift.java
+++ b/src/main/java/barleyspur/front/thrift/Thrift.java
@@ -29,7 +29,6 @@
 
     /** Kinds of application exception. */
     static final int UNKNOWN_METHOD = 1;
-    static final int INTERNAL_ERROR = 6;
     static final int PROTOCOL_ERROR = 7;
 
     private static final int SUCCESS = 0;
--- a/src/main/java/barleyspur/front/thrift/ThriftFrameDecoder.java
+++ b/src/main/java/barleyspur/front/thrift/ThriftFrameDecoder.java
@@ -24,6 +24,8 @@
         }
         int length = in.getInt(in.readerIndex());
         if (length <= 0 || length > maxFrame) {
+            // Else what is left would be read, and complained of, once more when the connection ends.
+            in.skipBytes(in.readableBytes());
             throw new CorruptedFrameException("a frame of " + (length & 0xFFFFFFFFL) + " bytes");
         }
         if (in.readableBytes() >= LENGTH_BYTES + length) {
--- a/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -9,10 +9,13 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.ChannelGroupFuture;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,6 +27,12 @@
     private static final int MAX_FRAME = 128 * 1024;
     private static final int MOST_OPEN = 32;
     private static final int BACKLOG = 512;
+    /** What may wait in memory for clients to read it, well under the direct memory that the process has. */
+    private static final long MOST_UNREAD = 16 << 20;
+    /** Clients close after 4 s idle; a connection idle for this long belongs to a client that has vanished. */
+    private static final long IDLE_MS = 60_000;
+    /** How long clients have to read the last answers before the process ends. */
+    private static final long LAST_READ_MS = 1_000;
 
     private final EventLoopGroup group;
     private final Doorman doorman;
@@ -31,6 +40,7 @@
     private final int mostConnections;
     private final ChannelGroup connections;
     private Channel listener;
+    private long unread;
 
     public ThriftFront(EventLoopGroup group, Doorman doorman, List<String> classes, int mostConnections) {
         this.group = group;
@@ -65,13 +75,32 @@
             return;
         }
         connections.add(channel);
-        channel.pipeline().addLast(new ThriftFrameDecoder(MAX_FRAME), new FrontConnection(doorman, classes, MOST_OPEN));
+        FrontConnection connection = new FrontConnection(this, doorman, classes, MOST_OPEN);
+        channel.pipeline().addLast(new ThriftFrameDecoder(MAX_FRAME), connection);
+        Future<?> sweep = channel.eventLoop().scheduleAtFixedRate(() -> connection.closeIfIdle(IDLE_MS), IDLE_MS,
+            IDLE_MS, TimeUnit.MILLISECONDS);
+        channel.closeFuture().addListener(closed -> sweep.cancel(false));
     }
 
-    /** Stops listening and closes every connection once all that was written to it is out. */
+    /** Whether clients that do not read have so much waiting for them that no more can be taken in. */
+    boolean full() {
+        return unread > MOST_UNREAD;
+    }
+
+    /** Counts an answer's bytes until they are written or given up. */
+    void unread(long bytes) {
+        unread += bytes;
+    }
+
+    /** Stops listening and closes every connection once what was written to it is out, or after a while. */
     public void close(Runnable then) {
         listener.close();
-        connections.writeAndFlush(Unpooled.EMPTY_BUFFER)
-            .addListener(flushed -> connections.close().addListener(closed -> then.run()));
+        ChannelGroupFuture closed = connections.newCloseFuture();
+        connections.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> connections.close());
+        Future<?> enough = group.next().schedule(() -> connections.close(), LAST_READ_MS, TimeUnit.MILLISECONDS);
+        closed.addListener(all -> {
+            enough.cancel(false);
+            then.run();
+        });
     }
 }
--- a/src/test/java/barleyspur/Cuts.java
+++ b/src/test/java/barleyspur/Cuts.java
@@ -38,6 +38,8 @@
             if (e.getCause() != null) {
                 throw e;
             }
+            // The rest is not read, so the end of the connection brings no second complaint.
+            channel.finishAndReleaseAll();
             return null;
         }
     }
--- a/src/test/java/barleyspur/config/ConfigurationTest.java
+++ b/src/test/java/barleyspur/config/ConfigurationTest.java
@@ -49,7 +49,9 @@
         assertEquals("key channel is not an address with a port: ''", fault("\"channel\":\"10.2.0.1:2379\",", ""));
         assertEquals("key seed is not a number in hex digits", fault("8c1f30d27a5be964", "dice"));
         assertEquals("key limits.sockets is missing or under 64", fault("\"sockets\":1024", "\"sockets\":3"));
-        assertEquals("key known does not hold cursor and cmds", fault("\"cursor\":3,", ""));
+        assertEquals("key known.cursor is missing or no number from 0 on", fault("\"cursor\":3,", ""));
+        assertEquals("key known.cmds is missing or no list", fault("\"cmds\":[]", "\"cmd\":[]"));
+        assertEquals("key known.cmds.0 is no object", fault("\"cmds\":[]", "\"cmds\":[7]"));
         assertEquals("key settings is missing or no object", fault("\"settings\"", "\"setting\""));
         assertEquals("setting grades.1.name is missing", fault("\"name\":\"record\",", ""));
         assertEquals("setting areas is missing or empty", fault("\"areas\"", "\"zones\""));
--- a/src/test/java/barleyspur/doorman/DoormanTest.java
+++ b/src/test/java/barleyspur/doorman/DoormanTest.java
@@ -33,6 +33,7 @@
         Comparator.comparingDouble(Task::at).thenComparingInt(Task::order));
     private final List<Director.Event> events = new ArrayList<>();
     private final List<Depots.End> sent = new ArrayList<>();
+    private final List<Long> retired = new ArrayList<>();
     private final List<String> cancelled = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
     private final ByteBuf body = Unpooled.copiedBuffer(new byte[3]);
@@ -60,7 +61,9 @@
         public void list(long node, Listing listing) { }
 
         @Override
-        public void retire(long node) { }
+        public void retire(long node) {
+            retired.add(node);
+        }
 
         @Override
         public Call send(long node, Order order, End end) {
@@ -258,6 +261,17 @@
         assertEquals(List.of("served 5 tag"), answers);
     }
 
+    @Test
+    void aNodeThatAWholeListLeavesOutHasGone() {
+        Listing other = new Listing("s-2", NODE.address(), 0, 0, 0, Director.State.READY, 1, 0);
+        doorman.listed(false, List.of(other));
+        assertEquals(List.of(), retired);
+        doorman.listed(true, List.of(other));
+        assertEquals(List.of(NODE.node()), retired);
+        assertEquals(List.of(Director.ListKind.CACHED, Director.ListKind.DELTA, Director.ListKind.FULL),
+            events.stream().map(e -> ((Director.Members) e).kind()).toList());
+    }
+
     @Test
     void purgesAreToldByTheirAge() {
         doorman.purgedGroup(17, 900);
