--- a/src/main/java/barleyspur/doorman/Doorman.java
+++ b/src/main/java/barleyspur/doorman/Doorman.java
@@ -154,12 +154,18 @@
         }
         for (Listing l : listings) {
             long node = l.node();
+            String known = uids.get(node);
+            if (known != null && !known.equals(l.uid())) {
+                LOG.error("node {} passed over: its number {} is {}'s", l.uid(), node, known);
+                continue;
+            }
             if (l.state() == Director.State.GONE) {
                 retire(node);
             } else {
-                if (uids.put(node, l.uid()) == null) {
+                if (known == null) {
                     LOG.info("node {} is {} at {}", node, l.uid(), l.address());
                 }
+                uids.put(node, l.uid());
                 depots.list(node, l);
             }
             nodes.add(new Director.Node(node, l.zone(), l.kind(), l.cell(), l.state(), l.size(), l.bootMs()));
--- a/src/test/java/barleyspur/doorman/DoormanTest.java
+++ b/src/test/java/barleyspur/doorman/DoormanTest.java
@@ -272,6 +272,18 @@
             events.stream().map(e -> ((Director.Members) e).kind()).toList());
     }
 
+    /** Two nodes under one number would get each other's requests. */
+    @Test
+    void aNumberStandsForOneNode() {
+        Listing same = new Listing("t-1", NODE.address(), 0, 0, 0, Director.State.READY, 1, 0);
+        Listing named = new Listing("box", NODE.address(), 0, 0, 0, Director.State.READY, 1, 0);
+        assertEquals(NODE.node(), same.node());
+        assertTrue(named.node() >= 1L << 32, "no number that an id may end in");
+        doorman.listed(false, List.of(same, named));
+        assertEquals(List.of(named.node()), ((Director.Members) events.get(1)).nodes().stream()
+            .map(Director.Node::id).toList());
+    }
+
     @Test
     void purgesAreToldByTheirAge() {
         doorman.purgedGroup(17, 900);
