Stop reading depots while clients leave answers unread, and leave clients that are stuck

Seen by a probe: 20 connections ask for 640 parts of 240,000 bytes and read nothing for 3 s. The direct memory (40 MB) ran out, reads from a depot threw OutOfMemoryError 14 times, its connection was closed each time and the director left the depot out for what clients had done. Checked: with 56 MB and 16 MB of unread answers as the bound it still ran out once, at 16.8 MB: a retained slice keeps the whole buffer it was cut from, about three times its bytes. With 8 MB no error came. Now UnreadAnswers stops the depots' connections at 8 MB and lets them go on at 4 MB; a client that nothing could be written to for 10 s is left; a connection whose depot does not read gets nothing new.

--- a/src/main/java/barleyspur/Node.java
+++ b/src/main/java/barleyspur/Node.java
@@ -45,7 +45,8 @@
         doorman = new Doorman(settings, limits.maxOpen(), director, clock, depots);
         commands = new CommandReader(configuration.names().zones(), configuration.names().kinds(), doorman);
         channel = new CommandChannel(group, configuration.channel(), clock, commands);
-        front = new ThriftFront(group, doorman, configuration.names().classes(), limits.sockets() / SHARES + 1);
+        front = new ThriftFront(group, doorman, configuration.names().classes(), limits.sockets() / SHARES + 1,
+            depots::pauseReading);
     }
 
     /** Learns what is known, then listens; throws where the address can't be had. */
--- a/src/main/java/barleyspur/depot/DepotClient.java
+++ b/src/main/java/barleyspur/depot/DepotClient.java
@@ -37,6 +37,7 @@
     private final List<String> reportFields;
     private final Map<Long, Depot> depots = new HashMap<>();
     private int connections;
+    private boolean reading = true;
     private long probes;
 
     public DepotClient(EventLoopGroup group, Clock clock, Limits limits, List<String> reportFields) {
@@ -97,6 +98,7 @@
                     channel.pipeline().addLast(new RespDecoder(), c);
                 }
             }).connect(listing.address()));
+            c.read(reading);
             return c;
         }
 
@@ -132,6 +134,14 @@
         }
     }
 
+    /** Stops or goes on reading answers, on all connections. */
+    public void pauseReading(boolean pause) {
+        reading = !pause;
+        for (Depot depot : depots.values()) {
+            depot.pool.forEach(c -> c.read(reading));
+        }
+    }
+
     @Override
     public Call send(long node, Order order, End end) {
         Depot depot = depots.get(node);
--- a/src/main/java/barleyspur/depot/DepotConnection.java
+++ b/src/main/java/barleyspur/depot/DepotConnection.java
@@ -141,11 +141,12 @@
     }
 
     /**
-     * Whether a call under this id may go out here. Not while the id is out here or was cancelled here: an answer
+     * Whether a call under this id may go out here. Not while the depot does not read, and not while the id is out here or was cancelled here: an answer
      * on its way to the earlier attempt of the same request would be taken for the later one's.
      */
     boolean takes(String id, int streams) {
-        return !closed && !retired && open.size() < streams && !open.containsKey(id) && !cancelled.contains(id);
+        boolean able = !closed && !retired && open.size() < streams && (!up || channel.isWritable());
+        return able && !open.containsKey(id) && !cancelled.contains(id);
     }
 
     boolean isUp() {
@@ -164,6 +165,11 @@
         return open.isEmpty() && System.nanoTime() - idleSinceNanos >= nanos;
     }
 
+    /** Back-pressure: while it is not read, a depot's answers wait on its own side. */
+    void read(boolean on) {
+        channel.config().setAutoRead(on);
+    }
+
     /** Takes nothing new, and closes once what is open has ended. */
     void retire() {
         retired = true;
--- a/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,17 +23,20 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("front");
     private static final String DISPATCH = "dispatch";
+    /** No client waits this long for an answer: what is still unread then was for nobody. */
+    private static final long STUCK_MS = 10_000;
 
-    private final ThriftFront front;
+    private final UnreadAnswers unread;
     private final Doorman doorman;
     private final List<String> classes;
     private final int mostOpen;
     private final Map<Integer, Exchange> open = new HashMap<>();
     private Channel channel;
+    private Future<?> stuck;
     private long lastReadNanos = System.nanoTime();
 
-    FrontConnection(ThriftFront front, Doorman doorman, List<String> classes, int mostOpen) {
-        this.front = front;
+    FrontConnection(UnreadAnswers unread, Doorman doorman, List<String> classes, int mostOpen) {
+        this.unread = unread;
         this.doorman = doorman;
         this.classes = classes;
         this.mostOpen = mostOpen;
@@ -75,9 +79,9 @@
             write(Thrift.exception(channel.alloc(), DISPATCH, seqid, Thrift.PROTOCOL_ERROR, e.getMessage()));
             return;
         }
-        if (open.size() >= mostOpen || front.full()) {
+        if (open.size() >= mostOpen || unread.full()) {
             LOG.warn("client {}: refused, {} requests are open here{}", channel.remoteAddress(), open.size(),
-                front.full() ? " and too much is unread" : "");
+                unread.full() ? " and too much is unread" : "");
             write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of()));
             return;
         }
@@ -134,8 +138,8 @@
         int bodyBytes = body.readableBytes();
         channel.write(Thrift.answerHead(channel.alloc(), method, seqid, bodyBytes, tail.readableBytes()));
         channel.write(body);
-        front.unread(bodyBytes);
-        channel.writeAndFlush(tail).addListener(written -> front.unread(-bodyBytes));
+        unread.add(bodyBytes);
+        channel.writeAndFlush(tail).addListener(written -> unread.add(-bodyBytes));
     }
 
     /** Closes the connection of a client that has vanished without a word. */
@@ -149,14 +153,28 @@
         channel.writeAndFlush(message, channel.voidPromise());
     }
 
-    /** Back-pressure: from a client that does not read its answers nothing more is read. */
+    /** Back-pressure: from a client that does not read its answers nothing more is read, and at last it is left. */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+        boolean writable = channel.isWritable();
+        channel.config().setAutoRead(writable);
+        if (stuck != null) {
+            stuck.cancel(false);
+            stuck = null;
+        }
+        if (!writable && channel.isActive()) {
+            stuck = channel.eventLoop().schedule(() -> {
+                LOG.warn("client {}: connection closed: it does not read its answers", channel.remoteAddress());
+                channel.close();
+            }, STUCK_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (stuck != null) {
+            stuck.cancel(false);
+        }
         List<Exchange> left = new ArrayList<>(open.values());
         open.clear();
         left.forEach(Exchange::leave);
--- a/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,8 +28,8 @@
     private static final int MAX_FRAME = 128 * 1024;
     private static final int MOST_OPEN = 32;
     private static final int BACKLOG = 512;
-    /** What may wait in memory for clients to read it, well under the direct memory that the process has. */
-    private static final long MOST_UNREAD = 16 << 20;
+    /** What may wait in memory for clients to read it; the buffers that hold it were seen to take three times that. */
+    private static final long MOST_UNREAD = 8 << 20;
     /** Clients close after 4 s idle; a connection idle for this long belongs to a client that has vanished. */
     private static final long IDLE_MS = 60_000;
     /** How long clients have to read the last answers before the process ends. */
@@ -39,14 +40,17 @@
     private final List<String> classes;
     private final int mostConnections;
     private final ChannelGroup connections;
+    private final UnreadAnswers unread;
     private Channel listener;
-    private long unread;
 
-    public ThriftFront(EventLoopGroup group, Doorman doorman, List<String> classes, int mostConnections) {
+    /** {@code onFull} is told when clients leave too much unread for more to be taken in, and when that is over. */
+    public ThriftFront(EventLoopGroup group, Doorman doorman, List<String> classes, int mostConnections,
+                       Consumer<Boolean> onFull) {
         this.group = group;
         this.doorman = doorman;
         this.classes = classes;
         this.mostConnections = mostConnections;
+        this.unread = new UnreadAnswers(MOST_UNREAD, onFull);
         this.connections = new DefaultChannelGroup(group.next());
     }
 
@@ -75,23 +79,13 @@
             return;
         }
         connections.add(channel);
-        FrontConnection connection = new FrontConnection(this, doorman, classes, MOST_OPEN);
+        FrontConnection connection = new FrontConnection(unread, doorman, classes, MOST_OPEN);
         channel.pipeline().addLast(new ThriftFrameDecoder(MAX_FRAME), connection);
         Future<?> sweep = channel.eventLoop().scheduleAtFixedRate(() -> connection.closeIfIdle(IDLE_MS), IDLE_MS,
             IDLE_MS, TimeUnit.MILLISECONDS);
         channel.closeFuture().addListener(closed -> sweep.cancel(false));
     }
 
-    /** Whether clients that do not read have so much waiting for them that no more can be taken in. */
-    boolean full() {
-        return unread > MOST_UNREAD;
-    }
-
-    /** Counts an answer's bytes until they are written or given up. */
-    void unread(long bytes) {
-        unread += bytes;
-    }
-
     /** Stops listening and closes every connection once what was written to it is out, or after a while. */
     public void close(Runnable then) {
         listener.close();
--- a/src/test/java/barleyspur/depot/DepotConnectionTest.java
+++ b/src/test/java/barleyspur/depot/DepotConnectionTest.java
@@ -83,6 +83,18 @@
         assertEquals(1, closed);
     }
 
+    /** While clients are slow a depot keeps its answers to itself: they are not lost. */
+    @Test
+    void whatIsNotReadIsNotLost() {
+        up();
+        open("a");
+        connection.read(false);
+        assertFalse(channel.config().isAutoRead());
+        connection.read(true);
+        answer("a", "DONE");
+        assertEquals(List.of(Result.OK), ends);
+    }
+
     /** Nothing of a call was written before the connection was up, so it never ran. */
     @Test
     void aConnectionThatNeverComesUpProvesThatNothingRan() {
