--- a/src/main/java/barleyspur/decision/Decide.java
+++ b/src/main/java/barleyspur/decision/Decide.java
@@ -128,14 +128,14 @@
             onOutcome(e);
         } else if (event instanceof Alarm e) {
             onAlarm(e.token());
-        } else if (event instanceof Gone e) {
-            onGone(e.request());
+        } else if (event instanceof Gone e && open.containsKey(e.request())) {
+            end(open.get(e.request()));
         } else if (event instanceof Members e) {
             onMembers(e);
         } else if (event instanceof Purged e) {
             onPurged(e);
-        } else if (event instanceof FirstByte e) {
-            onFirstByte(e);
+        } else if (event instanceof FirstByte e && open.containsKey(e.request())) {
+            open.get(e.request()).over = true;
         }
     }
 
@@ -592,20 +592,6 @@
         }
     }
 
-    private void onFirstByte(FirstByte e) {
-        Open o = open.get(e.request());
-        if (o != null) {
-            o.over = true;
-        }
-    }
-
-    private void onGone(long id) {
-        Open o = open.get(id);
-        if (o != null) {
-            end(o);
-        }
-    }
-
     private void onAlarm(long token) {
         if (token == WATCH_TOKEN) {
             out.accept(new Watch(true));
@@ -861,8 +847,7 @@
             return;
         }
         if (e.kind() != ListKind.DELTA) {
-            List<Long> listed = e.nodes().stream().map(Node::id).toList();
-            fleet.keepOnly(listed);
+            fleet.listed.keySet().retainAll(e.nodes().stream().map(Node::id).toList());
         }
         for (Node n : e.nodes()) {
             list(n);
@@ -876,13 +861,13 @@
 
     private void list(Node n) {
         if (n.state() == State.GONE) {
-            fleet.remove(n.id());
+            fleet.listed.remove(n.id());
             return;
         }
-        Server s = fleet.get(n.id());
+        Server s = fleet.listed.get(n.id());
         if (s == null) {
             s = new Server(n);
-            fleet.put(s);
+            fleet.listed.put(n.id(), s);
             startCold(s);
         }
         if (n.startedAtMs() > s.node.startedAtMs()) {
--- a/src/main/java/barleyspur/decision/Fleet.java
+++ b/src/main/java/barleyspur/decision/Fleet.java
@@ -10,7 +10,7 @@
 
     private final Director.Settings settings;
     /** By id, so that walks over it are in the same order everywhere. */
-    private final TreeMap<Long, Server> listed = new TreeMap<>();
+    final TreeMap<Long, Server> listed = new TreeMap<>();
     /** The ready ones by role, in the order of their ids; made anew when the list changes. */
     final List<Server> caches = new ArrayList<>();
     final List<Server> parents = new ArrayList<>();
@@ -22,22 +22,6 @@
         this.settings = settings;
     }
 
-    Server get(long id) {
-        return listed.get(id);
-    }
-
-    void put(Server s) {
-        listed.put(s.id(), s);
-    }
-
-    void remove(long id) {
-        listed.remove(id);
-    }
-
-    void keepOnly(List<Long> ids) {
-        listed.keySet().retainAll(ids);
-    }
-
     boolean isCache(Server s) {
         return s.node.kind() != settings.parentKind() && s.node.kind() != settings.originKind();
     }
@@ -53,22 +37,18 @@
         origin = null;
         serving = 0;
         for (Server s : listed.values()) {
-            if (s.ready()) {
-                index(s);
+            boolean elsewhere = isCache(s) && s.node.zone() != settings.zone();
+            if (!s.ready() || elsewhere) {
+                continue;
             }
-        }
-    }
-
-    private void index(Server s) {
-        if (isCache(s)) {
-            if (s.node.zone() == settings.zone()) {
+            if (isCache(s)) {
                 caches.add(s);
                 serving += s.serving;
+            } else if (s.node.kind() == settings.parentKind()) {
+                parents.add(s);
+            } else if (origin == null) {
+                origin = s;
             }
-        } else if (s.node.kind() == settings.parentKind()) {
-            parents.add(s);
-        } else if (origin == null) {
-            origin = s;
         }
     }
 
--- a/src/test/java/barleyspur/depot/RespPropertiesTest.java
+++ b/src/test/java/barleyspur/depot/RespPropertiesTest.java
@@ -10,6 +10,7 @@
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.List;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.AlphaChars;
@@ -60,6 +61,15 @@
         }
     }
 
+    @Example
+    void aReportIsReadInTheOrderOfTheSettingsOrNotAtAll() {
+        List<String> names = List.of("load_share", "x1");
+        assertEquals(List.of(0.61f, 7f), Resp.load("x1:7;load_share:0.61;more:1", names));
+        assertEquals(List.of(), Resp.load("load_share:0.61", names));
+        assertEquals(List.of(), Resp.load("load_share:0.61;x1:many", names));
+        assertEquals(List.of(), Resp.load(null, names));
+    }
+
     @Property(seed = "24")
     void fieldsAreFoundByTheirWholeNames(@ForAll @AlphaChars @StringLength(min = 1, max = 5) String name,
                                          @ForAll @AlphaChars @StringLength(max = 9) String value) {
