Accept only digits and bare tags in request fields, which go on to depots

Seen in reading: a client's etag went unchecked into a depot's comma-separated fields, so one with a comma could add a field such as parent; Long.parseUnsignedLong and Integer.parseInt also take a leading sign and other scripts' digits (RequestFields.hex and whole). Now ids, whole numbers and tags are matched first.

--- a/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -30,7 +30,7 @@
     private final Doorman doorman;
     private final List<String> classes;
     private final int mostOpen;
-    private final Map<Integer, Exchange> open = new HashMap<>();
+    private final Map<Integer, Pending> open = new HashMap<>();
     private Channel channel;
     private Future<?> stuck;
     private long lastReadNanos = System.nanoTime();
@@ -54,7 +54,7 @@
         if (call instanceof ThriftCall.Dispatch c) {
             dispatch(c);
         } else if (call instanceof ThriftCall.CancelRequest c) {
-            Exchange cancelled = open.remove(c.cancelled());
+            Pending cancelled = open.remove(c.cancelled());
             if (cancelled != null) {
                 cancelled.leave();
             }
@@ -85,7 +85,7 @@
             write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of()));
             return;
         }
-        Exchange x = new Exchange(seqid);
+        Pending x = new Pending(seqid);
         open.put(seqid, x);
         // The body outlives the frame that it is a slice of: until the request is over.
         call.body().retain();
@@ -93,11 +93,11 @@
     }
 
     /** One open request of this connection. */
-    private final class Exchange implements Caller {
+    private final class Pending implements Caller {
         private final int seqid;
         private Doorman.Ticket ticket;
 
-        Exchange(int seqid) {
+        Pending(int seqid) {
             this.seqid = seqid;
         }
 
@@ -175,9 +175,9 @@
         if (stuck != null) {
             stuck.cancel(false);
         }
-        List<Exchange> left = new ArrayList<>(open.values());
+        List<Pending> left = new ArrayList<>(open.values());
         open.clear();
-        left.forEach(Exchange::leave);
+        left.forEach(Pending::leave);
     }
 
     @Override
--- a/src/main/java/barleyspur/front/thrift/RequestFields.java
+++ b/src/main/java/barleyspur/front/thrift/RequestFields.java
@@ -4,11 +4,17 @@
 import io.netty.buffer.ByteBuf;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** Reads a request's fields; what a client must not send is named in the exception's message. */
 final class RequestFields {
 
     private static final int HEX = 16;
+    /** Only these digits: the number parsers also take signs and other scripts' digits, which depots may not. */
+    private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
+    private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
+    /** A tag goes on into a depot's list of fields, so it must not be able to end its field and begin another. */
+    private static final Pattern TAG = Pattern.compile("[!-~&&[^,=\"]]{1,256}");
     private static final int MOST_NUMBER = 1 << 20;
     private static final int MOST_MS = 3_600_000;
 
@@ -35,7 +41,15 @@
         String size = fields.get("m");
         return new Ask(id, category, className, key, hex("o", key), word("seg"), whole("seg", MOST_NUMBER),
             whole("bucket", MOST_NUMBER), whole("d", MOST_MS), size == null ? 0 : decimal("m", size),
-            fields.get("etag"), body);
+            tag(), body);
+    }
+
+    private String tag() {
+        String value = fields.get("etag");
+        if (value != null && !TAG.matcher(value).matches()) {
+            throw new IllegalArgumentException("field etag is not a bare tag");
+        }
+        return value;
     }
 
     private String word(String name) {
@@ -47,26 +61,18 @@
     }
 
     private static long hex(String name, String value) {
-        if (value.length() == HEX) {
-            try {
-                return Long.parseUnsignedLong(value, HEX);
-            } catch (NumberFormatException e) {
-                // Said below.
-            }
+        if (!ID.matcher(value).matches()) {
+            throw new IllegalArgumentException("field " + name + " is not 16 hex digits");
         }
-        throw new IllegalArgumentException("field " + name + " is not 16 hex digits");
+        return Long.parseUnsignedLong(value, HEX);
     }
 
     private int whole(String name, int most) {
-        try {
-            int value = Integer.parseInt(word(name));
-            if (value >= 0 && value <= most) {
-                return value;
-            }
-        } catch (NumberFormatException e) {
-            // Said below.
+        String value = word(name);
+        if (!WHOLE.matcher(value).matches() || Integer.parseInt(value) > most) {
+            throw new IllegalArgumentException("field " + name + " is not a whole number up to " + most);
         }
-        throw new IllegalArgumentException("field " + name + " is not a whole number up to " + most);
+        return Integer.parseInt(value);
     }
 
     private static double decimal(String name, String value) {
--- a/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
+++ b/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
@@ -26,7 +26,7 @@
     private static final int MAX_FRAME = 4_096;
 
     /** A framed {@code dispatch}, with a field that this version does not know. */
-    private static ByteBuf dispatch(int seqid, Map<String, String> fields, byte[] body) {
+    static ByteBuf dispatch(int seqid, Map<String, String> fields, byte[] body) {
         ByteBuf out = Unpooled.buffer();
         out.writeInt(0).writeInt(Thrift.VERSION | Thrift.CALL);
         string(out, "dispatch".getBytes(StandardCharsets.UTF_8));
@@ -110,10 +110,10 @@
 
     @Property(seed = "15")
     void badFieldsAreNamed(@ForAll @StringLength(max = 20) String value) {
-        for (String name : List.of("c", "i", "d", "o", "seg", "bucket")) {
+        for (String name : List.of("c", "i", "d", "o", "seg", "bucket", "etag")) {
             Map<String, String> fields = new HashMap<>(Map.of("c", "small", "i", "9b1f03aa5c7e2d41", "d",
                 "1500", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"));
-            fields.put(name, "x" + value);
+            fields.put(name, "x," + value);
             IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
                 () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, List.of("small")));
             assertTrue(e.getMessage().startsWith("field " + name), e.getMessage());
