Keep other fills let in while one source alone is late

At fault: Decide.learnLateness booked a late fill to its source and to the gate of all fills, so the hung parent narrowed the gate that fills by the other one need, too. A late fill that is its source's own fault (told, or far later than its peers) now counts against the source only. The new test fails on the old text.

--- a/src/main/java/barleyspur/decision/Decide.java
+++ b/src/main/java/barleyspur/decision/Decide.java
@@ -243,7 +243,7 @@
     /**
      * A late hit is its cache's; a late fill also the node's that is late far more than its peers. Learned
      * once for an attempt, at its aim where it is still out. Guards against nodes that swallow requests: they
-     * show no later so than slow ones. Could harm where an aim is shorter than a healthy fill takes.
+     * show no later so than slow ones; other fills stay let in. Could harm where an aim is too short.
      */
     private void learnLateness(Attempt a, boolean late, boolean byTarget, boolean bySource) {
         if (a.learned) {
@@ -257,7 +257,9 @@
         if (a.source != null) {
             learn(a.source.sourceGate, late, bySource);
         }
-        learn(fills, late, true);
+        if (!late || !bySource) {
+            learn(fills, late, true);
+        }
     }
 
     private void overdue(Attempt a) {
--- a/src/test/java/barleyspur/decision/LimitsTest.java
+++ b/src/test/java/barleyspur/decision/LimitsTest.java
@@ -88,6 +88,18 @@
         assertTrue(refusedOf(5) >= 4);
     }
 
+    /** A hung parent once kept out the fills by way of the others, too. */
+    @Test
+    void aParentThatAloneIsLateKeepsOutNoFillsByOthers() {
+        long bad = bench.get(1).source();
+        for (long object = 100; object < 160; object++) {
+            Get get = bench.get(object);
+            bench.now += 600;
+            bench.outcome(get, 0, Result.OK, Note.FILLED, get.source() == bad ? LATE_MS : 100);
+        }
+        assertEquals(0, refusedOf(20));
+    }
+
     @Test
     void aFailingParentIsLeftOutAndTriedByOneFillAtATime() {
         long bad = bench.get(1).source();
