Leave out a source that serves none of five overdue fills in a row

At fault: Decide.overdue fed the gates and not the health figures. Now five fills in a row that are out at their aim, none served between, leave a source out if it is far later than its peers; it comes back by trials as before.

--- a/src/main/java/barleyspur/decision/Decide.java
+++ b/src/main/java/barleyspur/decision/Decide.java
@@ -37,6 +37,8 @@
     private static final double BAD_SHARE = 0.4;
     /** Failed connects or resets in a row that leave a node out. */
     private static final int HARD_FAILURES = 1;
+    /** Fills overdue in a row, none served between, that leave a source out which is later than its peers. */
+    private static final int SILENT = 5;
     /** First and longest time that a node is left out before it is tried again. */
     private static final double OUT_FIRST_MS = 500;
     private static final double OUT_MOST_MS = 8_000;
@@ -265,6 +267,9 @@
     private void overdue(Attempt a) {
         if (!a.back) {
             learnLateness(a, true, a.surelyHeld || lateTarget(a), lateSource(a));
+            if (reaches(a) && ++a.source.silent >= SILENT && !a.source.isOut && lateSource(a)) {
+                leaveOut(a.source, "serves nothing in time");
+            }
         }
     }
 
@@ -784,6 +789,7 @@
 
     private void succeeded(Server s, boolean trial) {
         s.failShare -= s.failShare * NEWEST;
+        s.silent = 0;
         if (s.hardFailures >= HARD_FAILURES) {
             presumeRestart(s);
         }
--- a/src/main/java/barleyspur/decision/Fleet.java
+++ b/src/main/java/barleyspur/decision/Fleet.java
@@ -53,12 +53,6 @@
     }
 
     static List<Server> where(List<Server> from, Predicate<Server> test) {
-        List<Server> found = new ArrayList<>(from.size());
-        for (Server s : from) {
-            if (test.test(s)) {
-                found.add(s);
-            }
-        }
-        return found;
+        return from.stream().filter(test).toList();
     }
 }
--- a/src/main/java/barleyspur/decision/Server.java
+++ b/src/main/java/barleyspur/decision/Server.java
@@ -12,6 +12,8 @@
     double busy;
     double failShare;
     int hardFailures;
+    /** Fills by way of it that were still out at their aim since it last served one. */
+    int silent;
     boolean isOut;
     boolean onTrial;
     double outUntil;
@@ -36,6 +38,7 @@
         onTrial = false;
         failShare = 0;
         hardFailures = 0;
+        silent = 0;
         outFor = 0;
         busy = 0;
     }
--- a/src/test/java/barleyspur/decision/LimitsTest.java
+++ b/src/test/java/barleyspur/decision/LimitsTest.java
@@ -100,6 +100,28 @@
         assertEquals(0, refusedOf(20));
     }
 
+    /** A hung parent once drew fills until the first of them had timed out. */
+    @Test
+    void aParentThatServesNothingInTimeIsLeftOutBeforeItsFillsTimeOut() {
+        long bad = bench.get(1).source();
+        List<WakeAt> alarms = new ArrayList<>();
+        for (long object = 100; object < 120; object++) {
+            List<Action> sent = bench.request(0, object, 4_000);
+            Get get = Bench.only(sent, Get.class);
+            if (get.source() == bad) {
+                alarms.add(Bench.all(sent, WakeAt.class).get(1));
+            } else {
+                bench.outcome(get, 0, Result.OK, Note.FILLED);
+            }
+        }
+        List<String> said = new ArrayList<>();
+        for (WakeAt alarm : alarms) {
+            bench.now = alarm.atMs();
+            Bench.all(bench.tell(new Alarm(alarm.token())), Director.Log.class).forEach(l -> said.add(l.line()));
+        }
+        assertEquals(List.of("node " + bad + " serves nothing in time: left out"), said);
+    }
+
     @Test
     void aFailingParentIsLeftOutAndTriedByOneFillAtATime() {
         long bad = bench.get(1).source();
