Make room for newcomers by closing silent, half-sent and unused client connections

About ten clients a second ask once and keep their connection; ThriftFront.accept closed every newcomer once a third of the descriptors was in use, and closeIfIdle let go only after 60 s, so requests on their way in were cut off. Ruled out: depots (no resets of ours), stuck clients (no 'does not read' line).

Now the least useful connection makes room: one being closed, else one that never asked, else the longest idle. A connection that sends no whole request in 2 s is closed. Malformed input fails what is open with an answer for each and closes 0.5 s later. Fields out of range, and the id of an open request, are turned down. Repeated lines are counted.

--- a/src/main/java/barleyspur/Node.java
+++ b/src/main/java/barleyspur/Node.java
@@ -23,8 +23,12 @@
 public final class Node {
 
     private static final Logger LOG = LoggerFactory.getLogger("node");
-    /** Clients hold a third of the descriptors at most; the depots get as many, and the rest is left to the process. */
+    /**
+     * The depots get a third of the descriptors, the process some, and clients the rest: those that the protocol
+     * knows hold a third at most, and others must not be able to keep them out.
+     */
     private static final int SHARES = 3;
+    private static final int OWN_SOCKETS = 32;
 
     private final Configuration configuration;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -45,8 +49,8 @@
         doorman = new Doorman(settings, limits.maxOpen(), director, clock, depots);
         commands = new CommandReader(configuration.names().zones(), configuration.names().kinds(), doorman);
         channel = new CommandChannel(group, configuration.channel(), clock, commands);
-        front = new ThriftFront(group, doorman, configuration.names().classes(), limits.sockets() / SHARES + 1,
-            depots::pauseReading);
+        front = new ThriftFront(group, doorman, clock, configuration.names().classes(), settings,
+            limits.sockets() - limits.sockets() / SHARES - OWN_SOCKETS, depots::pauseReading);
     }
 
     /** Learns what is known, then listens; throws where the address can't be had. */
--- a/src/main/java/barleyspur/doorman/Doorman.java
+++ b/src/main/java/barleyspur/doorman/Doorman.java
@@ -5,8 +5,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,6 +32,8 @@
     private final Clock clock;
     private final Depots depots;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
+    /** The clients' ids of all exchanges. */
+    private final Set<String> openIds = new HashSet<>();
     /** The listed nodes' ids, by node. */
     private final Map<Long, String> uids = new HashMap<>();
     private final ArrayDeque<Director.Event> events = new ArrayDeque<>();
@@ -70,6 +74,7 @@
         lastId = (lastId + 1) % MOST_IDS;
         Exchange x = new Exchange(lastId, ask, caller, now + ask.remainingMs());
         exchanges.put(x.id, x);
+        openIds.add(ask.id());
         owed++;
         // Guards rule 1 against a director that leaves a request unanswered: half the slack is left by then.
         x.guard = clock.after(ask.remainingMs() + settings.answerSlackMs() / 2, () -> overdue(x));
@@ -79,6 +84,11 @@
         return () -> gone(x);
     }
 
+    /** Whether a request under this id is on its way, or an attempt of one. */
+    public boolean isOpen(String id) {
+        return openIds.contains(id);
+    }
+
     /** Whether new clients are welcome. */
     public boolean draining() {
         return draining;
@@ -138,6 +148,7 @@
     private void forgetIfDone(Exchange x) {
         if (x.over && x.out == 0) {
             exchanges.remove(x.id);
+            openIds.remove(x.ask.id());
         }
     }
 
--- a/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -2,19 +2,21 @@
 
 import barleyspur.doorman.Ask;
 import barleyspur.doorman.Caller;
+import barleyspur.doorman.CappedLog;
+import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,32 +26,52 @@
     private static final Logger LOG = LoggerFactory.getLogger("front");
     private static final String DISPATCH = "dispatch";
     /** No client waits this long for an answer: what is still unread then was for nobody. */
-    private static final long STUCK_MS = 10_000;
+    private static final double STUCK_MS = 10_000;
+    /** How long a client may take over its first whole request, or over the rest of one that it began. */
+    static final int HALF_SENT_MS = 2_000;
+    /** How long a client has to read a last error before its connection is closed. */
+    static final double LAST_WORD_MS = 500;
+    private static final long MOST_DISCARDED = 256 * 1024;
+    /** Requests that can't be used, after which a connection with nothing open is closed. */
+    private static final int MOST_BAD = 8;
 
+    /** What all connections of one front have in common. */
+    record Shared(Doorman doorman, Clock clock, RequestFields.Bounds bounds, int mostOpen, UnreadAnswers unread,
+                  Crowd<FrontConnection> crowd, CappedLog log) { }
+
+    private final Shared front;
     private final UnreadAnswers unread;
     private final Doorman doorman;
-    private final List<String> classes;
-    private final int mostOpen;
+    private final CappedLog log;
+    private final ThriftFrameDecoder decoder;
     private final Map<Integer, Pending> open = new HashMap<>();
     private Channel channel;
-    private Future<?> stuck;
-    private long lastReadNanos = System.nanoTime();
+    private Clock.Timer stuck;
+    private Clock.Timer halfSent;
+    private boolean useful;
+    private boolean leaving;
+    private int bad;
 
-    FrontConnection(UnreadAnswers unread, Doorman doorman, List<String> classes, int mostOpen) {
-        this.unread = unread;
-        this.doorman = doorman;
-        this.classes = classes;
-        this.mostOpen = mostOpen;
+    FrontConnection(Shared front, ThriftFrameDecoder decoder) {
+        this.front = front;
+        this.unread = front.unread();
+        this.doorman = front.doorman();
+        this.log = front.log();
+        this.decoder = decoder;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        front.crowd().came(this, front.clock().nowMs());
+        watch();
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws ThriftCall.Malformed {
-        lastReadNanos = System.nanoTime();
+        if (leaving) {
+            return;
+        }
         ThriftCall call = ThriftCall.read(frame);
         if (call instanceof ThriftCall.Dispatch c) {
             dispatch(c);
@@ -57,15 +79,98 @@
             Pending cancelled = open.remove(c.cancelled());
             if (cancelled != null) {
                 cancelled.leave();
+                idleIfDone();
             }
         } else if (call instanceof ThriftCall.Alive c) {
+            used();
             answer("alive", c.seqid(), Unpooled.EMPTY_BUFFER, Map.of(), !doorman.draining());
         } else if (call instanceof ThriftCall.Unknown c) {
-            LOG.warn("client {}: unknown method {}", channel.remoteAddress(), c.method());
-            write(Thrift.exception(channel.alloc(), c.method(), c.seqid(), Thrift.UNKNOWN_METHOD, "unknown method"));
+            log.warn("client {}: unknown method {}", channel.remoteAddress(), c.method());
+            bad(c.method(), c.seqid(), Thrift.UNKNOWN_METHOD, "unknown method");
+        }
+    }
+
+    /** Watches for what never becomes whole: a first request, or later one of which only a part has come. */
+    private void watch() {
+        halfSent = front.clock().after(HALF_SENT_MS, () -> {
+            if (!useful) {
+                log.warn("client {}: connection closed: no request in {} ms", channel.remoteAddress(), HALF_SENT_MS);
+                lastWord(Thrift.PROTOCOL_ERROR, "no request came");
+            }
+        });
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (leaving && decoder.discarded() > MOST_DISCARDED) {
+            channel.config().setAutoRead(false);
+        } else if (useful && !leaving) {
+            halfSent.cancel();
+            if (decoder.midFrame()) {
+                watchRest(decoder.frames());
+            }
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    private void watchRest(long frames) {
+        halfSent = front.clock().after(HALF_SENT_MS, () -> {
+            if (decoder.frames() == frames && open.isEmpty()) {
+                log.warn("client {}: connection closed: half a request", channel.remoteAddress());
+                lastWord(Thrift.PROTOCOL_ERROR, "half a request came");
+            } else {
+                watchRest(decoder.frames());
+            }
+        });
+    }
+
+    private void used() {
+        useful = true;
+        idleIfDone();
+    }
+
+    private void idleIfDone() {
+        if (open.isEmpty() && !leaving && useful) {
+            front.crowd().idle(this, front.clock().nowMs());
+        }
+    }
+
+    /** Answers what can't be used. Who sends nothing else is let go: guards the loop against endless repeats. */
+    private void bad(String method, int seqid, int kind, String message) {
+        write(Thrift.exception(channel.alloc(), method, seqid, kind, message));
+        if (++bad >= MOST_BAD && open.isEmpty()) {
+            lastWord(kind, message);
         }
     }
 
+    /**
+     * Fails what is open, says why, and closes once the client has had time to read that: a close with unread input
+     * resets the connection, which destroys what the client has not read yet. What still comes is thrown away, and
+     * past a bound not even read: a client of endless messages must not have the loop for itself.
+     */
+    private void lastWord(int kind, String message) {
+        if (leaving) {
+            return;
+        }
+        leaving = true;
+        front.crowd().leaving(this);
+        halfSent.cancel();
+        decoder.discard();
+        List<Pending> left = new ArrayList<>(open.values());
+        open.clear();
+        left.forEach(x -> {
+            x.leave();
+            write(Thrift.failed(channel.alloc(), DISPATCH, x.seqid));
+        });
+        write(Thrift.exception(channel.alloc(), "", 0, kind, message));
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(out -> {
+            if (channel instanceof DuplexChannel duplex) {
+                duplex.shutdownOutput();
+            }
+        });
+        stuck = front.clock().after(LAST_WORD_MS, channel::close);
+    }
+
     private void dispatch(ThriftCall.Dispatch call) throws ThriftCall.Malformed {
         int seqid = call.seqid();
         if (open.containsKey(seqid)) {
@@ -73,20 +178,27 @@
         }
         Ask ask;
         try {
-            ask = RequestFields.read(call.fields(), call.body(), classes);
+            ask = RequestFields.read(call.fields(), call.body(), front.bounds());
+            if (doorman.isOpen(ask.id())) {
+                // Two requests under one id would be taken for one another at a depot.
+                throw new IllegalArgumentException("field i is the id of an open request");
+            }
         } catch (IllegalArgumentException e) {
-            LOG.warn("client {}: bad request: {}", channel.remoteAddress(), e.getMessage());
-            write(Thrift.exception(channel.alloc(), DISPATCH, seqid, Thrift.PROTOCOL_ERROR, e.getMessage()));
+            log.warn("client {}: bad request: {}", channel.remoteAddress(), e.getMessage());
+            bad(DISPATCH, seqid, Thrift.PROTOCOL_ERROR, e.getMessage());
             return;
         }
-        if (open.size() >= mostOpen || unread.full()) {
-            LOG.warn("client {}: refused, {} requests are open here{}", channel.remoteAddress(), open.size(),
+        useful = true;
+        if (open.size() >= front.mostOpen() || unread.full()) {
+            log.warn("client {}: refused, {} requests are open here{}", channel.remoteAddress(), open.size(),
                 unread.full() ? " and too much is unread" : "");
             write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of()));
+            idleIfDone();
             return;
         }
         Pending x = new Pending(seqid);
         open.put(seqid, x);
+        front.crowd().busy(this);
         // The body outlives the frame that it is a slice of: until the request is over.
         call.body().retain();
         x.ticket = doorman.take(ask, x);
@@ -105,29 +217,34 @@
             ticket.gone();
         }
 
+        private void over() {
+            open.remove(seqid);
+            idleIfDone();
+        }
+
         @Override
         public void served(ByteBuf body, String tag) {
-            open.remove(seqid);
+            over();
             answer(DISPATCH, seqid, body, tag == null ? Map.of() : Map.of("etag", tag), true);
         }
 
         @Override
         public void unchanged(String tag) {
-            open.remove(seqid);
+            over();
             Map<String, String> fields = tag == null ? Map.of("notmod", "1") : Map.of("notmod", "1", "etag", tag);
             answer(DISPATCH, seqid, Unpooled.EMPTY_BUFFER, fields, true);
         }
 
         @Override
         public void refused(double pauseMs) {
-            open.remove(seqid);
+            over();
             Map<String, String> advice = pauseMs > 0 ? Map.of("w", Long.toString(Math.round(pauseMs))) : Map.of();
             write(Thrift.busy(channel.alloc(), DISPATCH, seqid, advice));
         }
 
         @Override
         public void failed() {
-            open.remove(seqid);
+            over();
             write(Thrift.failed(channel.alloc(), DISPATCH, seqid));
         }
     }
@@ -142,11 +259,13 @@
         channel.writeAndFlush(tail).addListener(written -> unread.add(-bodyBytes));
     }
 
-    /** Closes the connection of a client that has vanished without a word. */
-    void closeIfIdle(long idleMs) {
-        if (open.isEmpty() && System.nanoTime() - lastReadNanos > TimeUnit.MILLISECONDS.toNanos(idleMs)) {
-            channel.close();
-        }
+    /** Closes the connection for a newcomer's, unless what has just been read is a request on it. */
+    void makeRoom() {
+        channel.eventLoop().execute(() -> {
+            if (open.isEmpty()) {
+                channel.close();
+            }
+        });
     }
 
     private void write(ByteBuf message) {
@@ -157,23 +276,29 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         boolean writable = channel.isWritable();
+        if (leaving) {
+            return;
+        }
         channel.config().setAutoRead(writable);
         if (stuck != null) {
-            stuck.cancel(false);
+            stuck.cancel();
             stuck = null;
         }
         if (!writable && channel.isActive()) {
-            stuck = channel.eventLoop().schedule(() -> {
-                LOG.warn("client {}: connection closed: it does not read its answers", channel.remoteAddress());
+            stuck = front.clock().after(STUCK_MS, () -> {
+                log.warn("client {}: connection closed: it does not read its answers", channel.remoteAddress());
                 channel.close();
-            }, STUCK_MS, TimeUnit.MILLISECONDS);
+            });
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        leaving = true;
+        front.crowd().left(this);
+        halfSent.cancel();
         if (stuck != null) {
-            stuck.cancel(false);
+            stuck.cancel();
         }
         List<Pending> left = new ArrayList<>(open.values());
         open.clear();
@@ -184,9 +309,13 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
             LOG.debug("client {}: connection lost: {}", ctx.channel().remoteAddress(), cause.getMessage());
+            ctx.close();
+        } else if (cause instanceof ThriftCall.Malformed || cause instanceof DecoderException) {
+            log.warn("client {}: connection closed: {}", ctx.channel().remoteAddress(), cause.getMessage());
+            lastWord(Thrift.PROTOCOL_ERROR, "not the strict binary protocol");
         } else {
-            LOG.warn("client {}: connection closed: {}", ctx.channel().remoteAddress(), cause.toString());
+            log.warn("client {}: connection closed: {}", ctx.channel().remoteAddress(), cause.toString());
+            ctx.close();
         }
-        ctx.close();
     }
 }
--- a/src/main/java/barleyspur/front/thrift/RequestFields.java
+++ b/src/main/java/barleyspur/front/thrift/RequestFields.java
@@ -1,5 +1,6 @@
 package barleyspur.front.thrift;
 
+import barleyspur.decision.Director;
 import barleyspur.doorman.Ask;
 import io.netty.buffer.ByteBuf;
 import java.util.List;
@@ -15,8 +16,13 @@
     private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
     /** A tag goes on into a depot's list of fields, so it must not be able to end its field and begin another. */
     private static final Pattern TAG = Pattern.compile("[!-~&&[^,=\"]]{1,256}");
-    private static final int MOST_NUMBER = 1 << 20;
-    private static final int MOST_MS = 3_600_000;
+    private static final int MOST_PART = 1 << 20;
+    private static final int MOST_GROUP = 255;
+    /** Far above any object's: one figure out of all measure would spoil what is learned from sizes. */
+    private static final double MOST_KB = 1 << 20;
+
+    /** What a request may ask for. */
+    record Bounds(List<String> classes, Director.Settings settings) { }
 
     private final Map<String, String> fields;
 
@@ -25,13 +31,13 @@
     }
 
     /** The request; its body is still the frame's. */
-    static Ask read(Map<String, String> fields, ByteBuf body, List<String> classes) {
-        return new RequestFields(fields).ask(body, classes);
+    static Ask read(Map<String, String> fields, ByteBuf body, Bounds bounds) {
+        return new RequestFields(fields).ask(body, bounds);
     }
 
-    private Ask ask(ByteBuf body, List<String> classes) {
+    private Ask ask(ByteBuf body, Bounds bounds) {
         String className = word("c");
-        int category = classes.indexOf(className);
+        int category = bounds.classes().indexOf(className);
         if (category < 0) {
             throw new IllegalArgumentException("field c: unknown class");
         }
@@ -39,8 +45,9 @@
         hex("i", id);
         String key = word("o");
         String size = fields.get("m");
-        return new Ask(id, category, className, key, hex("o", key), word("seg"), whole("seg", MOST_NUMBER),
-            whole("bucket", MOST_NUMBER), whole("d", MOST_MS), size == null ? 0 : decimal("m", size),
+        int mostMs = (int) Math.ceil(bounds.settings().classes().get(category).deadlineMs());
+        return new Ask(id, category, className, key, hex("o", key), word("seg"), whole("seg", MOST_PART),
+            whole("bucket", MOST_GROUP), whole("d", mostMs), size == null ? 0 : decimal("m", size),
             tag(), body);
     }
 
@@ -78,7 +85,7 @@
     private static double decimal(String name, String value) {
         try {
             double number = Double.parseDouble(value);
-            if (number >= 0 && number <= Float.MAX_VALUE) {
+            if (number >= 0 && number <= MOST_KB) {
                 return number;
             }
         } catch (NumberFormatException e) {
--- a/src/main/java/barleyspur/front/thrift/ThriftFrameDecoder.java
+++ b/src/main/java/barleyspur/front/thrift/ThriftFrameDecoder.java
@@ -12,6 +12,9 @@
     private static final int LENGTH_BYTES = 4;
 
     private final int maxFrame;
+    private long frames;
+    private boolean discarding;
+    private long discarded;
 
     ThriftFrameDecoder(int maxFrame) {
         this.maxFrame = maxFrame;
@@ -19,6 +22,11 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (discarding) {
+            discarded += in.readableBytes();
+            in.skipBytes(in.readableBytes());
+            return;
+        }
         if (in.readableBytes() < LENGTH_BYTES) {
             return;
         }
@@ -31,6 +39,27 @@
         if (in.readableBytes() >= LENGTH_BYTES + length) {
             in.skipBytes(LENGTH_BYTES);
             out.add(in.readRetainedSlice(length));
+            frames++;
         }
     }
+
+    /** From here on all that comes is thrown away. */
+    void discard() {
+        discarding = true;
+    }
+
+    /** How many bytes were thrown away. */
+    long discarded() {
+        return discarded;
+    }
+
+    /** How many whole frames have come. */
+    long frames() {
+        return frames;
+    }
+
+    /** Whether a frame has begun that is not whole. */
+    boolean midFrame() {
+        return actualReadableBytes() > 0;
+    }
 }
--- a/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -1,5 +1,8 @@
 package barleyspur.front.thrift;
 
+import barleyspur.decision.Director;
+import barleyspur.doorman.CappedLog;
+import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -30,28 +33,28 @@
     private static final int BACKLOG = 512;
     /** What may wait in memory for clients to read it; the buffers that hold it were seen to take three times that. */
     private static final long MOST_UNREAD = 8 << 20;
-    /** Clients close after 4 s idle; a connection idle for this long belongs to a client that has vanished. */
-    private static final long IDLE_MS = 60_000;
     /** How long clients have to read the last answers before the process ends. */
     private static final long LAST_READ_MS = 1_000;
 
     private final EventLoopGroup group;
-    private final Doorman doorman;
-    private final List<String> classes;
+    private final Clock clock;
     private final int mostConnections;
     private final ChannelGroup connections;
-    private final UnreadAnswers unread;
+    private final CappedLog log;
+    private final Crowd<FrontConnection> crowd = new Crowd<>();
+    private final FrontConnection.Shared shared;
     private Channel listener;
 
     /** {@code onFull} is told when clients leave too much unread for more to be taken in, and when that is over. */
-    public ThriftFront(EventLoopGroup group, Doorman doorman, List<String> classes, int mostConnections,
-                       Consumer<Boolean> onFull) {
+    public ThriftFront(EventLoopGroup group, Doorman doorman, Clock clock, List<String> classes,
+                       Director.Settings settings, int mostConnections, Consumer<Boolean> onFull) {
         this.group = group;
-        this.doorman = doorman;
-        this.classes = classes;
+        this.clock = clock;
         this.mostConnections = mostConnections;
-        this.unread = new UnreadAnswers(MOST_UNREAD, onFull);
+        this.log = new CappedLog(LOG, clock);
         this.connections = new DefaultChannelGroup(group.next());
+        this.shared = new FrontConnection.Shared(doorman, clock, new RequestFields.Bounds(classes, settings),
+            MOST_OPEN, new UnreadAnswers(MOST_UNREAD, onFull), crowd, log);
     }
 
     /** Starts to listen. */
@@ -60,6 +63,8 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            // Finds out clients that have vanished without a word.
+            .childOption(ChannelOption.SO_KEEPALIVE, true)
             .childHandler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel channel) {
@@ -74,16 +79,20 @@
     private void accept(Channel channel) {
         if (connections.size() >= mostConnections) {
             // Guards the limit on descriptors: without it a crowd of clients would cut off the depots.
-            LOG.warn("client {}: turned away, {} connections are open", channel.remoteAddress(), connections.size());
-            channel.close();
-            return;
+            FrontConnection leaves = crowd.makeRoom(clock.nowMs());
+            if (leaves == null) {
+                log.warn("client {}: turned away, all {} connections are in use", channel.remoteAddress(),
+                    connections.size());
+                channel.close();
+                return;
+            }
+            log.warn("{} connections are open: one that is not in use makes room for {}", connections.size(),
+                channel.remoteAddress());
+            leaves.makeRoom();
         }
         connections.add(channel);
-        FrontConnection connection = new FrontConnection(unread, doorman, classes, MOST_OPEN);
-        channel.pipeline().addLast(new ThriftFrameDecoder(MAX_FRAME), connection);
-        Future<?> sweep = channel.eventLoop().scheduleAtFixedRate(() -> connection.closeIfIdle(IDLE_MS), IDLE_MS,
-            IDLE_MS, TimeUnit.MILLISECONDS);
-        channel.closeFuture().addListener(closed -> sweep.cancel(false));
+        ThriftFrameDecoder decoder = new ThriftFrameDecoder(MAX_FRAME);
+        channel.pipeline().addLast(decoder, new FrontConnection(shared, decoder));
     }
 
     /** Stops listening and closes every connection once what was written to it is out, or after a while. */
--- a/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -7,6 +7,7 @@
 
 import barleyspur.config.SettingsReader;
 import barleyspur.decision.Director;
+import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Depots;
 import barleyspur.doorman.Doorman;
@@ -21,6 +22,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
 
 /** One client connection before a core whose director does as each test says. */
 class FrontConnectionTest implements Depots, Clock {
@@ -31,6 +33,7 @@
         familyInfo.paceKbPerS=7600\nlimits.sendCap=2\nrules.fallMs=1500\nrules.answerSlackMs=8
         rules.drainGraceMs=1000\nrules.coldFrom=0.24\nrules.coldMs=17000\nrules.tipMultiple=4
         """));
+    static final RequestFields.Bounds BOUNDS = new RequestFields.Bounds(List.of("small"), SETTINGS);
     private static final int MOST_OPEN = 2;
 
     private final List<Director.Event> events = new ArrayList<>();
@@ -39,17 +42,37 @@
         events.add(event);
         out = sink;
     }, this, this);
-    private final EmbeddedChannel channel = new EmbeddedChannel(new ThriftFrameDecoder(100_000),
-        new FrontConnection(new UnreadAnswers(1_000, full -> { }), doorman, List.of("small"), MOST_OPEN));
+    private final Crowd<FrontConnection> crowd = new Crowd<>();
+    private final List<Runnable> timers = new ArrayList<>();
+    private double now;
+    private final EmbeddedChannel channel = connect();
+
+    private EmbeddedChannel connect() {
+        ThriftFrameDecoder decoder = new ThriftFrameDecoder(100_000);
+        FrontConnection.Shared shared = new FrontConnection.Shared(doorman, this, BOUNDS, MOST_OPEN, new UnreadAnswers(1_000, full -> { }),
+            crowd, new CappedLog(LoggerFactory.getLogger("front"), this));
+        return new EmbeddedChannel(decoder, new FrontConnection(shared, decoder));
+    }
 
     @Override
     public double nowMs() {
-        return 0;
+        return now;
     }
 
     @Override
     public Timer after(double delayMs, Runnable task) {
-        return () -> { };
+        Runnable due = () -> task.run();
+        timers.add(due);
+        return () -> timers.remove(due);
+    }
+
+    /** Lets the time of all timers come that are set now. */
+    private void pass(double ms) {
+        now += ms;
+        List<Runnable> due = new ArrayList<>(timers);
+        timers.clear();
+        due.forEach(Runnable::run);
+        channel.runPendingTasks();
     }
 
     @Override
@@ -70,7 +93,11 @@
     public void hangUp(long node) { }
 
     private void dispatch(int seqid, String className) {
-        Map<String, String> fields = new HashMap<>(Map.of("c", className, "i", "9b1f03aa5c7e2d41", "d", "1500", "o",
+        dispatch(seqid, className, "9b1f03aa5c7e2d4" + seqid);
+    }
+
+    private void dispatch(int seqid, String className, String id) {
+        Map<String, String> fields = new HashMap<>(Map.of("c", className, "i", id, "d", "1500", "o",
             "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"));
         channel.writeInbound(ThriftPropertiesTest.dispatch(seqid, fields, new byte[4]));
     }
@@ -128,11 +155,73 @@
         assertEquals(new Director.Gone(((Director.Request) events.get(0)).id()), events.get(1));
     }
 
-    /** Two answers under one number could not be told apart. */
+    /** Two answers under one number could not be told apart: all are told so, once, before the connection ends. */
     @Test
     void aNumberThatIsInUseEndsTheConnection() {
         dispatch(1, "small");
+        dispatch(1, "small", "9b1f03aa5c7e2d42");
+        assertEquals(new Director.Gone(((Director.Request) events.get(0)).id()), events.get(1));
+        assertTrue(channel.isOpen(), "an error that is followed by a reset may be lost");
+        assertTrue(Unpooled.wrappedBuffer(channel.<ByteBuf>readOutbound()).readableBytes() > 0);
+        channel.writeInbound(Unpooled.wrappedBuffer(new byte[300_000]));
+        assertFalse(channel.config().isAutoRead(), "endless messages are not read for ever");
+        pass(FrontConnection.LAST_WORD_MS);
+        assertFalse(channel.isOpen());
+    }
+
+    /** Of two requests under one id the depots would answer one with the other's bytes. */
+    @Test
+    void theIdOfAnOpenRequestIsTurnedDown() {
+        dispatch(1, "small", "9b1f03aa5c7e2d41");
+        dispatch(2, "small", "9b1f03aa5c7e2d41");
+        assertAnswer(Thrift.EXCEPTION, 2, "field i");
+        assertEquals(1, events.size());
+    }
+
+    @Test
+    void whoNeverAsksIsClosedAndWhoAskedOnceStays() {
+        EmbeddedChannel other = connect();
         dispatch(1, "small");
+        out.accept(new Director.Refuse(((Director.Request) events.get(0)).id(), 0));
+        doorman.purgedGroup(1, 0);
+        pass(FrontConnection.HALF_SENT_MS);
+        pass(FrontConnection.LAST_WORD_MS);
+        assertFalse(other.isOpen());
+        assertTrue(channel.isOpen());
+        channel.writeInbound(Unpooled.wrappedBuffer(new byte[] {0, 0, 0}));
+        pass(FrontConnection.HALF_SENT_MS);
+        pass(FrontConnection.LAST_WORD_MS);
+        assertFalse(channel.isOpen(), "half a request");
+    }
+
+    @Test
+    void whoSendsNothingUsefulIsLetGo() {
+        for (int i = 0; i < 8; i++) {
+            assertTrue(channel.config().isAutoRead());
+            dispatch(i, "unheard-of", "9b1f03aa5c7e2d41");
+        }
+        pass(FrontConnection.LAST_WORD_MS);
         assertFalse(channel.isOpen());
     }
+
+    /** Guards newcomers: those that are of no use go first, those with something open never. */
+    @Test
+    void theLeastUsefulMakeRoom() {
+        Crowd<String> guests = new Crowd<>();
+        List.of("silent", "idle", "busy", "left").forEach(c -> guests.came(c, 0));
+        guests.busy("busy");
+        guests.idle("idle", 100);
+        guests.left("left");
+        guests.came("newcomer", Crowd.NEW_MS);
+        guests.leaving("told");
+        assertEquals("told", guests.makeRoom(Crowd.NEW_MS));
+        assertEquals("silent", guests.makeRoom(Crowd.NEW_MS));
+        assertEquals("idle", guests.makeRoom(Crowd.NEW_MS));
+        assertEquals("newcomer", guests.makeRoom(Crowd.NEW_MS));
+        assertNull(guests.makeRoom(Crowd.NEW_MS));
+        crowd.makeRoom(0).makeRoom();
+        dispatch(1, "small");
+        channel.runPendingTasks();
+        assertTrue(channel.isOpen(), "what asked in the same moment stays");
+    }
 }
--- a/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
+++ b/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
@@ -15,8 +15,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.Size;
 import net.jqwik.api.constraints.StringLength;
 
@@ -108,6 +111,26 @@
         }
     }
 
+    /** Figures out of all measure would hold a request for ever, or spoil what is learned from sizes. */
+    @Property(seed = "16")
+    void figuresOutOfRangeAreNamed(@ForAll("beyond") String value) {
+        for (String name : List.of("d", "seg", "bucket", "m")) {
+            Map<String, String> fields = new HashMap<>(Map.of("c", "small", "i", "9b1f03aa5c7e2d41", "d",
+                "5000", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "255", "m", "412.5"));
+            RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.BOUNDS);
+            fields.put(name, value);
+            IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
+                () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.BOUNDS));
+            assertTrue(e.getMessage().startsWith("field " + name), e.getMessage());
+        }
+    }
+
+    @Provide
+    Arbitrary<String> beyond() {
+        return Arbitraries.oneOf(Arbitraries.of("NaN", "-1", "1e30", "Infinity"),
+            Arbitraries.longs().greaterOrEqual(1 << 21).map(String::valueOf));
+    }
+
     @Property(seed = "15")
     void badFieldsAreNamed(@ForAll @StringLength(max = 20) String value) {
         for (String name : List.of("c", "i", "d", "o", "seg", "bucket", "etag")) {
@@ -115,7 +138,7 @@
                 "1500", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"));
             fields.put(name, "x," + value);
             IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
-                () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, List.of("small")));
+                () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.BOUNDS));
             assertTrue(e.getMessage().startsWith("field " + name), e.getMessage());
         }
     }
