Reread the configuration on SIGHUP and move the command channel to its new address

Cause: nothing handled SIGHUP, so the JVM's default took the doorman through its drain (Cli.serve's shutdown hook) and ended it; CommandChannel had one address for life. Ruled out: order of commands (no gap line in the logs).

Now SIGHUP reads the file on a thread of its own and hands a good configuration to the event loop; CommandChannel.moveTo connects there with resume N and drops the old connection at once, whose end is then no break. A faulty file is logged by its key. Silence is noticed after 2 s instead of 2.5 (a stopped channel's commands count as told after 4 s).

--- a/src/main/java/barleyspur/Node.java
+++ b/src/main/java/barleyspur/Node.java
@@ -13,8 +13,12 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,7 +34,15 @@
     private static final int SHARES = 3;
     private static final int OWN_SOCKETS = 32;
 
-    private final Configuration configuration;
+    /** Reads a configuration. */
+    public interface Source {
+        Configuration read() throws Configuration.Invalid;
+    }
+
+    private Configuration configuration;
+    /** Reads configurations one after another, off the event loop, for as long as there are any to read. */
+    private final ThreadPoolExecutor reloads = new ThreadPoolExecutor(0, 1, 1, TimeUnit.SECONDS,
+        new ArrayBlockingQueue<>(1), new DefaultThreadFactory("reload", true), new ThreadPoolExecutor.DiscardPolicy());
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Doorman doorman;
@@ -67,6 +79,33 @@
         LOG.info("{} serves on {}", configuration.name(), configuration.listen());
     }
 
+    /**
+     * Reads the configuration anew and goes over to it, or says what is wrong and stays with the one before. Of
+     * many calls at once, the last ones find theirs done by one that is still to read.
+     */
+    public void reload(Source source) {
+        reloads.execute(() -> {
+            try {
+                Configuration next = source.read();
+                if (!group.isShuttingDown()) {
+                    group.execute(() -> apply(next));
+                }
+            } catch (Configuration.Invalid e) {
+                LOG.error("reload: {}: the configuration before stays", e.getMessage());
+            }
+        });
+    }
+
+    private void apply(Configuration next) {
+        List<String> fixed = configuration.changedButChannel(next);
+        if (!fixed.isEmpty()) {
+            LOG.warn("reload: {} changed, which counts from the next start on", String.join(", ", fixed));
+        }
+        LOG.info("reload: done");
+        configuration = configuration.withChannel(next.channel());
+        channel.moveTo(next.channel());
+    }
+
     /** Answers what is open and what still comes for a while, then ends. */
     public void drain() {
         group.execute(() -> doorman.drain(() -> front.close(() -> {
--- a/src/main/java/barleyspur/channel/CommandChannel.java
+++ b/src/main/java/barleyspur/channel/CommandChannel.java
@@ -1,9 +1,12 @@
 package barleyspur.channel;
 
+import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -23,98 +26,145 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("channel");
     private static final int MAX_LINE = 4 << 20;
-    private static final int CONNECT_TIMEOUT_MS = 1_000;
-    private static final double AGAIN_MS = 200;
-    /** Heartbeats come each second: with two missing the connection is taken for dead. */
-    private static final double SILENCE_MS = 2_500;
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    static final double AGAIN_MS = 200;
+    /** Heartbeats come each second. What a stopped channel has to tell counts as told 4 s after it stopped. */
+    static final double SILENCE_MS = 2_000;
 
-    private final Bootstrap bootstrap;
-    private final InetSocketAddress address;
+    /** Opens a connection whose channel gets these handlers. */
+    interface Connect {
+        ChannelFuture to(InetSocketAddress address, ChannelHandler... handlers);
+    }
+
+    private final Connect connect;
     private final Clock clock;
     private final CommandReader reader;
-    private Channel current;
-    private boolean said;
+    private final CappedLog log;
+    private InetSocketAddress address;
+    /** The connection that counts; what others still say or do is no matter. */
+    private Connection current;
     private boolean closed;
 
     public CommandChannel(EventLoopGroup group, InetSocketAddress address, Clock clock, CommandReader reader) {
+        this(connector(group), address, clock, reader);
+    }
+
+    CommandChannel(Connect connect, InetSocketAddress address, Clock clock, CommandReader reader) {
+        this.connect = connect;
         this.address = address;
         this.clock = clock;
         this.reader = reader;
-        this.bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+        this.log = new CappedLog(LOG, clock);
+    }
+
+    private static Connect connector(EventLoopGroup group) {
+        Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
             .resolver(NoopAddressResolverGroup.INSTANCE)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
+        return (address, handlers) -> bootstrap.clone().handler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(handlers);
+            }
+        }).connect(address);
     }
 
     /** Connects, now and whenever the connection is lost. */
     public void start() {
-        if (closed) {
-            return;
-        }
         Connection connection = new Connection();
-        current = bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new LineDecoder(MAX_LINE), connection);
-            }
-        }).connect(address).addListener(connect -> {
-            if (!connect.isSuccess()) {
-                again(connect.cause().getMessage());
+        current = connection;
+        connect.to(address, new LineDecoder(MAX_LINE), connection).addListener((ChannelFuture done) -> {
+            if (!done.isSuccess()) {
+                again(connection, done.cause().getMessage());
             }
-        }).channel();
+        });
+    }
+
+    /**
+     * Goes on at another address, after the last command that has come. The connection before is dropped at once:
+     * its end may tell nothing more, and what the channel has to tell counts as told a few seconds from now.
+     */
+    public void moveTo(InetSocketAddress next) {
+        if (closed || next.equals(address)) {
+            return;
+        }
+        LOG.info("moves from {} to {} after command {}", address, next, reader.cursor());
+        address = next;
+        Connection before = current;
+        if (before != null) {
+            start();
+            before.drop();
+        }
     }
 
     public void close() {
         closed = true;
-        current.close();
+        current.drop();
     }
 
-    private void again(String why) {
-        if (!said && !closed) {
-            LOG.warn("cut after command {}: {}", reader.cursor(), why);
-            said = true;
+    private void again(Connection lost, String why) {
+        if (lost == current && !closed) {
+            log.warn("cut after command {}: {}", reader.cursor(), why);
+            clock.after(AGAIN_MS, () -> {
+                if (lost == current && !closed) {
+                    start();
+                }
+            });
         }
-        clock.after(AGAIN_MS, this::start);
     }
 
     /** One connection, until it ends for whatever reason. */
     private final class Connection extends SimpleChannelInboundHandler<String> {
+        private Channel channel;
         private Clock.Timer silence;
 
+        void drop() {
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            LOG.info("connected, resuming after command {}", reader.cursor());
+            channel = ctx.channel();
+            silence = clock.after(SILENCE_MS, this::silent);
+            if (this != current || closed) {
+                // It came up after the channel had moved on.
+                drop();
+                return;
+            }
+            LOG.info("connected to {}, resuming after command {}", address, reader.cursor());
             ctx.writeAndFlush(ByteBufUtil.writeUtf8(ctx.alloc(), "resume " + reader.cursor() + "\n"));
-            listen(ctx);
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, String line) {
-            said = false;
+            if (this != current || closed) {
+                return;
+            }
             silence.cancel();
-            listen(ctx);
+            silence = clock.after(SILENCE_MS, this::silent);
             if (!reader.line(line)) {
-                LOG.warn("gap after command {}: resuming", reader.cursor());
+                log.warn("gap after command {}: resuming", reader.cursor());
                 ctx.close();
             }
         }
 
-        private void listen(ChannelHandlerContext ctx) {
-            silence = clock.after(SILENCE_MS, () -> {
-                LOG.warn("silent after command {}", reader.cursor());
-                ctx.close();
-            });
+        private void silent() {
+            log.warn("silent after command {}", reader.cursor());
+            drop();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             silence.cancel();
-            again("the connection has ended");
+            again(this, "the connection has ended");
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            LOG.warn("connection closed: {}", cause.toString());
+            log.warn("connection closed: {}", cause.toString());
             ctx.close();
         }
     }
--- a/src/main/java/barleyspur/cli/Cli.java
+++ b/src/main/java/barleyspur/cli/Cli.java
@@ -24,7 +24,7 @@
 
     private static final String HELP = """
         usage: barleyspur COMMAND [--help]
-          serve     run one doorman, as RELAY_CONFIG says, until SIGTERM
+          serve     run one doorman, as RELAY_CONFIG says, until SIGTERM; SIGHUP rereads it
           check     read and check the configuration that RELAY_CONFIG names
           simhost   run the decisions on the simulator's wire, on standard input and output
           version   print the version
@@ -88,6 +88,8 @@
     private static int serve() {
         try {
             Node node = new Node(Configuration.load(System.getenv()));
+            // Before the start: unhandled, the signal would end the JVM.
+            Signals.on("HUP", () -> node.reload(() -> Configuration.load(System.getenv())));
             node.start();
             // On SIGTERM the process stays until its hooks have ended, so the hook waits for the drain.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/main/java/barleyspur/config/Configuration.java
+++ b/src/main/java/barleyspur/config/Configuration.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.json.JSONArray;
@@ -83,6 +84,21 @@
         throw new IllegalArgumentException("key " + key + " is not an address with a port: '" + text + "'");
     }
 
+    /** This one with another command channel: all that a running doorman can change. */
+    public Configuration withChannel(InetSocketAddress next) {
+        return new Configuration(name, listen, next, seed, known, settings, names, limits);
+    }
+
+    /** The keys that differ and that a running doorman can't change; seed and known are new each time. */
+    public List<String> changedButChannel(Configuration next) {
+        Map<String, Boolean> same = new LinkedHashMap<>();
+        same.put("name", name.equals(next.name));
+        same.put("listen", listen.equals(next.listen));
+        same.put("limits", limits.equals(next.limits));
+        same.put("settings", settings.equals(next.settings) && names.equals(next.names));
+        return same.entrySet().stream().filter(e -> !e.getValue()).map(Map.Entry::getKey).toList();
+    }
+
     private static JSONObject object(JSONObject json, String key) throws Invalid {
         JSONObject value = json.optJSONObject(key);
         if (value == null) {
--- /dev/null
+++ b/src/test/java/barleyspur/channel/CommandChannelTest.java
@@ -0,0 +1,120 @@
+package barleyspur.channel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.doorman.Clock;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.json.JSONObject;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of the command channel when it breaks, stops or moves, on a clock that the test moves. */
+class CommandChannelTest implements Clock {
+
+    private record Task(double at, Runnable run) { }
+
+    private final List<Task> timers = new ArrayList<>();
+    private final List<EmbeddedChannel> connections = new ArrayList<>();
+    private final List<Integer> ports = new ArrayList<>();
+    private final LinePropertiesTest told = new LinePropertiesTest();
+    private final CommandReader reader = new CommandReader(List.of(), List.of(), told);
+    private final CommandChannel channel = new CommandChannel((address, handlers) -> {
+        ports.add(address.getPort());
+        connections.add(new EmbeddedChannel(handlers));
+        return last().newSucceededFuture();
+    }, address(1), this, reader);
+    private double now;
+
+    private static InetSocketAddress address(int port) {
+        return new InetSocketAddress("127.0.0.1", port);
+    }
+
+    private EmbeddedChannel last() {
+        return connections.get(connections.size() - 1);
+    }
+
+    @Override
+    public double nowMs() {
+        return now;
+    }
+
+    @Override
+    public Timer after(double delayMs, Runnable run) {
+        Task task = new Task(now + delayMs, run);
+        timers.add(task);
+        return () -> timers.remove(task);
+    }
+
+    private void pass(double ms) {
+        now += ms;
+        List<Task> due = timers.stream().filter(t -> t.at() <= now).toList();
+        timers.removeAll(due);
+        due.forEach(t -> t.run().run());
+    }
+
+    private static void say(EmbeddedChannel connection, String text) {
+        connection.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    private void assertResumes(int connectionCount, int cursor) {
+        assertEquals(connectionCount, connections.size());
+        ByteBuf line = last().readOutbound();
+        assertEquals("resume " + cursor + "\n", line.toString(StandardCharsets.UTF_8));
+        line.release();
+    }
+
+    @BeforeEach
+    void start() {
+        reader.known(new JSONObject("{\"cursor\":4,\"cmds\":[]}"));
+        channel.start();
+        assertResumes(1, 4);
+    }
+
+    @Test
+    void aBreakInTheMiddleOfAnEventAsksForItAgain() {
+        say(last(), "{\"cursor\":5,\"drop\":{\"fam");
+        last().close();
+        pass(CommandChannel.AGAIN_MS);
+        assertResumes(2, 4);
+    }
+
+    @Test
+    void aStopIsNoticedInTimeAndHeartbeatsPutItOff() {
+        pass(CommandChannel.SILENCE_MS - 1);
+        say(last(), "4\n");
+        pass(CommandChannel.SILENCE_MS - 1);
+        assertTrue(last().isOpen());
+        pass(1);
+        assertFalse(last().isOpen());
+        pass(CommandChannel.AGAIN_MS);
+        assertResumes(2, 4);
+    }
+
+    /** The old address tells nothing further, so waiting there for the end would cost the time to be told in. */
+    @Test
+    void aMoveResumesAtOnceAndDropsTheConnectionBefore() {
+        EmbeddedChannel before = last();
+        for (int port = 2; port <= 4; port++) {
+            channel.moveTo(address(port));
+            assertResumes(port, 4);
+        }
+        channel.moveTo(address(4));
+        assertEquals(List.of(1, 2, 3, 4), ports);
+        assertFalse(before.isOpen());
+        pass(CommandChannel.AGAIN_MS);
+        assertEquals(4, connections.size(), "the end of a connection that was left is no break");
+        say(last(), "{\"cursor\":5,\"drop\":{\"family\":17,\"when\":1764576000480}}\n");
+        assertEquals(5, reader.cursor());
+        channel.close();
+        channel.moveTo(address(5));
+        assertEquals(4, connections.size(), "nothing is opened once the doorman has drained");
+    }
+}
--- a/src/test/java/barleyspur/config/ConfigurationTest.java
+++ b/src/test/java/barleyspur/config/ConfigurationTest.java
@@ -43,6 +43,18 @@
         assertEquals(new Configuration.Limits(1024, 20_000, 16, 400, 15_000), c.limits());
     }
 
+    /** All that a running doorman takes over is the command channel; what else was changed must not pass unsaid. */
+    @Test
+    void aReloadNamesWhatOnlyCountsFromTheNextStart() throws Configuration.Invalid {
+        Configuration before = Configuration.read(new JSONObject(CONFIG), Map.of());
+        Configuration moved = Configuration.read(new JSONObject(CONFIG.replace(":2379", ":2380")), Map.of());
+        Configuration other = Configuration.read(new JSONObject(CONFIG.replace("1024", "512")
+            .replace("\"fallMs\":3000", "\"fallMs\":2000").replace("n3", "n4")), Map.of());
+        assertEquals(List.of(), before.changedButChannel(moved));
+        assertEquals(List.of("name", "limits", "settings"), before.changedButChannel(other));
+        assertEquals(2380, before.withChannel(moved.channel()).channel().getPort());
+    }
+
     @Test
     void namesTheFaultyKey() {
         assertEquals("key listen is not an address with a port: 'here'", fault("10.0.0.4:7001", "here"));
