--- a/src/main/java/barleyspur/Node.java
+++ b/src/main/java/barleyspur/Node.java
@@ -10,6 +10,7 @@
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.LoopClock;
 import barleyspur.front.thrift.ThriftFront;
+import barleyspur.transport.Connector;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -18,6 +19,7 @@
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -33,6 +35,8 @@
      */
     private static final int SHARES = 3;
     private static final int OWN_SOCKETS = 32;
+    /** Requests played before the start: by then what each request runs through is compiled. */
+    private static final int REHEARSED = 200;
 
     /** Reads a configuration. */
     public interface Source {
@@ -55,18 +59,22 @@
         Configuration.Limits limits = configuration.limits();
         Director.Settings settings = configuration.settings();
         Clock clock = new LoopClock(group.next());
-        DepotClient depots = new DepotClient(group, clock, new DepotClient.Limits(limits.streams(),
-            limits.connectTimeoutMs(), limits.idleMs(), limits.sockets() / SHARES), settings.reportFields());
+        DepotClient depots = new DepotClient(Connector.tcp(group, limits.connectTimeoutMs()), clock,
+            new DepotClient.Limits(limits.streams(), limits.idleMs(), limits.sockets() / SHARES),
+            settings.reportFields());
         Director director = new Decide(settings, configuration.seed());
         doorman = new Doorman(settings, limits.maxOpen(), director, clock, depots);
         commands = new CommandReader(configuration.names().zones(), configuration.names().kinds(), doorman);
-        channel = new CommandChannel(group, configuration.channel(), clock, commands);
+        channel = new CommandChannel(Connector.tcp(group, CommandChannel.CONNECT_TIMEOUT_MS),
+            configuration.channel(), clock, commands);
         front = new ThriftFront(group, doorman, clock, configuration.names().classes(), settings,
             limits.sockets() - limits.sockets() / SHARES - OWN_SOCKETS, depots::pauseReading);
     }
 
-    /** Learns what is known, then listens; throws where the address can't be had. */
-    public void start() throws IOException, InterruptedException {
+    /** Rehearses, learns what is known, then listens; throws where the address can't be had. */
+    public void start() throws IOException, InterruptedException, ExecutionException {
+        long answered = group.submit(() -> new Rehearsal(group, configuration).play(REHEARSED)).get();
+        LOG.info("rehearsed {} requests, {} bytes of answers", REHEARSED, answered);
         group.submit(() -> {
             commands.known(configuration.known());
             channel.start();
--- /dev/null
+++ b/src/main/java/barleyspur/Rehearsal.java
@@ -0,0 +1,156 @@
+package barleyspur;
+
+import barleyspur.config.Configuration;
+import barleyspur.decision.Decide;
+import barleyspur.decision.Director;
+import barleyspur.depot.DepotClient;
+import barleyspur.doorman.Clock;
+import barleyspur.doorman.Doorman;
+import barleyspur.doorman.Listing;
+import barleyspur.front.thrift.ThriftFront;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Plays made-up requests through a doorman's own parsers, core and decisions, within the process and on a clock of
+ * its own, and forgets all that came of it. Guards the first clients after a start against code that is still to be
+ * loaded and compiled, which on part of a core held them up for a second. The build rehearses too, to record which
+ * classes that takes.
+ */
+final class Rehearsal implements Clock {
+
+    private static final int CACHES = 8;
+    private static final int PARTS = 16;
+    private static final int CLIENTS = 4;
+    static final int BODY = 8_000;
+    private static final double STEP_MS = 3;
+
+    private record Task(double at, long order, AtomicReference<Runnable> run) { }
+
+    private final PriorityQueue<Task> timers = new PriorityQueue<>(
+        Comparator.comparingDouble(Task::at).thenComparingLong(Task::order));
+    private final EventLoopGroup group;
+    private final Configuration configuration;
+    private final List<EmbeddedChannel> depots = new ArrayList<>();
+    private double now = 1_000_000;
+    private long tasks;
+
+    Rehearsal(EventLoopGroup group, Configuration configuration) {
+        this.group = group;
+        this.configuration = configuration;
+    }
+
+    @Override
+    public double nowMs() {
+        return now;
+    }
+
+    @Override
+    public Timer after(double delayMs, Runnable run) {
+        AtomicReference<Runnable> due = new AtomicReference<>(run);
+        timers.add(new Task(now + delayMs, tasks++, due));
+        return () -> due.set(null);
+    }
+
+    /** Plays this many requests, and says how many bytes of answers the clients got. */
+    long play(int requests) {
+        long answered = 0;
+        Director.Settings settings = configuration.settings();
+        DepotClient client = new DepotClient((address, handlers) -> {
+            EmbeddedChannel depot = new EmbeddedChannel(handlers);
+            depots.add(depot);
+            return depot.newSucceededFuture();
+        }, this, new DepotClient.Limits(configuration.limits().streams(), Integer.MAX_VALUE, CACHES * 8),
+            settings.reportFields());
+        Doorman doorman = new Doorman(settings, requests, new Decide(settings, 1), this, client);
+        doorman.listed(true, listings(settings));
+        ThriftFront front = new ThriftFront(group, doorman, this,
+            configuration.names().classes(), settings, CLIENTS, full -> { });
+        List<EmbeddedChannel> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(new EmbeddedChannel(front.acceptor()));
+        }
+        for (int i = 0; i < requests; i++) {
+            clients.get(i % CLIENTS).writeInbound(dispatch(i));
+            for (EmbeddedChannel depot : List.copyOf(depots)) {
+                answer(depot, i);
+            }
+            pass();
+            for (ByteBuf part = clients.get(i % CLIENTS).readOutbound(); part != null;
+                 part = clients.get(i % CLIENTS).readOutbound()) {
+                answered += part.readableBytes();
+                part.release();
+            }
+        }
+        clients.forEach(EmbeddedChannel::finishAndReleaseAll);
+        depots.forEach(EmbeddedChannel::finishAndReleaseAll);
+        return answered;
+    }
+
+    private void pass() {
+        now += STEP_MS;
+        while (!timers.isEmpty() && timers.peek().at() <= now) {
+            Runnable due = timers.poll().run().get();
+            if (due != null) {
+                due.run();
+            }
+        }
+    }
+
+    private static List<Listing> listings(Director.Settings settings) {
+        List<Listing> listings = new ArrayList<>();
+        for (int i = 0; i < CACHES + 2; i++) {
+            int kind = i < CACHES ? 0 : i == CACHES ? settings.parentKind() : settings.originKind();
+            listings.add(new Listing("s-" + i, new InetSocketAddress(1), settings.zone(), kind, 0,
+                Director.State.READY, 1, 0));
+        }
+        return listings;
+    }
+
+    /** A request: most ask for parts asked for before, as clients do. */
+    private ByteBuf dispatch(int number) {
+        int category = number % configuration.names().classes().size();
+        String object = "%016x".formatted(number * number % 97);
+        Map<String, String> fields = Map.of("c", configuration.names().classes().get(category),
+            "i", "%016x".formatted(number), "d", Integer.toString((int) configuration.settings().classes()
+                .get(category).deadlineMs()), "o", object, "seg", Integer.toString(number % PARTS), "bucket", "1",
+            "m", "100.5");
+        ByteBuf frame = Unpooled.buffer().writeInt(0).writeInt(0x80010001);
+        text(frame, "dispatch").writeInt(number / CLIENTS + 1);
+        frame.writeByte(13).writeShort(1).writeByte(11).writeByte(11).writeInt(fields.size());
+        fields.forEach((name, value) -> text(text(frame, name), value));
+        text(frame.writeByte(11).writeShort(2), "").writeByte(0);
+        return frame.setInt(0, frame.readableBytes() - Integer.BYTES);
+    }
+
+    private static ByteBuf text(ByteBuf out, String text) {
+        return out.writeInt(text.length()).writeBytes(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Answers what was sent to a depot: for the most part with the bytes. */
+    private static void answer(EmbeddedChannel depot, int number) {
+        for (ByteBuf sent = depot.readOutbound(); sent != null; sent = depot.readOutbound()) {
+            String head = sent.toString(StandardCharsets.US_ASCII);
+            sent.release();
+            if (head.startsWith("*4\r\n$5\r\nserve\r\n$16\r\n")) {
+                String id = head.substring(20, 36);
+                boolean lack = number % 50 == 0;
+                ByteBuf answer = Unpooled.buffer();
+                ByteBufUtil.writeAscii(answer, "*4\r\n$16\r\n" + id + "\r\n$4\r\n" + (lack ? "LACK" : "DONE")
+                    + "\r\n$40\r\nhow=h,digest=4be0c1927d55a6f3,dated=1000\r\n$" + (lack ? 0 : BODY) + "\r\n");
+                depot.writeInbound(answer.writeZero(lack ? 0 : BODY).writeByte('\r').writeByte('\n'));
+            }
+        }
+    }
+}
--- a/src/main/java/barleyspur/channel/CommandChannel.java
+++ b/src/main/java/barleyspur/channel/CommandChannel.java
@@ -2,18 +2,12 @@
 
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
-import io.netty.bootstrap.Bootstrap;
+import barleyspur.transport.Connector;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.resolver.NoopAddressResolverGroup;
 import java.net.InetSocketAddress;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,17 +20,13 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("channel");
     private static final int MAX_LINE = 4 << 20;
-    private static final int CONNECT_TIMEOUT_MS = 500;
+    /** How long a connect may take, so that another is tried in time. */
+    public static final int CONNECT_TIMEOUT_MS = 500;
     static final double AGAIN_MS = 200;
     /** Heartbeats come each second. What a stopped channel has to tell counts as told 4 s after it stopped. */
     static final double SILENCE_MS = 2_000;
 
-    /** Opens a connection whose channel gets these handlers. */
-    interface Connect {
-        ChannelFuture to(InetSocketAddress address, ChannelHandler... handlers);
-    }
-
-    private final Connect connect;
+    private final Connector connector;
     private final Clock clock;
     private final CommandReader reader;
     private final CappedLog log;
@@ -45,36 +35,19 @@
     private Connection current;
     private boolean closed;
 
-    public CommandChannel(EventLoopGroup group, InetSocketAddress address, Clock clock, CommandReader reader) {
-        this(connector(group), address, clock, reader);
-    }
-
-    CommandChannel(Connect connect, InetSocketAddress address, Clock clock, CommandReader reader) {
-        this.connect = connect;
+    public CommandChannel(Connector connector, InetSocketAddress address, Clock clock, CommandReader reader) {
+        this.connector = connector;
         this.address = address;
         this.clock = clock;
         this.reader = reader;
         this.log = new CappedLog(LOG, clock);
     }
 
-    private static Connect connector(EventLoopGroup group) {
-        Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
-            .resolver(NoopAddressResolverGroup.INSTANCE)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
-        return (address, handlers) -> bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(handlers);
-            }
-        }).connect(address);
-    }
-
     /** Connects, now and whenever the connection is lost. */
     public void start() {
         Connection connection = new Connection();
         current = connection;
-        connect.to(address, new LineDecoder(MAX_LINE), connection).addListener((ChannelFuture done) -> {
+        connector.connect(address, new LineDecoder(MAX_LINE), connection).addListener((ChannelFuture done) -> {
             if (!done.isSuccess()) {
                 again(connection, done.cause().getMessage());
             }
--- a/src/main/java/barleyspur/cli/Cli.java
+++ b/src/main/java/barleyspur/cli/Cli.java
@@ -8,6 +8,7 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.concurrent.ExecutionException;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
@@ -26,6 +27,7 @@
         usage: barleyspur COMMAND [--help]
           serve     run one doorman, as RELAY_CONFIG says, until SIGTERM; SIGHUP rereads it
           check     read and check the configuration that RELAY_CONFIG names
+          rehearse  start and end a doorman that plays made-up requests to itself; the build records its classes
           simhost   run the decisions on the simulator's wire, on standard input and output
           version   print the version
         """;
@@ -51,6 +53,7 @@
         return switch (command) {
             case "serve" -> serve();
             case "check" -> check();
+            case "rehearse" -> rehearse();
             case "simhost" -> Adapter.run(new FileInputStream(FileDescriptor.in),
                 new FileOutputStream(FileDescriptor.out));
             case "version" -> version();
@@ -85,6 +88,24 @@
         return USAGE;
     }
 
+    private static int rehearse() {
+        try {
+            Node node = new Node(Configuration.example());
+            node.start();
+            node.drain();
+            node.awaitEnd();
+            return OK;
+        } catch (Configuration.Invalid e) {
+            return invalid(e);
+        } catch (IOException | ExecutionException e) {
+            System.err.println("barleyspur: " + e.getMessage());
+            return FAILED;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return FAILED;
+        }
+    }
+
     private static int serve() {
         try {
             Node node = new Node(Configuration.load(System.getenv()));
@@ -103,7 +124,7 @@
             return RUNNING;
         } catch (Configuration.Invalid e) {
             return invalid(e);
-        } catch (IOException e) {
+        } catch (IOException | ExecutionException e) {
             System.err.println("barleyspur: " + e.getMessage());
             return FAILED;
         } catch (InterruptedException e) {
--- a/src/main/java/barleyspur/config/Configuration.java
+++ b/src/main/java/barleyspur/config/Configuration.java
@@ -2,6 +2,7 @@
 
 import barleyspur.decision.Director;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -12,6 +13,7 @@
 import org.json.JSONArray;
 import org.json.JSONException;
 import org.json.JSONObject;
+import org.json.JSONTokener;
 
 /**
  * All that one doorman is told: read, checked and defaulted here and nowhere else. {@code known} is the
@@ -53,6 +55,15 @@
         }
     }
 
+    /** A small one on loopback, that a rehearsal can do with. */
+    public static Configuration example() throws Invalid {
+        try (InputStream in = Configuration.class.getResourceAsStream("/barleyspur/rehearsal.json")) {
+            return read(new JSONObject(new JSONTokener(in)), Map.of());
+        } catch (IOException e) {
+            throw new Invalid("the example can't be read: " + e.getMessage());
+        }
+    }
+
     static Configuration read(JSONObject json, Map<String, String> variables) throws Invalid {
         String name = variables.getOrDefault("RELAY_NAME", json.optString("name"));
         if (name.isBlank()) {
--- a/src/main/java/barleyspur/depot/DepotClient.java
+++ b/src/main/java/barleyspur/depot/DepotClient.java
@@ -4,14 +4,8 @@
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Depots;
 import barleyspur.doorman.Listing;
-import io.netty.bootstrap.Bootstrap;
+import barleyspur.transport.Connector;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.resolver.NoopAddressResolverGroup;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -29,9 +23,9 @@
     private static final int IDLE_MARGIN_MS = 2_000;
 
     /** What connections are held to. */
-    public record Limits(int streams, int connectTimeoutMs, int idleMs, int mostConnections) { }
+    public record Limits(int streams, int idleMs, int mostConnections) { }
 
-    private final Bootstrap bootstrap;
+    private final Connector connector;
     private final Clock clock;
     private final Limits limits;
     private final List<String> reportFields;
@@ -40,14 +34,11 @@
     private boolean reading = true;
     private long probes;
 
-    public DepotClient(EventLoopGroup group, Clock clock, Limits limits, List<String> reportFields) {
+    public DepotClient(Connector connector, Clock clock, Limits limits, List<String> reportFields) {
+        this.connector = connector;
         this.clock = clock;
         this.limits = limits;
         this.reportFields = reportFields;
-        this.bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
-            .resolver(NoopAddressResolverGroup.INSTANCE)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
         sweepLater();
     }
 
@@ -92,12 +83,7 @@
             });
             made[0] = c;
             pool.add(c);
-            c.connecting(bootstrap.clone().handler(new ChannelInitializer<>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new RespDecoder(), c);
-                }
-            }).connect(listing.address()));
+            c.connecting(connector.connect(listing.address(), new RespDecoder(), c));
             c.read(reading);
             return c;
         }
--- a/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -65,17 +65,22 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             // Finds out clients that have vanished without a word.
             .childOption(ChannelOption.SO_KEEPALIVE, true)
-            .childHandler(new ChannelInitializer<>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    accept(channel);
-                }
-            })
+            .childHandler(acceptor())
             .bind(address);
         listener = bound.channel();
         return bound;
     }
 
+    /** Makes a newly accepted channel one of a client's. */
+    public ChannelInitializer<Channel> acceptor() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                accept(channel);
+            }
+        };
+    }
+
     private void accept(Channel channel) {
         if (connections.size() >= mostConnections) {
             // Guards the limit on descriptors: without it a crowd of clients would cut off the depots.
--- /dev/null
+++ b/src/main/java/barleyspur/transport/Connector.java
@@ -0,0 +1,33 @@
+package barleyspur.transport;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.resolver.NoopAddressResolverGroup;
+import java.net.InetSocketAddress;
+
+/** Opens connections; over TCP in service, within the process where a test or a rehearsal says so. */
+public interface Connector {
+
+    /** Begins to connect; the connection's channel gets these handlers. */
+    ChannelFuture connect(InetSocketAddress address, ChannelHandler... handlers);
+
+    /** Over TCP, on the event loop of {@code group}. */
+    static Connector tcp(EventLoopGroup group, int timeoutMs) {
+        Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+            .resolver(NoopAddressResolverGroup.INSTANCE)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs);
+        return (address, handlers) -> bootstrap.clone().handler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(handlers);
+            }
+        }).connect(address);
+    }
+}
