Spread calls over connections, leave silent ones, and blame a spoilt answer once

Depot.connection put all calls on the fullest connection, so a spoilt answer failed all of them; Decide.judge took a reset for a hard failure; a connection that had broken off but stayed open kept getting calls until their deadlines. Ruled out: the command channel (rules kept, resumed at once), lengths (refused before they are buffered).

Now calls are spread over up to eight connections each; a reset is soft and counts once for a connection (the others end as cancelled, which may have run); a connection silent for 0.5 s under calls gets no new ones and is closed when empty; an answer that stops short closes it; no id goes out twice on one.

--- a/src/main/java/barleyspur/Node.java
+++ b/src/main/java/barleyspur/Node.java
@@ -30,11 +30,12 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("node");
     /**
-     * The depots get a third of the descriptors, the process some, and clients the rest: those that the protocol
-     * knows hold a third at most, and others must not be able to keep them out.
+     * The depots get a third of the descriptors, and clients what the process leaves: those that the protocol knows
+     * hold a third at most, and others must not be able to keep them out. The process has about 20 of its own, and
+     * in a crowd up to 32 are accepted, or closed but not yet given back, between two looks.
      */
     private static final int SHARES = 3;
-    private static final int OWN_SOCKETS = 32;
+    private static final int OWN_SOCKETS = 64;
     /** Requests played before the start: by then what each request runs through is compiled. */
     private static final int REHEARSED = 200;
 
@@ -68,7 +69,8 @@
         channel = new CommandChannel(Connector.tcp(group, CommandChannel.CONNECT_TIMEOUT_MS),
             configuration.channel(), clock, commands);
         front = new ThriftFront(group, doorman, clock, configuration.names().classes(), settings,
-            limits.sockets() - limits.sockets() / SHARES - OWN_SOCKETS, depots::pauseReading);
+            Math.max(limits.sockets() / SHARES + 1, limits.sockets() - limits.sockets() / SHARES - OWN_SOCKETS),
+            depots::pauseReading);
     }
 
     /** Rehearses, learns what is known, then listens; throws where the address can't be had. */
--- a/src/main/java/barleyspur/decision/Decide.java
+++ b/src/main/java/barleyspur/decision/Decide.java
@@ -35,7 +35,7 @@
     private static final double NEWEST = 1 / 6.0;
     /** Error share beyond which a node is left out, unless its peers do no better. */
     private static final double BAD_SHARE = 0.4;
-    /** Failed connects or resets in a row that leave a node out. */
+    /** Failed connects in a row that leave a node out; a reset may have struck one connection only. */
     private static final int HARD_FAILURES = 1;
     /** Fills overdue in a row, none served between, that leave a source out which is later than its peers. */
     private static final int SILENT = 5;
@@ -745,7 +745,8 @@
         }
         switch (e.result()) {
             case OK -> served(o, a, e, sourced);
-            case CONNECT_FAILED, RESET -> failed(a.target, a, 1, true);
+            case CONNECT_FAILED -> failed(a.target, a, 1, true);
+            case RESET -> failed(a.target, a, 1, false);
             case ERROR, TIMEOUT, FULL -> blame(a, e, sourced);
             default -> { }
         }
--- a/src/main/java/barleyspur/depot/DepotClient.java
+++ b/src/main/java/barleyspur/depot/DepotClient.java
@@ -1,6 +1,7 @@
 package barleyspur.depot;
 
 import barleyspur.decision.Director.Result;
+import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Depots;
 import barleyspur.doorman.Listing;
@@ -10,7 +11,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -18,7 +18,11 @@
 public final class DepotClient implements Depots {
 
     private static final Logger LOG = LoggerFactory.getLogger("depot");
-    private static final double SWEEP_MS = 500;
+    private static final double SWEEP_MS = 100;
+    /** Connections to one depot among which calls are spread. */
+    private static final int SPREAD = 8;
+    /** The part of all connections up to which some are opened for that; the rest is for depots that have none. */
+    private static final double SPARE_SHARE = 0.75;
     /** Ours close this much sooner than the depots', so that no request crosses their close. */
     private static final int IDLE_MARGIN_MS = 2_000;
 
@@ -28,7 +32,7 @@
     private final Connector connector;
     private final Clock clock;
     private final Limits limits;
-    private final List<String> reportFields;
+    private final DepotConnection.Shared shared;
     private final Map<Long, Depot> depots = new HashMap<>();
     private int connections;
     private boolean reading = true;
@@ -38,7 +42,7 @@
         this.connector = connector;
         this.clock = clock;
         this.limits = limits;
-        this.reportFields = reportFields;
+        this.shared = new DepotConnection.Shared(clock, reportFields, new CappedLog(LOG, clock));
         sweepLater();
     }
 
@@ -51,39 +55,48 @@
             this.listing = listing;
         }
 
-        /** The fullest one that is up and has room, else one that is coming up, else a new one; null: no room. */
+        /**
+         * The least loaded one that is up, else one that is coming up, else a new one; null: no room. Where each has
+         * something open another is opened beside, for the next: what spoils one answer takes all with it that
+         * is open on the same connection, so the fewer those are the better.
+         */
         DepotConnection connection(String id) {
             DepotConnection best = null;
+            boolean coming = false;
             for (DepotConnection c : pool) {
+                coming |= !c.isUp();
                 if (c.takes(id, limits.streams()) && (best == null || better(c, best))) {
                     best = c;
                 }
             }
             if (best == null) {
-                best = connect();
+                best = connections < limits.mostConnections() || makeRoom() ? connect() : null;
+                if (best == null) {
+                    shared.log().warn("{}: no connection: {} are open", listing.uid(), connections);
+                }
+            } else if (best.load() > 0 && !coming && pool.size() < SPREAD
+                && connections < limits.mostConnections() * SPARE_SHARE) {
+                connect();
             }
             return best != null && best.takes(id, limits.streams()) ? best : null;
         }
 
         private boolean better(DepotConnection c, DepotConnection than) {
-            return c.isUp() == than.isUp() ? c.load() > than.load() : c.isUp();
+            return c.isUp() == than.isUp() ? c.load() < than.load() : c.isUp();
         }
 
         private DepotConnection connect() {
-            if (connections >= limits.mostConnections()) {
-                LOG.warn("{}: no connection: {} are open", listing.uid(), connections);
-                return null;
-            }
             connections++;
             DepotConnection[] made = new DepotConnection[1];
-            DepotConnection c = new DepotConnection(listing.uid(), reportFields, () -> {
+            RespDecoder decoder = new RespDecoder();
+            DepotConnection c = new DepotConnection(listing.uid(), shared, decoder, () -> {
                 if (pool.remove(made[0])) {
                     connections--;
                 }
             });
             made[0] = c;
             pool.add(c);
-            c.connecting(connector.connect(listing.address(), new RespDecoder(), c));
+            c.connecting(connector.connect(listing.address(), decoder, c));
             c.read(reading);
             return c;
         }
@@ -92,15 +105,23 @@
             new ArrayList<>(pool).forEach(DepotConnection::retire);
         }
 
-        void closeIdle(long nanos) {
+        boolean closeIdle(double ms) {
+            boolean any = false;
             for (DepotConnection c : new ArrayList<>(pool)) {
-                if (c.isUp() && c.idleFor(nanos)) {
+                if (c.isUp() && c.idleFor(ms)) {
                     c.close();
+                    any = true;
                 }
             }
+            return any;
         }
     }
 
+    /** Closes the idle connections to some depot, so that another that has none can be reached. */
+    private boolean makeRoom() {
+        return depots.values().stream().anyMatch(d -> d.closeIdle(0));
+    }
+
     @Override
     public void list(long node, Listing listing) {
         Depot depot = depots.computeIfAbsent(node, k -> new Depot(listing));
@@ -175,8 +196,10 @@
 
     private void sweepLater() {
         clock.after(SWEEP_MS, () -> {
-            long idle = TimeUnit.MILLISECONDS.toNanos(Math.max(1, limits.idleMs() - IDLE_MARGIN_MS));
-            depots.values().forEach(d -> d.closeIdle(idle));
+            for (Depot depot : depots.values()) {
+                depot.closeIdle(Math.max(1, limits.idleMs() - IDLE_MARGIN_MS));
+                new ArrayList<>(depot.pool).forEach(DepotConnection::checkStalled);
+            }
             sweepLater();
         });
     }
--- a/src/main/java/barleyspur/depot/DepotConnection.java
+++ b/src/main/java/barleyspur/depot/DepotConnection.java
@@ -1,6 +1,8 @@
 package barleyspur.depot;
 
 import barleyspur.decision.Director.Result;
+import barleyspur.doorman.CappedLog;
+import barleyspur.doorman.Clock;
 import barleyspur.doorman.Depots;
 import barleyspur.doorman.Depots.Answer;
 import io.netty.buffer.ByteBuf;
@@ -13,7 +15,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,33 +30,52 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("depot");
 
-    /** More than can be cancelled on one connection while an answer is on its way. */
-    private static final int MOST_CANCELLED = 256;
+    /** More than can be answered or cancelled on one connection while an answer is on its way. */
+    private static final int MOST_USED = 256;
+    /**
+     * A connection on which calls wait and nothing has come for this long gets no new ones: a depot that broke off
+     * in an answer says nothing further on it, though it stays open. Costs another connection where it was slow.
+     */
+    static final double SILENT_MS = 500;
+    /** An answer of which a part has come and then nothing for this long was broken off. */
+    static final double STALLED_MS = 500;
+
+    /** What all connections of one client have in common. */
+    record Shared(Clock clock, List<String> reportFields, CappedLog log) { }
 
     private final String uid;
-    private final List<String> reportFields;
+    private final Shared client;
+    private final RespDecoder decoder;
     private final Runnable onClosed;
-    /** By id, since answers come in any order. */
-    private final Map<String, Call> open = new HashMap<>();
-    /** The ids cancelled here lately. */
-    private final Set<String> cancelled = Collections.newSetFromMap(new LinkedHashMap<>() {
+    /** By id, since answers come in any order; in the order in which they were sent. */
+    private final Map<String, Call> open = new LinkedHashMap<>();
+    /** The ids that went out here lately. */
+    private final Set<String> used = Collections.newSetFromMap(new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MOST_CANCELLED;
+            return size() > MOST_USED;
         }
     });
     private Channel channel;
     private boolean up;
     private boolean closed;
     private boolean retired;
-    private long idleSinceNanos = System.nanoTime();
+    private double idleSince;
+    /** Since when calls have been waiting here, or since something was last read. */
+    private double waitingSince;
 
-    DepotConnection(String uid, List<String> reportFields, Runnable onClosed) {
+    DepotConnection(String uid, Shared client, RespDecoder decoder, Runnable onClosed) {
         this.uid = uid;
-        this.reportFields = reportFields;
+        this.client = client;
+        this.decoder = decoder;
         this.onClosed = onClosed;
+        idleSince = now();
+    }
+
+    private double now() {
+        return client.clock().nowMs();
     }
 
     /** One attempt or probe on this connection. */
@@ -78,7 +98,6 @@
                 return;
             }
             if (up) {
-                cancelled.add(id);
                 channel.writeAndFlush(Resp.message(channel.alloc(), "cancel", id), channel.voidPromise());
             } else {
                 drop();
@@ -121,6 +140,7 @@
         connect.addListener(done -> {
             if (done.isSuccess()) {
                 up = true;
+                waitingSince = now();
                 open.values().forEach(Call::write);
                 closeIfRetired();
             } else {
@@ -133,7 +153,11 @@
     /** Opens a call; {@code body} null: a message of words alone. Both buffers belong to the call from now on. */
     Call open(String id, ByteBuf head, ByteBuf body, Depots.End end) {
         Call call = new Call(id, head, body, end);
+        if (open.isEmpty()) {
+            waitingSince = now();
+        }
         open.put(id, call);
+        used.add(id);
         if (up) {
             call.write();
         }
@@ -141,12 +165,25 @@
     }
 
     /**
-     * Whether a call under this id may go out here. Not while the depot does not read, and not while the id is out here or was cancelled here: an answer
-     * on its way to the earlier attempt of the same request would be taken for the later one's.
+     * Whether a call under this id may go out here. Not while the depot does not read or has fallen silent, and not
+     * where the id went out before: an answer on its way to the earlier attempt of the same request, or a second
+     * copy of it, would be taken for the later one's.
      */
     boolean takes(String id, int streams) {
-        boolean able = !closed && !retired && open.size() < streams && (!up || channel.isWritable());
-        return able && !open.containsKey(id) && !cancelled.contains(id);
+        boolean able = !closed && !retired && open.size() < streams && (!up || channel.isWritable() && !silent());
+        return able && !used.contains(id);
+    }
+
+    private boolean silent() {
+        return !open.isEmpty() && now() - waitingSince > SILENT_MS;
+    }
+
+    /** Ends the connection if an answer has stopped short. */
+    void checkStalled() {
+        if (up && channel.config().isAutoRead() && decoder.midMessage() && now() - waitingSince > STALLED_MS) {
+            client.log().warn("{}: connection closed: an answer has stopped short", uid);
+            close();
+        }
     }
 
     boolean isUp() {
@@ -161,13 +198,14 @@
         return open.size();
     }
 
-    boolean idleFor(long nanos) {
-        return open.isEmpty() && System.nanoTime() - idleSinceNanos >= nanos;
+    boolean idleFor(double ms) {
+        return open.isEmpty() && now() - idleSince >= ms;
     }
 
     /** Back-pressure: while it is not read, a depot's answers wait on its own side. */
     void read(boolean on) {
         channel.config().setAutoRead(on);
+        waitingSince = now();
     }
 
     /** Takes nothing new, and closes once what is open has ended. */
@@ -188,7 +226,9 @@
 
     private void idleFromNow() {
         if (open.isEmpty()) {
-            idleSinceNanos = System.nanoTime();
+            idleSince = now();
+            // Its calls were given up, not answered: it may be of no further use.
+            retired |= up && now() - waitingSince > SILENT_MS;
             closeIfRetired();
         }
     }
@@ -198,8 +238,15 @@
         return message instanceof RespDecoder.Message;
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        waitingSince = now();
+        ctx.fireChannelReadComplete();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, RespDecoder.Message message) {
+        waitingSince = now();
         ByteBuf body = message.body();
         try {
             List<String> words = message.words();
@@ -226,13 +273,13 @@
             case "PAST" -> Result.MOOT;
             case "BROKE", "UNFIT" -> Result.ERROR;
             default -> {
-                LOG.warn("{}: unknown answer {}", uid, word);
+                client.log().warn("{}: unknown answer {}", uid, word);
                 yield Result.ERROR;
             }
         };
         ByteBuf kept = word.equals("DONE") ? body.retain() : null;
         return new Answer(result, Resp.note(Resp.field(fields, "how")),
-            Resp.load(Resp.field(fields, "stats"), reportFields), kept, Resp.field(fields, "digest"));
+            Resp.load(Resp.field(fields, "stats"), client.reportFields()), kept, Resp.field(fields, "digest"));
     }
 
     @Override
@@ -246,9 +293,12 @@
         onClosed.run();
         List<Call> left = new ArrayList<>(open.values());
         open.clear();
+        Result next = result;
         for (Call call : left) {
             call.drop();
-            call.end.ended(Answer.of(result));
+            call.end.ended(Answer.of(next));
+            // One fault of the node's, however many were open: the others only went down with the connection.
+            next = result == Result.RESET ? Result.CANCELLED : result;
         }
     }
 
@@ -257,7 +307,7 @@
         if (cause instanceof IOException) {
             LOG.debug("{}: connection lost: {}", uid, cause.getMessage());
         } else {
-            LOG.warn("{}: connection closed: {}", uid, cause.toString());
+            client.log().warn("{}: connection closed: {}", uid, cause.getMessage());
         }
         ctx.close();
     }
--- a/src/main/java/barleyspur/depot/RespDecoder.java
+++ b/src/main/java/barleyspur/depot/RespDecoder.java
@@ -35,6 +35,11 @@
         }
     }
 
+    /** Whether an answer has begun that is not whole. */
+    boolean midMessage() {
+        return actualReadableBytes() > 0;
+    }
+
     private void message(ByteBuf in, List<Object> out) {
         at = in.readerIndex();
         int items = line(in, '*');
--- a/src/main/java/barleyspur/doorman/Doorman.java
+++ b/src/main/java/barleyspur/doorman/Doorman.java
@@ -4,8 +4,9 @@
 import barleyspur.decision.Director.Result;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -25,6 +26,7 @@
     /** Ids given to the director stay below 2^32, where its timer tokens begin. */
     private static final long MOST_IDS = 1L << 32;
     private static final double PROBE_TIMEOUT_MS = 250;
+    private static final int MOST_TAKEN = 8_192;
 
     private final Director.Settings settings;
     private final int maxOpen;
@@ -32,8 +34,15 @@
     private final Clock clock;
     private final Depots depots;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
-    /** The clients' ids of all exchanges. */
-    private final Set<String> openIds = new HashSet<>();
+    /** The clients' ids of the requests taken lately, so also of all that may be open. */
+    private final Set<String> takenIds = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MOST_TAKEN;
+        }
+    });
     /** The listed nodes' ids, by node. */
     private final Map<Long, String> uids = new HashMap<>();
     private final ArrayDeque<Director.Event> events = new ArrayDeque<>();
@@ -74,7 +83,7 @@
         lastId = (lastId + 1) % MOST_IDS;
         Exchange x = new Exchange(lastId, ask, caller, now + ask.remainingMs());
         exchanges.put(x.id, x);
-        openIds.add(ask.id());
+        takenIds.add(ask.id());
         owed++;
         // Guards rule 1 against a director that leaves a request unanswered: half the slack is left by then.
         x.guard = clock.after(ask.remainingMs() + settings.answerSlackMs() / 2, () -> overdue(x));
@@ -84,9 +93,9 @@
         return () -> gone(x);
     }
 
-    /** Whether a request under this id is on its way, or an attempt of one. */
-    public boolean isOpen(String id) {
-        return openIds.contains(id);
+    /** Whether a request under this id was taken lately: each has a new one, also where a client asks again. */
+    public boolean hasTaken(String id) {
+        return takenIds.contains(id);
     }
 
     /** Whether new clients are welcome. */
@@ -148,7 +157,6 @@
     private void forgetIfDone(Exchange x) {
         if (x.over && x.out == 0) {
             exchanges.remove(x.id);
-            openIds.remove(x.ask.id());
         }
     }
 
--- a/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -179,9 +179,9 @@
         Ask ask;
         try {
             ask = RequestFields.read(call.fields(), call.body(), front.bounds());
-            if (doorman.isOpen(ask.id())) {
+            if (doorman.hasTaken(ask.id())) {
                 // Two requests under one id would be taken for one another at a depot.
-                throw new IllegalArgumentException("field i is the id of an open request");
+                throw new IllegalArgumentException("field i is the id of an earlier request");
             }
         } catch (IllegalArgumentException e) {
             log.warn("client {}: bad request: {}", channel.remoteAddress(), e.getMessage());
