--- a/src/main/java/barleyspur/doorman/Doorman.java
+++ b/src/main/java/barleyspur/doorman/Doorman.java
@@ -179,10 +179,14 @@
                 continue;
             }
             if (l.state() == Director.State.GONE) {
+                LOG.info("node {} is gone", node);
                 retire(node);
             } else {
                 if (known == null) {
-                    LOG.info("node {} is {} at {}", node, l.uid(), l.address());
+                    LOG.info("node {} is {} at {}, kind {}, started at {}", node, l.uid(), l.address(), l.kind(), (long) l.bootMs());
+                }
+                if (l.state() == Director.State.DRAINING) {
+                    LOG.info("node {} drains", node);
                 }
                 uids.put(node, l.uid());
                 depots.list(node, l);
