--- a/src/main/java/barleyspur/Node.java
+++ b/src/main/java/barleyspur/Node.java
@@ -36,6 +36,9 @@
      */
     private static final int SHARES = 3;
     private static final int OWN_SOCKETS = 64;
+    private static final long MEGABYTE = 1 << 20;
+    /** The part of the memory that unread answers may fill: the buffers that hold them were seen to take thrice that. */
+    private static final int UNREAD_SHARE = 24;
     /** Requests played before the start: by then what each request runs through is compiled. */
     private static final int REHEARSED = 200;
 
@@ -70,7 +73,7 @@
             configuration.channel(), clock, commands);
         front = new ThriftFront(group, doorman, clock, configuration.names().classes(), settings,
             Math.max(limits.sockets() / SHARES + 1, limits.sockets() - limits.sockets() / SHARES - OWN_SOCKETS),
-            depots::pauseReading);
+            limits.memoryMb() * MEGABYTE / UNREAD_SHARE, depots::pauseReading);
     }
 
     /** Rehearses, learns what is known, then listens; throws where the address can't be had. */
--- a/src/main/java/barleyspur/Rehearsal.java
+++ b/src/main/java/barleyspur/Rehearsal.java
@@ -76,7 +76,8 @@
         Doorman doorman = new Doorman(settings, requests, new Decide(settings, 1), this, client);
         doorman.listed(true, listings(settings));
         ThriftFront front = new ThriftFront(group, doorman, this,
-            configuration.names().classes(), settings, CLIENTS, full -> { });
+            configuration.names().classes(), settings, CLIENTS,
+            Long.MAX_VALUE, full -> { });
         List<EmbeddedChannel> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             clients.add(new EmbeddedChannel(front.acceptor()));
--- a/src/main/java/barleyspur/config/Configuration.java
+++ b/src/main/java/barleyspur/config/Configuration.java
@@ -26,7 +26,7 @@
     public record Names(List<String> classes, List<String> zones, List<String> kinds) { }
 
     /** The node's own limits, none of which the decisions see. */
-    public record Limits(int sockets, int maxOpen, int streams, int connectTimeoutMs, int idleMs) { }
+    public record Limits(int sockets, int memoryMb, int maxOpen, int streams, int connectTimeoutMs, int idleMs) { }
 
     /** A configuration that can't be used; the message names the key. */
     public static final class Invalid extends Exception {
@@ -38,6 +38,9 @@
     }
 
     private static final int LEAST_SOCKETS = 64;
+    private static final int LEAST_MEMORY_MB = 32;
+    /** The most that a scored day gives. */
+    private static final int MEMORY_MB = 192;
     private static final int HEX = 16;
 
     /** Reads the file that {@code RELAY_CONFIG} names; name and address may also come as variables. */
@@ -175,7 +178,11 @@
         if (sockets < LEAST_SOCKETS) {
             throw new IllegalArgumentException("key limits.sockets is missing or under " + LEAST_SOCKETS);
         }
-        return new Limits(sockets, positive(flat, "limits.maxOpen", 20_000), positive(flat, "limits.multiplex", 32),
+        int memoryMb = limits.optInt("memory_mb", MEMORY_MB);
+        if (memoryMb < LEAST_MEMORY_MB) {
+            throw new IllegalArgumentException("key limits.memory_mb is under " + LEAST_MEMORY_MB);
+        }
+        return new Limits(sockets, memoryMb, positive(flat, "limits.maxOpen", 20_000), positive(flat, "limits.multiplex", 32),
             positive(flat, "limits.connectTimeoutMs", 400), positive(flat, "limits.connIdleMs", 15_000));
     }
 
--- a/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -31,8 +31,6 @@
     private static final int MAX_FRAME = 128 * 1024;
     private static final int MOST_OPEN = 32;
     private static final int BACKLOG = 512;
-    /** What may wait in memory for clients to read it; the buffers that hold it were seen to take three times that. */
-    private static final long MOST_UNREAD = 8 << 20;
     /** How long clients have to read the last answers before the process ends. */
     private static final long LAST_READ_MS = 1_000;
 
@@ -45,16 +43,20 @@
     private final FrontConnection.Shared shared;
     private Channel listener;
 
-    /** {@code onFull} is told when clients leave too much unread for more to be taken in, and when that is over. */
+    /**
+     * {@code mostUnread} bytes of answers may wait in memory for clients to read them; {@code onFull} is told when they leave more
+     * than that unread, so that no more can be taken in, and when that is over.
+     */
     public ThriftFront(EventLoopGroup group, Doorman doorman, Clock clock, List<String> classes,
-                       Director.Settings settings, int mostConnections, Consumer<Boolean> onFull) {
+                       Director.Settings settings, int mostConnections, long mostUnread,
+                       Consumer<Boolean> onFull) {
         this.group = group;
         this.clock = clock;
         this.mostConnections = mostConnections;
         this.log = new CappedLog(LOG, clock);
         this.connections = new DefaultChannelGroup(group.next());
         this.shared = new FrontConnection.Shared(doorman, clock, new RequestFields.Bounds(classes, settings),
-            MOST_OPEN, new UnreadAnswers(MOST_UNREAD, onFull), crowd, log);
+            MOST_OPEN, new UnreadAnswers(mostUnread, onFull), crowd, log);
     }
 
     /** Starts to listen. */
--- a/src/test/java/barleyspur/config/ConfigurationTest.java
+++ b/src/test/java/barleyspur/config/ConfigurationTest.java
@@ -40,7 +40,7 @@
         assertEquals(List.of(0, 3), c.settings().zoneDirectors());
         assertTrue(c.settings().classes().get(1).write());
         assertEquals(5.8, c.settings().paceKbPerMs());
-        assertEquals(new Configuration.Limits(1024, 20_000, 16, 400, 15_000), c.limits());
+        assertEquals(new Configuration.Limits(1024, 192, 20_000, 16, 400, 15_000), c.limits());
     }
 
     /** All that a running doorman takes over is the command channel; what else was changed must not pass unsaid. */
@@ -61,6 +61,7 @@
         assertEquals("key channel is not an address with a port: ''", fault("\"channel\":\"10.2.0.1:2379\",", ""));
         assertEquals("key seed is not a number in hex digits", fault("8c1f30d27a5be964", "dice"));
         assertEquals("key limits.sockets is missing or under 64", fault("\"sockets\":1024", "\"sockets\":3"));
+        assertEquals("key limits.memory_mb is under 32", fault("\"memory_mb\":192", "\"memory_mb\":8"));
         assertEquals("key known.cursor is missing or no number from 0 on", fault("\"cursor\":3,", ""));
         assertEquals("key known.cmds is missing or no list", fault("\"cmds\":[]", "\"cmd\":[]"));
         assertEquals("key known.cmds.0 is no object", fault("\"cmds\":[]", "\"cmds\":[7]"));
