Let a request go on elsewhere at half its aim from a cache that has answered nothing since

Ruled out: the doorman's own delay (4.9 ms at the 99th percentile), connections that never come up (given up after 0.4 s).

Server.heardAt tells when a cache last answered anything; at half its aim a request that may be repeated is routed again, out of the retries' budget, if its cache has answered nothing since it was sent. A jammed cache still answers some.

--- a/src/main/java/barleyspur/decision/Decide.java
+++ b/src/main/java/barleyspur/decision/Decide.java
@@ -161,20 +161,22 @@
     }
 
     /**
-     * A backup copy of a request still out at half its aim, so that it can come in time: at another free
-     * holder, else where the first went, which has the object by then if only the answer was lost. Earned by
-     * hits whose answers never came and lost by late ones, so that no jam of fills or of caches gets any.
-     * Covers lost answers and silent caches; could harm where answers are both lost and late: double work.
+     * At half its aim a request goes on elsewhere from a cache silent since; else a copy goes to another
+     * holder or where the first went, earned by hits never answered and lost by late ones, against jams.
      */
     private void backUp(Open o) {
-        if (o.attempts.size() != 1 || o.attempts.get(0).back || backupTokens < 1) {
+        Attempt first = o.attempts.size() == 1 ? o.attempts.get(0) : null;
+        boolean silent = first != null && first.target.heardAt < first.sentAt && retryTokens >= 1;
+        if (first == null || first.back || backupTokens < 1 && !silent) {
+            return;
+        }
+        if (silent) {
+            tryAgain(o, false);
             return;
         }
         favour = favour(o.request);
         draw = o.draw;
-        Attempt first = o.attempts.get(0);
-        List<Server> caches = candidates(o);
-        List<Server> others = holders(o.request, beliefs.get(part(o.request)), caches);
+        List<Server> others = holders(o.request, beliefs.get(part(o.request)), candidates(o));
         List<Server> free = Lists.where(others, s -> !o.tried(s) && free(s));
         Server target = free.isEmpty() ? first.target : pick(free);
         boolean able = fleet.caches.contains(target) && coldAllows(target, workOf(o.request));
@@ -556,17 +558,16 @@
         a.back = true;
         o.back++;
         report(a.target, e.load());
+        boolean never = e.result() == Result.TIMEOUT || e.result() == Result.CANCELLED;
+        a.target.heardAt = never ? a.target.heardAt : now;
         enter(o.request, a, -1);
         learnOutcome(o, a, e);
         judge(o, a, e);
         believe(o.request, a, e);
         o.maybeRan |= e.result().mayHaveRun();
-        boolean never = e.result() == Result.TIMEOUT || e.result() == Result.CANCELLED;
         boolean late = e.latencyMs() > aim(o);
-        if (!a.fill && (never || late)) {
-            double earned = !never ? -BACKUP_EARNED : late ? BACKUP_EARNED : 1;
-            backupTokens = Math.max(0, Math.min(BACKUP_SAVED, backupTokens + earned));
-        }
+        double earned = a.fill || !never && !late ? 0 : !never ? -BACKUP_EARNED : late ? BACKUP_EARNED : 1;
+        backupTokens = Math.max(0, Math.min(BACKUP_SAVED, backupTokens + earned));
         if (e.closed() && o.waiting()) {
             end(o);
         }
--- a/src/main/java/barleyspur/decision/Server.java
+++ b/src/main/java/barleyspur/decision/Server.java
@@ -8,8 +8,9 @@
     int serving;
     final Gate gate = new Gate();
     final Gate sourceGate = new Gate();
-    /** How busy it reported to be. */
+    /** How busy it reported to be, and when it last answered anything. */
     double busy;
+    double heardAt;
     double failShare;
     int hardFailures;
     /** Fills by way of it that were still out at their aim since it last served one. */
--- a/src/test/java/barleyspur/decision/LimitsTest.java
+++ b/src/test/java/barleyspur/decision/LimitsTest.java
@@ -228,6 +228,8 @@
         }
     }
 
+    private long object = 91_000;
+
     private List<Get> atHalfItsAim(List<Action> sent) {
         List<WakeAt> timers = Bench.all(sent, WakeAt.class);
         WakeAt backup = timers.get(timers.size() - 1);
@@ -245,6 +247,23 @@
         assertEquals(0, Bench.only(won, Director.Cancel.class).attempt());
     }
 
+    /** A cache that hangs or has vanished answers nothing: its requests must not wait for their deadlines. */
+    @Test
+    void fromACacheThatAnswersNothingARequestGoesOnElsewhere() {
+        List<Action> sent = bench.request(0, 90_000, 4_000);
+        Get first = Bench.only(sent, Get.class);
+        List<Get> further = atHalfItsAim(sent);
+        assertEquals(1, further.size());
+        assertTrue(further.get(0).node() != first.node());
+        List<Action> other = bench.request(0, 90_001, 4_000);
+        Get answers = Bench.only(other, Get.class);
+        bench.now += 1;
+        while (bench.served(bench.get(++object)).node() != answers.node()) {
+            assertTrue(object < 92_000, "that cache gets nothing else");
+        }
+        assertEquals(List.of(), atHalfItsAim(other), "it has answered since");
+    }
+
     @Test
     void withoutLostAnswersThereAreNoBackupsHoweverLateFillsAre() {
         lateFills(12);
