Split the build into the decision module and the doorman

Need: the reactor of the target layout; the checker of routing expectations needs the decision module as a part of its own. Change: files moved, nothing else; deploy/balancer.toml, the size test and the class archive follow.

--- a/src/test/java/barleyspur/decision/ModuleSizeTest.java
+++ b/decision/src/test/java/barleyspur/decision/ModuleSizeTest.java
@@ -14,16 +14,18 @@
 /** The decision module stays short enough to be read in a day. */
 class ModuleSizeTest {
 
+    /** Tests run in their module's folder. */
+    private static final Path ROOT = Path.of("..");
     private static final int MOST_LINES = 940;
     private static final int MOST_WIDTH = 110;
 
     /** The files that the deploy file names as holding decisions. */
     private static List<Path> policy() throws IOException {
-        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+        String line = Files.readAllLines(ROOT.resolve("deploy/balancer.toml")).stream()
             .filter(l -> l.startsWith("policy = ")).findFirst().orElseThrow();
         List<Path> files = new ArrayList<>();
         for (Matcher m = Pattern.compile("\"([^\"]+)\"").matcher(line); m.find();) {
-            files.add(Path.of(m.group(1)));
+            files.add(ROOT.resolve(m.group(1)));
         }
         return files;
     }
