--- a/decision/src/main/java/barleyspur/decision/Director.java
+++ b/decision/src/main/java/barleyspur/decision/Director.java
@@ -67,7 +67,7 @@
         OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, MISS;
 
         /** False where the outcome proves that the request never ran. */
-        boolean mayHaveRun() {
+        public boolean mayHaveRun() {
             return switch (this) {
                 case FULL, CONNECT_FAILED, MOOT, MISS -> false;
                 default -> true;
