Check routing expectations against the decision module on virtual time

Need: operators want to write down what must hold of routing and have it proved or refuted without traffic.

--- a/doorman/src/main/java/barleyspur/cli/Cli.java
+++ b/doorman/src/main/java/barleyspur/cli/Cli.java
@@ -1,116 +1,151 @@
 package barleyspur.cli;
 
-import barleyspur.sim.Adapter;
 import barleyspur.Node;
 import barleyspur.config.Configuration;
+import barleyspur.config.ExpectationCheck;
+import barleyspur.config.Hcl;
+import barleyspur.config.OwnSettings;
+import barleyspur.sim.Adapter;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
 
 /** The sub-commands. */
 final class Cli {
 
     /** No exit code: the process goes on in its other threads. */
     static final int RUNNING = -1;
-    private static final int OK = 0;
-    private static final int FAILED = 1;
-    private static final int USAGE = 2;
 
     private static final String HELP = """
-        usage: barleyspur COMMAND [--help]
+        usage: barleyspur COMMAND [OPTIONS]
           serve     run one doorman, as RELAY_CONFIG says, until SIGTERM; SIGHUP rereads it
           check     read and check the configuration that RELAY_CONFIG names
+          expect    check routing expectations against a configuration, without traffic
+          explain   replay a counterexample that expect has written
           rehearse  start and end a doorman that plays made-up requests to itself; the build records its classes
           simhost   run the decisions on the simulator's wire, on standard input and output
           version   print the version
+        barleyspur COMMAND --help tells the options of each.
         """;
 
     private Cli() { }
 
     static int run(String[] args) {
-        String command = args.length == 0 ? "" : args[0];
-        Options options = new Options().addOption("h", "help", false, "print the usage");
-        try {
-            CommandLine line = new DefaultParser().parse(options,
-                Arrays.copyOfRange(args, Math.min(1, args.length), args.length));
-            if (line.hasOption("help") || command.equals("help") || command.equals("--help")) {
-                System.out.print(HELP);
-                return OK;
-            }
-            if (!line.getArgList().isEmpty()) {
-                return usage("unexpected argument " + line.getArgList().get(0));
-            }
-        } catch (ParseException e) {
-            return usage(e.getMessage());
+        String name = args.length == 0 ? "" : args[0];
+        if (List.of("help", "--help", "-h").contains(name)) {
+            System.out.print(HELP);
+            return Command.OK;
         }
-        return switch (command) {
-            case "serve" -> serve();
-            case "check" -> check();
-            case "rehearse" -> rehearse();
-            case "simhost" -> Adapter.run(new FileInputStream(FileDescriptor.in),
-                new FileOutputStream(FileDescriptor.out));
-            case "version" -> version();
-            default -> usage(command.isEmpty() ? "a command is missing" : "unknown command " + command);
+        Command command = switch (name) {
+            case "serve" -> new Command(name, "", "Run one doorman until SIGTERM.", new Options().addOption(
+                Command.value("settings", "FILE", "an HCL file of our own settings; none: all that it could switch on "
+                    + "is off")), Cli::serve);
+            case "check" -> new Command(name, "", "Read and check the configuration that RELAY_CONFIG names.",
+                new Options().addOption(Command.value("expect", "FILE", "check it against these routing expectations "
+                    + "too")).addOption(Command.value("settings", "FILE", "check these settings of our own too")),
+                Cli::check);
+            case "expect" -> ExpectCommand.expect();
+            case "explain" -> ExpectCommand.explain();
+            case "rehearse" -> Command.of(name, "Start and end a doorman on loopback.", line -> rehearse());
+            case "simhost" -> Command.of(name, "Run the decisions on the simulator's wire, on standard input and "
+                + "output.", line -> Adapter.run(new FileInputStream(FileDescriptor.in),
+                    new FileOutputStream(FileDescriptor.out)));
+            case "version" -> Command.of(name, "Print the version.", line -> version());
+            default -> null;
         };
-    }
-
-    private static int usage(String message) {
-        System.err.println("barleyspur: " + message);
-        System.err.print(HELP);
-        return USAGE;
+        if (command == null) {
+            System.err.println("barleyspur: " + (name.isEmpty() ? "a command is missing" : "unknown command " + name));
+            System.err.print(HELP);
+            return Command.USAGE;
+        }
+        try {
+            return command.run(Arrays.asList(args).subList(1, args.length));
+        } catch (IOException e) {
+            System.err.println("barleyspur: " + e.getMessage());
+            return Command.FAILED;
+        }
     }
 
     private static int version() {
         String version = Cli.class.getPackage().getImplementationVersion();
         System.out.println("barleyspur " + (version == null ? "(not packaged)" : version));
-        return OK;
+        return Command.OK;
     }
 
-    private static int check() {
+    private static OwnSettings settings(CommandLine line) throws Command.Unusable {
         try {
-            Configuration configuration = Configuration.load(System.getenv());
-            System.out.println("configuration of " + configuration.name() + " is good");
-            return OK;
-        } catch (Configuration.Invalid e) {
-            return invalid(e);
+            return line.hasOption("settings") ? OwnSettings.load(Path.of(line.getOptionValue("settings")))
+                : OwnSettings.none();
+        } catch (Hcl.Invalid e) {
+            throw Command.Unusable.input("settings: " + e.getMessage());
         }
     }
 
-    private static int invalid(Configuration.Invalid e) {
-        System.err.println("barleyspur: configuration: " + e.getMessage());
-        return USAGE;
+    private static int check(CommandLine line) throws Command.Unusable {
+        Configuration configuration = configuration();
+        settings(line);
+        if (line.hasOption("expect")) {
+            try {
+                ExpectationCheck.require(Path.of(System.getenv("RELAY_CONFIG")), new OwnSettings.Expectations(
+                    List.of(Path.of(line.getOptionValue("expect"))), 200, 1));
+            } catch (Configuration.Invalid e) {
+                System.err.println("barleyspur: " + e.getMessage());
+                System.err.println("barleyspur: barleyspur expect " + line.getOptionValue("expect")
+                    + " tells more");
+                return Command.FAILED;
+            }
+        }
+        System.out.println("configuration of " + configuration.name() + " is good");
+        return Command.OK;
+    }
+
+    private static Configuration configuration() throws Command.Unusable {
+        try {
+            return Configuration.load(System.getenv());
+        } catch (Configuration.Invalid e) {
+            throw Command.Unusable.input("configuration: " + e.getMessage());
+        }
     }
 
-    private static int rehearse() {
+    private static int rehearse() throws Command.Unusable, IOException {
         try {
             Node node = new Node(Configuration.example());
             node.start();
             node.drain();
             node.awaitEnd();
-            return OK;
+            return Command.OK;
         } catch (Configuration.Invalid e) {
-            return invalid(e);
-        } catch (IOException | ExecutionException e) {
-            System.err.println("barleyspur: " + e.getMessage());
-            return FAILED;
+            throw Command.Unusable.input("configuration: " + e.getMessage());
+        } catch (ExecutionException e) {
+            throw new IOException(e.getMessage(), e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return FAILED;
+            return Command.FAILED;
+        }
+    }
+
+    /** The configuration of a reload: refused where it breaks what the settings expect of it. */
+    private static Configuration reread(OwnSettings settings) throws Configuration.Invalid {
+        Configuration next = Configuration.load(System.getenv());
+        if (settings.expectations() != null) {
+            ExpectationCheck.require(Path.of(System.getenv("RELAY_CONFIG")), settings.expectations());
         }
+        return next;
     }
 
-    private static int serve() {
+    private static int serve(CommandLine line) throws Command.Unusable, IOException {
+        OwnSettings settings = settings(line);
         try {
-            Node node = new Node(Configuration.load(System.getenv()));
+            Node node = new Node(configuration());
             // Before the start: unhandled, the signal would end the JVM.
-            Signals.on("HUP", () -> node.reload(() -> Configuration.load(System.getenv())));
+            Signals.on("HUP", () -> node.reload(() -> reread(settings)));
             node.start();
             // On SIGTERM the process stays until its hooks have ended, so the hook waits for the drain.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -122,14 +157,11 @@
                 }
             }, "drain"));
             return RUNNING;
-        } catch (Configuration.Invalid e) {
-            return invalid(e);
-        } catch (IOException | ExecutionException e) {
-            System.err.println("barleyspur: " + e.getMessage());
-            return FAILED;
+        } catch (ExecutionException e) {
+            throw new IOException(e.getMessage(), e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return FAILED;
+            return Command.FAILED;
         }
     }
 }
--- a/doorman/src/main/java/barleyspur/config/Configuration.java
+++ b/doorman/src/main/java/barleyspur/config/Configuration.java
@@ -32,7 +32,7 @@
     public static final class Invalid extends Exception {
         private static final long serialVersionUID = 1L;
 
-        Invalid(String message) {
+        public Invalid(String message) {
             super(message);
         }
     }
--- /dev/null
+++ b/doorman/src/main/java/barleyspur/config/ExpectationCheck.java
@@ -0,0 +1,106 @@
+package barleyspur.config;
+
+import barleyspur.expect.Checker;
+import barleyspur.expect.Load;
+import barleyspur.expect.Site;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.json.JSONException;
+import org.json.JSONObject;
+
+/** Puts a configuration and files of expectations before the checker. */
+public final class ExpectationCheck {
+
+    private final ExpectationFiles.Read read;
+    private final List<String> files;
+    private final Site site;
+    private final List<Site> fleets;
+
+    private ExpectationCheck(ExpectationFiles.Read read, List<String> files, Site site, boolean describedOnly) {
+        this.read = read;
+        this.files = files;
+        this.site = site;
+        List<Site> all = new ArrayList<>(read.fleets());
+        if (!describedOnly || all.isEmpty()) {
+            all.add(0, site);
+        }
+        this.fleets = all;
+    }
+
+    /** The fleet of a configuration file. */
+    public static Site site(Path config) throws Configuration.Invalid {
+        try {
+            return Sites.read(new JSONObject(Files.readString(config)));
+        } catch (IOException e) {
+            throw new Configuration.Invalid(config + " can't be read: " + e.getMessage());
+        } catch (JSONException e) {
+            throw new Configuration.Invalid(config + " is not JSON: " + e.getMessage());
+        } catch (Configuration.Invalid e) {
+            throw new Configuration.Invalid(config + ": " + e.getMessage());
+        }
+    }
+
+    /**
+     * Reads what is to be checked.
+     *
+     * @param describedOnly whether the fleets that files describe stand in for the configuration's own
+     */
+    public static ExpectationCheck of(Site site, List<String> files, boolean describedOnly) throws Hcl.Invalid {
+        return new ExpectationCheck(ExpectationFiles.read(files, ExpectationCheck::text, site), files, site,
+            describedOnly);
+    }
+
+    private static String text(String from, String name) throws Hcl.Invalid {
+        try {
+            return Files.readString(Path.of(name));
+        } catch (IOException e) {
+            throw new Hcl.Invalid(from.replaceFirst(":\\d+$", ""), 1, "file " + name + " can't be read: "
+                + e.getMessage());
+        }
+    }
+
+    public List<String> names() {
+        return read.expectations().stream().map(e -> e.name()).toList();
+    }
+
+    /** What the checker is given; {@code only} empty: all expectations; {@code depth} 0: as the files say. */
+    public Checker.Book book(String only, int depth) {
+        return new Checker.Book(read.expectations().stream().filter(e -> only.isEmpty() || e.name().equals(only))
+            .toList(), fleets, load(), read.cases(), depth > 0 ? depth : Math.max(1, read.depth()));
+    }
+
+    public Load load() {
+        return read.load() != null ? read.load() : Load.usual(site.any());
+    }
+
+    public List<barleyspur.expect.Case> cases() {
+        return read.cases();
+    }
+
+    /** A counterexample as the text of a trace file. */
+    public String trace(Checker.Counterexample counterexample) {
+        return Traces.write(counterexample, files, read.texts());
+    }
+
+    /** Refuses a configuration that breaks an expectation, and says which. */
+    public static void require(Path config, OwnSettings.Expectations wanted) throws Configuration.Invalid {
+        try {
+            ExpectationCheck check = of(site(config), wanted.files().stream().map(Path::toString).toList(), false);
+            int[] left = {wanted.scenarios()};
+            BooleanSupplier more = () -> left[0]-- > 0;
+            Checker.Result result = Checker.of(check.book("", 0), Checker.Progress.NONE).run(wanted.seed(), more);
+            for (Checker.Finding f : result.findings()) {
+                if (f.verdict() == Checker.Verdict.REFUTED) {
+                    throw new Configuration.Invalid("expectation \"" + f.expectation().name() + "\" ("
+                        + f.expectation().place() + ") is refuted, it held in " + f.held() + " of " + f.judged());
+                }
+            }
+        } catch (Hcl.Invalid e) {
+            throw new Configuration.Invalid(e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/doorman/src/main/java/barleyspur/expect/Comparison.java
@@ -0,0 +1,103 @@
+package barleyspur.expect;
+
+import barleyspur.decision.Decide;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+/** What changes in routing between two configurations, request by request: the same requests and events in both. */
+public final class Comparison {
+
+    /** How a client's first try went in one of the two. */
+    private record Way(String target, String source, int rank, String ending, int attempts) {
+        static final Way NONE = new Way("none", "none", 0, "none", 0);
+    }
+
+    /** One request that goes another way. */
+    public record Difference(Ask ask, String category, String what, String before, String after) { }
+
+    /**
+     * @param requests how many were compared
+     * @param changed  how many go another way
+     * @param kinds    how many changed in what
+     * @param first    the first ones
+     */
+    public record Result(long requests, long changed, Map<String, Long> kinds, List<Difference> first,
+                         long scenarios) { }
+
+    private static final int MOST_SHOWN = 20;
+
+    private Comparison() { }
+
+    /** Plays the same scenarios, of the fleet of {@code before}, with the settings of both. */
+    public static Result of(Site before, Site after, Load load, List<Case> cases, long seed, int depth,
+                            BooleanSupplier more) {
+        Explorer explorer = new Explorer(before, load, cases, seed, depth, true);
+        Map<String, Long> kinds = new LinkedHashMap<>();
+        List<Difference> first = new ArrayList<>();
+        long requests = 0;
+        long changed = 0;
+        long scenarios = 0;
+        int least = cases.size() * 4 + 1;
+        while (scenarios < least || more.getAsBoolean()) {
+            Scenario one = explorer.next().scenario();
+            scenarios++;
+            Site moved = new Site(after.name(), after.told(), settings(one.site(), after), one.site().zones(),
+                one.site().kinds(), one.site().classes(), one.site().boxes());
+            Map<Integer, Way> ways = ways(one);
+            Map<Integer, Way> others = ways(one.with(moved));
+            for (Ask a : one.asks()) {
+                Way x = ways.getOrDefault(a.number(), Way.NONE);
+                Way y = others.getOrDefault(a.number(), Way.NONE);
+                requests++;
+                if (x.equals(y)) {
+                    continue;
+                }
+                changed++;
+                String what = !x.target.equals(y.target) ? "target" : !x.source.equals(y.source) ? "source"
+                    : x.rank != y.rank ? "rank" : !x.ending.equals(y.ending) ? "answer" : "attempts";
+                kinds.merge(what, 1L, Long::sum);
+                if (first.size() < MOST_SHOWN) {
+                    first.add(new Difference(a, one.site().classes().get(a.category()), what, x.toString(),
+                        y.toString()));
+                }
+            }
+        }
+        return new Result(requests, changed, kinds, first, scenarios);
+    }
+
+    private static List<barleyspur.decision.Director.Settings> settings(Site one, Site after) {
+        return Site.of(after.name(), after.told(), after.any(), one.doormanZones(), one.zones(), one.kinds(),
+            one.classes(), one.boxes()).settings();
+    }
+
+    private static Map<Integer, Way> ways(Scenario scenario) {
+        Map<Integer, Way> ways = new LinkedHashMap<>();
+        new World(scenario, Decide::new, new Observer() {
+            @Override
+            public void moment(Moment m) {
+                int number = m.asked().ask().number();
+                if (m.asked().attempt() > 1) {
+                    return;
+                }
+                Way w = ways.getOrDefault(number, Way.NONE);
+                if (m instanceof Moment.Attempt a && a.number() == 1) {
+                    w = new Way(a.target().box().uid(), a.source() == null ? "none" : a.source().box().uid(),
+                        a.rank(), w.ending, 1);
+                } else if (m instanceof Moment.Answer a) {
+                    w = new Way(w.target, w.source, w.rank, a.ending().word(), a.attempts());
+                }
+                ways.put(number, w);
+            }
+
+            @Override
+            public void happened(double atMs, Fault fault, Box box) { }
+
+            @Override
+            public void told(double atMs, int doorman, Box box, Moment.Told told, boolean started) { }
+        }).play();
+        return ways;
+    }
+}
--- a/doorman/src/main/java/barleyspur/expect/Expectation.java
+++ b/doorman/src/main/java/barleyspur/expect/Expectation.java
@@ -16,7 +16,9 @@
                           Condition given, Form form, After after) {
 
     /** What must hold. */
-    public sealed interface Form permits Must, Never, Share, Eventually, Count { }
+    public sealed interface Form permits Must, Never, Share, Eventually, Count {
+        Condition that();
+    }
 
     /** Of each moment. */
     public record Must(Condition that) implements Form { }
@@ -27,8 +29,12 @@
     /** Of at least and at most such a share of all moments of all scenarios. */
     public record Share(Condition that, double least, double most) implements Form { }
 
-    /** Of at least one moment of each window that has lasted. */
-    public record Eventually(Condition that) implements Form { }
+    /**
+     * Of at least one moment of each window that has lasted.
+     *
+     * @param chances a window with fewer moments shows nothing
+     */
+    public record Eventually(Condition that, int chances) implements Form { }
 
     /** What a count goes by. */
     public enum Per { REQUEST, OBJECT, BOX, SCENARIO }
@@ -49,21 +55,17 @@
      * @param told     the changes of the list that open it
      * @param happens  the faults that open it
      * @param roles    of which boxes; empty: all
+     * @param own      whether only boxes of the doorman's own station count, where a doorman is told
      * @param fromMs   it begins so long after the change
      * @param byMs     and ends so long after it
      * @param until    what a doorman is told of the same box that closes it early
      */
-    public record After(Set<Moment.Told> told, boolean started, Set<Fault.Kind> happens, Set<Site.Role> roles,
+    public record After(Set<Moment.Told> told, boolean started, Set<Fault.Kind> happens, Set<Site.Role> roles, boolean own,
                         double fromMs, double byMs, Set<Moment.Told> until) { }
 
-    Condition that() {
-        return form instanceof Must f ? f.that() : form instanceof Never f ? f.that()
-            : form instanceof Share f ? f.that() : form instanceof Eventually f ? f.that() : ((Count) form).that();
-    }
-
     /** Attempts or answers; attempts where nothing tells. */
     Condition.Kind kind() {
-        Condition.Kind kind = new Condition.All(List.of(given, that())).kind();
+        Condition.Kind kind = new Condition.All(List.of(given, form.that())).kind();
         return kind == Condition.Kind.ANY ? Condition.Kind.ATTEMPT : kind;
     }
 }
--- /dev/null
+++ b/doorman/src/main/java/barleyspur/expect/Explorer.java
@@ -0,0 +1,223 @@
+package barleyspur.expect;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Says which scenarios to play: first those that files lay down, then every order of a few events in a small twin of
+ * the fleet, shortest first, then ever longer random ones in the twin and in the whole fleet, until nobody asks.
+ *
+ * <p>Equal boxes are interchangeable, so of all orders that differ only by which of them an event strikes, one is
+ * played: the one in which boxes of a sort come into play in the order of the list.
+ */
+final class Explorer {
+
+    /**
+     * One scenario to play.
+     *
+     * @param caseName of the case in the files, or empty
+     * @param events   how many
+     */
+    record Plan(Scenario scenario, String how, String caseName, int events) { }
+
+    private static final double FIRST_MS = 1_000;
+    private static final double GAP_MS = 700;
+    private static final double TOLD_MS = 300;
+    private static final double LASTS_MS = 3_000;
+    private static final double SLOWER = 6;
+    private static final double FAILING = 0.7;
+    private static final double LAG_MS = 5_000;
+    private static final int MOST_RANDOM = 12;
+    private static final int SEEDS_OF_CASES = 4;
+
+    private record Symbol(Fault.Kind kind, Box box, String sort) { }
+
+    private final Site whole;
+    private final Site twin;
+    private final Load load;
+    private final List<Case> cases;
+    private final long seed;
+    private final int depth;
+    private final boolean free;
+    private final UniformRandomProvider random;
+    private final List<Symbol> symbols = new ArrayList<>();
+    private final Map<String, List<Box>> sorts = new HashMap<>();
+    private int caseAt;
+    private int[] word = new int[0];
+    private boolean exhausted;
+    private int length;
+    private long drawn;
+    private long skipped;
+    private long played;
+
+    /**
+     * @param depth how long orders of events are that are all played
+     * @param free  whether anything but the cases is played
+     */
+    Explorer(Site site, Load load, List<Case> cases, long seed, int depth, boolean free) {
+        this.whole = site;
+        this.twin = site.twin();
+        this.load = load;
+        this.cases = cases;
+        this.seed = seed;
+        this.depth = depth;
+        this.free = free;
+        this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+        for (Box b : twin.boxes()) {
+            String sort = twin.role(b) + "/" + b.zone() + "/" + b.kind() + "/" + b.size();
+            sorts.computeIfAbsent(sort, k -> new ArrayList<>()).add(b);
+            for (Fault.Kind kind : Fault.Kind.values()) {
+                if (strikes(kind, twin.role(b))) {
+                    symbols.add(new Symbol(kind, b, sort));
+                }
+            }
+        }
+        for (int zone : new HashSet<>(twin.doormanZones())) {
+            twin.boxes().stream().filter(b -> b.zone() == zone).findFirst()
+                .ifPresent(b -> symbols.add(new Symbol(Fault.Kind.LINK, b, "link")));
+        }
+        symbols.add(new Symbol(Fault.Kind.STALE, null, ""));
+        symbols.add(new Symbol(Fault.Kind.PURGE, null, ""));
+    }
+
+    private static boolean strikes(Fault.Kind kind, Site.Role role) {
+        return switch (kind) {
+            case LINK, STALE, PURGE -> false;
+            case HANG, SLOW, FULL, FAIL -> true;
+            default -> role != Site.Role.HEAD_OFFICE;
+        };
+    }
+
+    /** What the exhaustive part has covered so far, in words. */
+    String covered() {
+        return played + " orders of up to " + (exhausted ? depth : Math.max(1, length)) + " of " + symbols.size()
+            + " events in " + twin.name() + " (" + twin.boxes().size() + " boxes, " + twin.settings().size()
+            + " doormans), " + skipped + " left out as equal or without effect"
+            + (exhausted ? ": all there are" : ": not all");
+    }
+
+    /** The next scenario; null where there are none left. */
+    Plan next() {
+        if (caseAt < cases.size() * SEEDS_OF_CASES) {
+            Case c = cases.get(caseAt / SEEDS_OF_CASES);
+            long variant = seed + caseAt % SEEDS_OF_CASES;
+            caseAt++;
+            List<Fault> faults = c.faults(whole, variant);
+            return plan(whole, faults, variant, "case " + c.name(), c.name());
+        }
+        if (!free) {
+            return null;
+        }
+        while (!exhausted) {
+            if (!advance()) {
+                exhausted = true;
+                break;
+            }
+            if (canonical()) {
+                played++;
+                return plan(twin, faults(), seed, "order", "");
+            }
+            skipped++;
+        }
+        drawn++;
+        Site site = drawn % 8 == 0 ? whole : twin;
+        return plan(site, randomFaults(site), seed + drawn, "random", "");
+    }
+
+    private Plan plan(Site site, List<Fault> faults, long variant, String how, String caseName) {
+        return new Plan(new Scenario(site, variant, load.retries(), List.copyOf(faults), load.asks(site, variant)),
+            how, caseName, faults.size());
+    }
+
+    // ---- orders ----------------------------------------------------------------------------------------
+
+    /** The next word over the symbols, shortest first; the first one is empty: nothing happens. */
+    private boolean advance() {
+        if (played + skipped == 0) {
+            return true;
+        }
+        for (int i = word.length - 1; i >= 0; i--) {
+            if (++word[i] < symbols.size()) {
+                return true;
+            }
+            word[i] = 0;
+        }
+        length = word.length + 1;
+        word = new int[length];
+        return length <= depth;
+    }
+
+    private boolean canonical() {
+        Map<String, Integer> used = new HashMap<>();
+        Set<Box> gone = new HashSet<>();
+        Set<Box> away = new HashSet<>();
+        for (int at : word) {
+            Symbol s = symbols.get(at);
+            if (s.box() == null || s.kind() == Fault.Kind.LINK) {
+                continue;
+            }
+            int place = sorts.get(s.sort()).indexOf(s.box());
+            int next = used.getOrDefault(s.sort(), 0);
+            boolean effect = !gone.contains(s.box()) && (s.kind() != Fault.Kind.RETURN || away.contains(s.box()))
+                && (s.kind() != Fault.Kind.DRAIN || !away.contains(s.box()));
+            if (place > next || !effect) {
+                return false;
+            }
+            used.put(s.sort(), Math.max(next, place + 1));
+            if (s.kind() == Fault.Kind.GONE || s.kind() == Fault.Kind.REPLACE) {
+                gone.add(s.box());
+            } else if (s.kind() == Fault.Kind.DRAIN || s.kind() == Fault.Kind.MISSING) {
+                away.add(s.box());
+            } else if (s.kind() == Fault.Kind.RETURN) {
+                away.remove(s.box());
+            }
+        }
+        return true;
+    }
+
+    private List<Fault> faults() {
+        List<Fault> faults = new ArrayList<>();
+        for (int i = 0; i < word.length; i++) {
+            Symbol s = symbols.get(word[i]);
+            faults.add(fault(s.kind(), s.box(), FIRST_MS + i * GAP_MS, TOLD_MS, LASTS_MS, 1));
+        }
+        return faults;
+    }
+
+    private Fault fault(Fault.Kind kind, Box box, double at, double told, double lasts, long object) {
+        double size = switch (kind) {
+            case SLOW -> SLOWER;
+            case FAIL -> FAILING;
+            case STALE -> LAG_MS;
+            case PURGE -> object;
+            default -> 0;
+        };
+        return new Fault(kind, box == null ? -1 : box.node(), at, told, lasts, size);
+    }
+
+    // ---- random ones -----------------------------------------------------------------------------------
+
+    private List<Fault> randomFaults(Site site) {
+        List<Fault> faults = new ArrayList<>();
+        int n = 1 + random.nextInt((int) Math.min(MOST_RANDOM, 3 + drawn / 8));
+        for (int i = 0; i < n; i++) {
+            Symbol s = symbols.get(random.nextInt(symbols.size()));
+            Box box = s.box();
+            if (box != null && site != twin) {
+                List<Box> same = site.boxes().stream().filter(b -> site.role(b) == twin.role(s.box())).toList();
+                box = same.get(random.nextInt(same.size()));
+            }
+            faults.add(fault(s.kind(), box, random.nextDouble() * load.lengthMs() * 0.8,
+                100 + random.nextDouble() * random.nextDouble() * 4_700, 500 + random.nextDouble() * 7_500,
+                1 + random.nextInt(Math.max(1, load.hot()))));
+        }
+        faults.sort((a, b) -> Double.compare(a.atMs(), b.atMs()));
+        return faults;
+    }
+}
--- a/doorman/src/main/java/barleyspur/expect/Judge.java
+++ b/doorman/src/main/java/barleyspur/expect/Judge.java
@@ -46,6 +46,7 @@
         double by;
         boolean met;
         boolean cut;
+        int moments;
 
         Window(int doorman, long node, double from, double by) {
             this.doorman = doorman;
@@ -97,7 +98,8 @@
         lastAt = atMs;
         for (int i = 0; i < expectations.size(); i++) {
             Expectation.After after = expectations.get(i).after();
-            if (after == null || !covers(after, box)) {
+            boolean here = after != null && (!after.own() || site.settings().get(doorman).zone() == box.zone());
+            if (!here || !covers(after, box)) {
                 continue;
             }
             if (after.until().contains(told)) {
@@ -152,14 +154,15 @@
             return;
         }
         Tally t = tallies.get(i);
-        boolean that = e.that().holds(moment, trigger);
+        boolean that = e.form().that().holds(moment, trigger);
         Expectation.Form form = e.form();
         if (form instanceof Expectation.Must || form instanceof Expectation.Share) {
-            note(i, that, moment, that ? null : e.that().broken(moment, trigger), "does not hold");
+            note(i, that, moment, that ? null : e.form().that().broken(moment, trigger), "does not hold");
         } else if (form instanceof Expectation.Never) {
-            note(i, !that, moment, that ? new Condition.Not(e.that()).broken(moment, trigger) : null,
+            note(i, !that, moment, that ? new Condition.Not(e.form().that()).broken(moment, trigger) : null,
                 "must never hold");
         } else if (form instanceof Expectation.Eventually) {
+            window.moments++;
             window.met |= that;
         } else if (form instanceof Expectation.Count c && that) {
             t.judged++;
@@ -172,7 +175,9 @@
         Tally t = tallies.get(i);
         t.judged++;
         t.held += holds ? 1 : 0;
-        said[i] = holds && (said[i] == null || said[i]);
+        if (!(expectations.get(i).form() instanceof Expectation.Share)) {
+            said[i] = holds && (said[i] == null || said[i]);
+        }
         if (!holds && t.first == null) {
             t.first = new Violation(expectations.get(i), moment.atMs(), moment, broken, what);
         }
@@ -218,14 +223,14 @@
         for (int i = 0; i < expectations.size(); i++) {
             Expectation e = expectations.get(i);
             Tally t = tallies.get(i);
-            if (e.form() instanceof Expectation.Eventually) {
+            if (e.form() instanceof Expectation.Eventually ev) {
                 for (Window w : windows.get(i)) {
-                    // A window that was closed early, or that the play did not outlast, shows nothing.
-                    if (w.met || !w.cut && w.by <= lastAt) {
+                    // A window that was closed early, that the play did not outlast or with few chances shows nothing.
+                    if (w.met || !w.cut && w.by <= lastAt && w.moments >= ev.chances()) {
                         t.judged++;
                         t.held += w.met ? 1 : 0;
                         if (!w.met && t.first == null) {
-                            t.first = new Violation(e, w.by, null, null, "nothing of the kind came in time");
+                            t.first = new Violation(e, w.by, null, null, "nothing of the kind in " + w.moments + " moments");
                         }
                     }
                 }
