--- a/deploy/expectations.hcl
+++ b/deploy/expectations.hcl
@@ -2,6 +2,16 @@
 #   barleyspur expect --config CONFIG.json deploy/expectations.hcl
 # The figures (drain_grace, fall_span, ...) are the configuration's own. docs/EXPECTATIONS.md describes the language.
 
+load "usual" {
+  utilisation = 0.5
+}
+
+load "rush" {
+  utilisation = 1.2
+  requests    = 1200
+  length      = "5s"
+}
+
 # ---- rule 1: every request gets one answer, in time ----
 
 expectation "answered in time" {
@@ -169,6 +179,26 @@
   }
 }
 
+case "calm" {
+}
+
+expectation "one home for an object" {
+  about = "While all are well, an object's fills meet at one district cache, from all stations and doormans."
+  cases = ["calm"]
+  loads = ["usual"]
+  given {
+    request { write = false }
+    attempt { number = 1 }
+  }
+  count {
+    of      = "sources"
+    per     = "object"
+    at_most = 1
+    attempt { fill = true }
+    source { kind = "district" }
+  }
+}
+
 expectation "parent_home" {
   about = "An object's fills meet at one district cache from all stations: the head office serves few of them by itself."
   given {
--- a/doorman/src/main/java/barleyspur/cli/ExpectCommand.java
+++ b/doorman/src/main/java/barleyspur/cli/ExpectCommand.java
@@ -202,7 +202,7 @@
             throw Command.Unusable.input(configs[1] + ": key settings.grades has other classes than " + configs[0]
                 + ": requests can't be compared");
         }
-        Comparison.Result r = Comparison.of(before, after, check.load(), check.cases(),
+        Comparison.Result r = Comparison.of(before, after, check.loads(), check.cases(),
             Command.number(line, "seed", 1, 0, Long.MAX_VALUE / 64), check.book("", 0).depth(), more(line));
         for (Comparison.Difference d : r.first()) {
             OUT.printf(Locale.ROOT, "request %d at %.0f ms (%s, object %x, part %d): other %s%n  before: %s%n  after:  %s%n",
--- a/doorman/src/main/java/barleyspur/config/ExpectationCheck.java
+++ b/doorman/src/main/java/barleyspur/config/ExpectationCheck.java
@@ -70,11 +70,12 @@
     /** What the checker is given; {@code only} empty: all expectations; {@code depth} 0: as the files say. */
     public Checker.Book book(String only, int depth) {
         return new Checker.Book(read.expectations().stream().filter(e -> only.isEmpty() || e.name().equals(only))
-            .toList(), fleets, load(), read.cases(), depth > 0 ? depth : Math.max(1, read.depth()));
+            .toList(), fleets, loads(), read.cases(), depth > 0 ? depth : Math.max(1, read.depth()));
     }
 
-    public Load load() {
-        return read.load() != null ? read.load() : Load.usual(site.any());
+    /** The loads that files lay down, or the usual one. */
+    public List<Load> loads() {
+        return read.loads().isEmpty() ? List.of(Load.usual(site.any())) : read.loads();
     }
 
     public List<barleyspur.expect.Case> cases() {
--- a/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
+++ b/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
@@ -39,11 +39,11 @@
      * What the files say.
      *
      * @param fleets described fleets, to be checked beside the configuration's own
-     * @param load   the load to play, or null for the usual one
+     * @param loads  the loads to play at, one after another
      * @param depth  how long orders of events are that are all played; 0: not said
      * @param texts  the files' texts by name, for traces
      */
-    public record Read(List<Expectation> expectations, List<Site> fleets, Load load, List<Case> cases, int depth,
+    public record Read(List<Expectation> expectations, List<Site> fleets, List<Load> loads, List<Case> cases, int depth,
                        Map<String, String> texts) { }
 
     private static final String OWN_FLEET = "configuration";
@@ -57,7 +57,7 @@
     private final List<Site> fleets = new ArrayList<>();
     private final List<Case> cases = new ArrayList<>();
     private final List<Expectation> expectations = new ArrayList<>();
-    private Load load;
+    private final List<Load> loads = new ArrayList<>();
     private int depth;
 
     private ExpectationFiles(Texts texts, Site site) {
@@ -77,7 +77,7 @@
             reader.file(name, name);
         }
         reader.understand();
-        return new Read(List.copyOf(reader.expectations), List.copyOf(reader.fleets), reader.load,
+        return new Read(List.copyOf(reader.expectations), List.copyOf(reader.fleets), List.copyOf(reader.loads),
             List.copyOf(reader.cases), reader.depth, reader.read);
     }
 
@@ -143,10 +143,7 @@
                 cases.add(aCase(b));
             }
             for (Hcl.Block b : root.blocks("load")) {
-                if (load != null) {
-                    throw b.invalid("stands twice: all is played at one load");
-                }
-                load = load(b);
+                loads.add(load(b));
             }
             for (Hcl.Block b : root.blocks("explore")) {
                 depth = (int) figure(b, "depth", 1, 1, 6);
@@ -255,9 +252,6 @@
             e.close(List.of());
         }
         b.close(List.of("event"));
-        if (steps.isEmpty()) {
-            throw b.invalid("has no event");
-        }
         return new Case(b.label(), steps);
     }
 
@@ -281,6 +275,7 @@
         fleetNames.add(OWN_FLEET);
         Set<String> inFleets = namesOf(b, "fleets", fleetNames);
         Set<String> inCases = namesOf(b, "cases", cases.stream().map(Case::name).toList());
+        Set<String> atLoads = namesOf(b, "loads", loads.stream().map(Load::name).toList());
         List<Condition> given = new ArrayList<>();
         for (Hcl.Block g : b.blocks("given")) {
             given.add(condition(g));
@@ -304,8 +299,8 @@
         if (form instanceof Expectation.Eventually && after == null) {
             throw b.invalid("\"" + b.label() + "\" wants a block after: since when must it come?");
         }
-        Expectation e = new Expectation(b.label(), about, b.place(), inFleets, inCases, new Condition.All(given), form,
-            after);
+        Expectation e = new Expectation(b.label(), about, b.place(), inFleets, inCases, atLoads,
+            new Condition.All(given), form, after);
         kinds(b, e);
         return e;
     }
--- a/doorman/src/main/java/barleyspur/config/Traces.java
+++ b/doorman/src/main/java/barleyspur/config/Traces.java
@@ -49,7 +49,7 @@
             asks.put(new JSONArray(List.of(a.number(), a.atMs(), a.doorman(), a.category(), a.object(), a.set(),
                 a.part(), a.group(), a.sizeKb(), a.remainingMs(), a.leavesMs())));
         }
-        json.put("boxes", boxes).put("events", faults).put("requests", asks).put("seed", s.seed())
+        json.put("mean_work", new JSONArray(s.meanWork())).put("boxes", boxes).put("events", faults).put("requests", asks).put("seed", s.seed())
             .put("retries", s.retries());
         return json.toString(1);
     }
@@ -86,7 +86,9 @@
                 asks.add(new Ask(a.getInt(0), a.getDouble(1), a.getInt(2), a.getInt(3), a.getLong(4), a.getString(5),
                     a.getInt(6), a.getInt(7), a.getDouble(8), a.getDouble(9), a.getDouble(10)));
             }
-            Scenario scenario = new Scenario(site, json.getLong("seed"), json.getInt("retries"), faults, asks);
+            Scenario scenario = new Scenario(site, json.getLong("seed"), json.getInt("retries"),
+                json.getJSONArray("mean_work").toList().stream().map(w -> ((Number) w).doubleValue()).toList(), faults,
+                asks);
             return new Trace(scenario, expectation(file, json, site));
         } catch (JSONException | IllegalArgumentException | ClassCastException e) {
             throw new Hcl.Invalid(file, 1, "is no trace: " + e.getMessage());
--- a/doorman/src/main/java/barleyspur/expect/Checker.java
+++ b/doorman/src/main/java/barleyspur/expect/Checker.java
@@ -12,7 +12,7 @@
 public final class Checker {
 
     /** What is to be checked: expectations, and where. */
-    public record Book(List<Expectation> expectations, List<Site> fleets, Load load, List<Case> cases, int depth) { }
+    public record Book(List<Expectation> expectations, List<Site> fleets, List<Load> loads, List<Case> cases, int depth) { }
 
     /** How it went with one expectation. */
     public enum Verdict {
@@ -110,9 +110,9 @@
     public Result run(long seed, BooleanSupplier more) {
         List<Explorer> explorers = new ArrayList<>();
         for (Site site : book.fleets()) {
-            explorers.add(new Explorer(site, book.load(), book.cases(), seed, book.depth(), true));
+            explorers.add(new Explorer(site, book.loads(), book.cases(), seed, book.depth(), true));
         }
-        int least = book.cases().size() * 4 + 1;
+        int least = (book.cases().size() * Explorer.VARIANTS + 1) * book.loads().size();
         boolean over = false;
         for (int round = 0; !over; round++) {
             for (int i = 0; i < explorers.size() && !over; i++) {
@@ -136,7 +136,8 @@
         List<Integer> places = new ArrayList<>();
         for (int i = 0; i < book.expectations().size(); i++) {
             Expectation e = book.expectations().get(i);
-            if (speaksOf(e.fleets(), fleet.name()) && speaksOf(e.cases(), plan.caseName())) {
+            if (speaksOf(e.fleets(), fleet.name()) && speaksOf(e.cases(), plan.caseName())
+                && speaksOf(e.loads(), plan.loadName())) {
                 about.add(e);
                 places.add(i);
             }
--- a/doorman/src/main/java/barleyspur/expect/Comparison.java
+++ b/doorman/src/main/java/barleyspur/expect/Comparison.java
@@ -32,15 +32,15 @@
     private Comparison() { }
 
     /** Plays the same scenarios, of the fleet of {@code before}, with the settings of both. */
-    public static Result of(Site before, Site after, Load load, List<Case> cases, long seed, int depth,
+    public static Result of(Site before, Site after, List<Load> loads, List<Case> cases, long seed, int depth,
                             BooleanSupplier more) {
-        Explorer explorer = new Explorer(before, load, cases, seed, depth, true);
+        Explorer explorer = new Explorer(before, loads, cases, seed, depth, true);
         Map<String, Long> kinds = new LinkedHashMap<>();
         List<Difference> first = new ArrayList<>();
         long requests = 0;
         long changed = 0;
         long scenarios = 0;
-        int least = cases.size() * 4 + 1;
+        int least = (cases.size() * Explorer.VARIANTS + 1) * loads.size();
         while (scenarios < least || more.getAsBoolean()) {
             Scenario one = explorer.next().scenario();
             scenarios++;
--- a/doorman/src/main/java/barleyspur/expect/Expectation.java
+++ b/doorman/src/main/java/barleyspur/expect/Expectation.java
@@ -8,12 +8,14 @@
  *
  * @param name  unique among all that are checked together
  * @param place where it stands, as {@code FILE:LINE}
- * @param fleets, cases the fleets and cases it speaks of by name; empty: all
+ * @param fleets of which fleets it speaks, by name; empty: of all
+ * @param cases  of which cases, likewise
+ * @param loads  at which loads, likewise
  * @param given which moments it speaks of
  * @param after the change that opens a window for it, or null: it speaks of all moments
  */
 public record Expectation(String name, String about, String place, Set<String> fleets, Set<String> cases,
-                          Condition given, Form form, After after) {
+                          Set<String> loads, Condition given, Form form, After after) {
 
     /** What must hold. */
     public sealed interface Form permits Must, Never, Share, Eventually, Count {
--- a/doorman/src/main/java/barleyspur/expect/Explorer.java
+++ b/doorman/src/main/java/barleyspur/expect/Explorer.java
@@ -22,9 +22,8 @@
      * One scenario to play.
      *
      * @param caseName of the case in the files, or empty
-     * @param events   how many
      */
-    record Plan(Scenario scenario, String how, String caseName, int events) { }
+    record Plan(Scenario scenario, String caseName, String loadName) { }
 
     private static final double FIRST_MS = 1_000;
     private static final double GAP_MS = 700;
@@ -34,13 +33,14 @@
     private static final double FAILING = 0.7;
     private static final double LAG_MS = 5_000;
     private static final int MOST_RANDOM = 12;
-    private static final int SEEDS_OF_CASES = 4;
+    /** How often each case is played at each load. */
+    static final int VARIANTS = 3;
 
     private record Symbol(Fault.Kind kind, Box box, String sort) { }
 
     private final Site whole;
     private final Site twin;
-    private final Load load;
+    private final List<Load> loads;
     private final List<Case> cases;
     private final long seed;
     private final int depth;
@@ -49,6 +49,7 @@
     private final List<Symbol> symbols = new ArrayList<>();
     private final Map<String, List<Box>> sorts = new HashMap<>();
     private int caseAt;
+    private int loadAt;
     private int[] word = new int[0];
     private boolean exhausted;
     private int length;
@@ -60,10 +61,10 @@
      * @param depth how long orders of events are that are all played
      * @param free  whether anything but the cases is played
      */
-    Explorer(Site site, Load load, List<Case> cases, long seed, int depth, boolean free) {
+    Explorer(Site site, List<Load> loads, List<Case> cases, long seed, int depth, boolean free) {
         this.whole = site;
         this.twin = site.twin();
-        this.load = load;
+        this.loads = loads;
         this.cases = cases;
         this.seed = seed;
         this.depth = depth;
@@ -104,16 +105,19 @@
 
     /** The next scenario; null where there are none left. */
     Plan next() {
-        if (caseAt < cases.size() * SEEDS_OF_CASES) {
-            Case c = cases.get(caseAt / SEEDS_OF_CASES);
-            long variant = seed + caseAt % SEEDS_OF_CASES;
+        if (caseAt < cases.size() * VARIANTS * loads.size()) {
+            Case c = cases.get(caseAt / loads.size() / VARIANTS);
+            long variant = seed + caseAt / loads.size() % VARIANTS;
+            Load load = loads.get(caseAt % loads.size());
             caseAt++;
-            List<Fault> faults = c.faults(whole, variant);
-            return plan(whole, faults, variant, "case " + c.name(), c.name());
+            return plan(whole, load, c.faults(whole, variant), variant, c.name());
         }
         if (!free) {
             return null;
         }
+        if (loadAt > 0 && !exhausted) {
+            return order();
+        }
         while (!exhausted) {
             if (!advance()) {
                 exhausted = true;
@@ -121,18 +125,26 @@
             }
             if (canonical()) {
                 played++;
-                return plan(twin, faults(), seed, "order", "");
+                return order();
             }
             skipped++;
         }
         drawn++;
         Site site = drawn % 8 == 0 ? whole : twin;
-        return plan(site, randomFaults(site), seed + drawn, "random", "");
+        Load load = loads.get((int) (drawn % loads.size()));
+        return plan(site, load, randomFaults(site, load), seed + drawn, "");
+    }
+
+    /** The order at hand, at one load after another. */
+    private Plan order() {
+        Load load = loads.get(loadAt);
+        loadAt = (loadAt + 1) % loads.size();
+        return plan(twin, load, faults(), seed, "");
     }
 
-    private Plan plan(Site site, List<Fault> faults, long variant, String how, String caseName) {
-        return new Plan(new Scenario(site, variant, load.retries(), List.copyOf(faults), load.asks(site, variant)),
-            how, caseName, faults.size());
+    private static Plan plan(Site site, Load load, List<Fault> faults, long variant, String caseName) {
+        return new Plan(Scenario.of(site, variant, load.retries(), faults, load.asks(site, variant)), caseName,
+            load.name());
     }
 
     // ---- orders ----------------------------------------------------------------------------------------
@@ -203,7 +215,7 @@
 
     // ---- random ones -----------------------------------------------------------------------------------
 
-    private List<Fault> randomFaults(Site site) {
+    private List<Fault> randomFaults(Site site, Load load) {
         List<Fault> faults = new ArrayList<>();
         int n = 1 + random.nextInt((int) Math.min(MOST_RANDOM, 3 + drawn / 8));
         for (int i = 0; i < n; i++) {
--- a/doorman/src/main/java/barleyspur/expect/Load.java
+++ b/doorman/src/main/java/barleyspur/expect/Load.java
@@ -45,7 +45,7 @@
         for (Director.RequestClass c : settings.classes()) {
             classes.add(c.write() ? new OfClass(0.04, 5) : c.parts() ? new OfClass(0.55, 330) : new OfClass(0.41, 55));
         }
-        return new Load("usual", 0.5, 9_000, 800, 200, 8, 0.08, 3, classes);
+        return new Load("usual", 0.5, 9_000, 800, 2_000, 20, 0.08, 3, classes);
     }
 
     /** Draws the requests for a site. */
--- a/doorman/src/main/java/barleyspur/expect/World.java
+++ b/doorman/src/main/java/barleyspur/expect/World.java
@@ -5,6 +5,7 @@
 import barleyspur.decision.Director.Result;
 import barleyspur.decision.Director.State;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -98,7 +99,7 @@
     private final int[] runs;
     private double staleUntil;
     private double staleBy;
-    private double slack;
+    private final double slack;
     private double now;
     private long order;
     private long lastId;
@@ -113,9 +114,9 @@
         int most = 0;
         for (Ask a : scenario.asks()) {
             most = Math.max(most, a.number() + 1);
-            // What the rule calls a little slack for chance: three of the largest requests.
-            slack = Math.max(slack, 3 * a.sizeKb() / site.any().paceKbPerMs());
         }
+        // What the rule calls a little slack for chance: three requests of the class that is longest to send.
+        slack = 3 * Collections.max(scenario.meanWork());
         runs = new int[most];
         for (Box b : site.boxes()) {
             plants.put(b.node(), plant(b));
@@ -486,7 +487,7 @@
         }
         Plant p = s.target;
         double work = t.ask.sizeKb() / d.settings.paceKbPerMs();
-        p.reach(now, work, knows(d, p));
+        p.reach(now, scenario.meanWork().get(t.ask.category()), knows(d, p));
         if (!p.running || s.life != p.life) {
             at(now + WAY_MS, () -> back(t, number, Result.CONNECT_FAILED, Note.NONE, Double.NaN));
         } else if (now < p.hangsUntil) {
@@ -529,9 +530,8 @@
 
     private void fill(Doorman d, Try t, int number, Sent s, int rank, Plant.Part part, double sending) {
         Plant from = s.source;
-        double work = t.ask.sizeKb() / d.settings.paceKbPerMs();
         boolean cut = now < linkLostUntil.getOrDefault(s.target.box.zone(), 0.0);
-        from.reach(now, work, knows(d, from));
+        from.reach(now, scenario.meanWork().get(t.ask.category()), knows(d, from));
         if (cut || from.running && now < from.hangsUntil) {
             at(now + FILL_TIMEOUT_MS, () -> back(t, number, Result.FULL, Note.SOURCE_FAILED, Double.NaN));
         } else if (!from.running) {
