Show expectations on examples that are wrong on purpose, and at 10,000 boxes

Need: a user starts from a wrong configuration; settings can be wrong without any request showing it. Measured: each wrong example is caught with its message in 60 scenarios.

--- a/deploy/expectations.hcl
+++ b/deploy/expectations.hcl
@@ -135,21 +135,6 @@
   must { source { pressure = "<= 1" } }
 }
 
-expectation "a cold box is spared from the start" {
-  about = "From a tenth of a second after the news, a box that has just started is not sent all it would get warm."
-  after {
-    told   = "started"
-    kind   = "district"
-    from   = "50ms"
-    within = "1s"
-  }
-  given { attempt { fill = true } }
-  share {
-    at_most = "30%"
-    source { same = true }
-  }
-}
-
 # ---- rule 5: purges ----
 
 expectation "no copy from before a purge is asked for" {
--- a/doorman/src/main/java/barleyspur/cli/Cli.java
+++ b/doorman/src/main/java/barleyspur/cli/Cli.java
@@ -92,13 +92,16 @@
         Configuration configuration = configuration();
         settings(line);
         if (line.hasOption("expect")) {
+            List<String> broken;
             try {
-                ExpectationCheck.require(Path.of(System.getenv("RELAY_CONFIG")), new OwnSettings.Expectations(
-                    List.of(Path.of(line.getOptionValue("expect"))), 200, 1));
-            } catch (Configuration.Invalid e) {
-                System.err.println("barleyspur: " + e.getMessage());
-                System.err.println("barleyspur: barleyspur expect " + line.getOptionValue("expect")
-                    + " tells more");
+                broken = ExpectationCheck.broken(Path.of(System.getenv("RELAY_CONFIG")),
+                    new OwnSettings.Expectations(List.of(Path.of(line.getOptionValue("expect"))), 200, 1));
+            } catch (Configuration.Invalid | Hcl.Invalid e) {
+                throw Command.Unusable.input(e.getMessage());
+            }
+            if (!broken.isEmpty()) {
+                broken.forEach(b -> System.err.println("barleyspur: " + b));
+                System.err.println("barleyspur: barleyspur expect " + line.getOptionValue("expect") + " tells more");
                 return Command.FAILED;
             }
         }
--- a/doorman/src/main/java/barleyspur/cli/ExpectCommand.java
+++ b/doorman/src/main/java/barleyspur/cli/ExpectCommand.java
@@ -6,10 +6,10 @@
 import barleyspur.config.Traces;
 import barleyspur.expect.Checker;
 import barleyspur.expect.Comparison;
+import barleyspur.expect.Expectation;
 import barleyspur.expect.Site;
 import barleyspur.expect.Story;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,7 +29,6 @@
     private static final double PROGRESS_S = 2;
     /** Steps of a counterexample that are printed; explain tells all. */
     private static final int MOST_STEPS = 40;
-    private static final PrintStream OUT = System.out;
 
     private ExpectCommand() { }
 
@@ -118,12 +117,12 @@
             report.put(print(f, check, folder));
         }
         for (Checker.Conflict c : result.conflicts()) {
-            OUT.printf("warning: \"%s\" (%s) and \"%s\" (%s) contradict each other: of %d moments that both speak of, "
-                + "none met both%n", c.one().name(), c.one().place(), c.other().name(), c.other().place(),
+            System.out.printf("warning: \"%s\" (%s) and \"%s\" (%s) contradict each other or one is always broken: "
+                + "of %d moments that both speak of, none met both%n", c.one().name(), c.one().place(), c.other().name(), c.other().place(),
                 c.moments());
         }
-        result.covered().forEach(c -> OUT.println("covered: " + c));
-        OUT.printf(Locale.ROOT, "played: %d scenarios, %d requests, %d events decided, in %.1f s%n",
+        result.covered().forEach(c -> System.out.println("covered: " + c));
+        System.out.printf(Locale.ROOT, "played: %d scenarios, %d requests, %d events decided, in %.1f s%n",
             result.scenarios(), result.requests(), result.decisions(), seconds);
         if (line.hasOption("json")) {
             JSONObject json = new JSONObject().put("expectations", report).put("scenarios", result.scenarios())
@@ -156,21 +155,25 @@
     }
 
     private static JSONObject print(Checker.Finding f, ExpectationCheck check, Path folder) throws IOException {
-        OUT.printf("%-8s \"%s\" (%s): held in %d of %d%n", f.verdict().word(), f.expectation().name(),
+        System.out.printf("%-8s \"%s\" (%s): held in %d of %d%n", f.verdict().word(), f.expectation().name(),
             f.expectation().place(), f.held(), f.judged());
         JSONObject json = new JSONObject().put("name", f.expectation().name()).put("place", f.expectation().place())
             .put("verdict", f.verdict().word()).put("judged", f.judged()).put("held", f.held());
         Checker.Counterexample c = f.counterexample();
         if (f.verdict() == Checker.Verdict.VACUOUS) {
-            OUT.println("  nothing that was played met it: is it about a class, state or event that does not occur?");
+            System.out.println("  nothing that was played met it: is it about a class, state or event that does not occur?");
+        }
+        if (f.expectation().form() instanceof Expectation.Figures figures) {
+            figures.broken().forEach(b -> System.out.printf(Locale.ROOT, "  %s: settings.%s does not hold; it is %s%n",
+                b.place(), b.text(), b.value()));
         }
         if (c == null) {
             return json;
         }
-        OUT.printf("  found in scenario %d with %d events, %d requests and %d boxes; now %d, %d and %d, after %d plays%n",
+        System.out.printf("  found in scenario %d with %d events, %d requests and %d boxes; now %d, %d and %d, after %d plays%n",
             f.refutedAtScenario(), c.foundEvents(), c.foundRequests(), c.foundBoxes(), c.scenario().faults().size(),
             c.scenario().asks().size(), c.scenario().site().boxes().size(), c.plays());
-        OUT.println("  " + Story.fleet(c.scenario().site()));
+        System.out.println("  " + Story.fleet(c.scenario().site()));
         List<Story.Step> steps = Story.of(c.scenario(), f.expectation());
         int end = steps.size();
         while (end > 0 && !steps.get(end - 1).broken()) {
@@ -178,15 +181,15 @@
         }
         int from = Math.max(0, end - MOST_STEPS);
         if (from > 0) {
-            OUT.println("  the first " + from + " steps are left out here");
+            System.out.println("  the first " + from + " steps are left out here");
         }
         for (Story.Step step : steps.subList(from, end)) {
-            OUT.printf(Locale.ROOT, "  %9.1f ms  %s%n", step.atMs(), step.text());
+            System.out.printf(Locale.ROOT, "  %9.1f ms  %s%n", step.atMs(), step.text());
         }
         Path file = folder.resolve(f.expectation().name().replaceAll("[^A-Za-z0-9_-]+", "-") + ".trace.json");
         Files.createDirectories(folder);
         Files.writeString(file, check.trace(c));
-        OUT.println("  replay it: barleyspur explain " + file);
+        System.out.println("  replay it: barleyspur explain " + file);
         return json.put("trace", file.toString()).put("scenario", f.refutedAtScenario())
             .put("events", c.scenario().faults().size()).put("requests", c.scenario().asks().size())
             .put("boxes", c.scenario().site().boxes().size());
@@ -205,11 +208,11 @@
         Comparison.Result r = Comparison.of(before, after, check.loads(), check.cases(),
             Command.number(line, "seed", 1, 0, Long.MAX_VALUE / 64), check.book("", 0).depth(), more(line));
         for (Comparison.Difference d : r.first()) {
-            OUT.printf(Locale.ROOT, "request %d at %.0f ms (%s, object %x, part %d): other %s%n  before: %s%n  after:  %s%n",
+            System.out.printf(Locale.ROOT, "request %d at %.0f ms (%s, object %x, part %d): other %s%n  before: %s%n  after:  %s%n",
                 d.ask().number(), d.ask().atMs(), d.category(), d.ask().object(), d.ask().part(), d.what(), d.before(),
                 d.after());
         }
-        OUT.printf("%d of %d requests go another way in %d scenarios: %s%n", r.changed(), r.requests(), r.scenarios(),
+        System.out.printf("%d of %d requests go another way in %d scenarios: %s%n", r.changed(), r.requests(), r.scenarios(),
             r.kinds());
         return r.changed() == 0 ? Command.OK : Command.FAILED;
     }
@@ -227,16 +230,16 @@
         } catch (Hcl.Invalid e) {
             throw Command.Unusable.input(e.getMessage());
         }
-        OUT.println(Story.fleet(trace.scenario().site()));
+        System.out.println(Story.fleet(trace.scenario().site()));
         boolean broken = false;
         for (Story.Step step : Story.of(trace.scenario(), trace.expectation())) {
-            OUT.printf(Locale.ROOT, "%9.1f ms  %s%n", step.atMs(), step.text());
+            System.out.printf(Locale.ROOT, "%9.1f ms  %s%n", step.atMs(), step.text());
             broken |= step.broken();
             if (line.hasOption("step") && System.in.read() < 0) {
                 break;
             }
         }
-        OUT.println(broken ? "\"" + trace.expectation().name() + "\" does not hold"
+        System.out.println(broken ? "\"" + trace.expectation().name() + "\" does not hold"
             : "\"" + trace.expectation().name() + "\" holds here");
         return broken ? Command.FAILED : Command.OK;
     }
--- a/doorman/src/main/java/barleyspur/config/ExpectationCheck.java
+++ b/doorman/src/main/java/barleyspur/config/ExpectationCheck.java
@@ -87,18 +87,29 @@
         return Traces.write(counterexample, files, read.texts());
     }
 
-    /** Refuses a configuration that breaks an expectation, and says which. */
+    /** The expectations that a configuration breaks, a line each; throws where they or it can't be read. */
+    public static List<String> broken(Path config, OwnSettings.Expectations wanted)
+        throws Configuration.Invalid, Hcl.Invalid {
+        ExpectationCheck check = of(site(config), wanted.files().stream().map(Path::toString).toList(), false);
+        int[] left = {wanted.scenarios()};
+        BooleanSupplier more = () -> left[0]-- > 0;
+        List<String> broken = new ArrayList<>();
+        for (Checker.Finding f : Checker.of(check.book("", 0), Checker.Progress.NONE).run(wanted.seed(), more)
+            .findings()) {
+            if (f.verdict() == Checker.Verdict.REFUTED) {
+                broken.add("expectation \"" + f.expectation().name() + "\" (" + f.expectation().place()
+                    + ") is refuted: it held in " + f.held() + " of " + f.judged());
+            }
+        }
+        return broken;
+    }
+
+    /** Refuses a configuration that breaks an expectation, or with which that can't be told. */
     public static void require(Path config, OwnSettings.Expectations wanted) throws Configuration.Invalid {
         try {
-            ExpectationCheck check = of(site(config), wanted.files().stream().map(Path::toString).toList(), false);
-            int[] left = {wanted.scenarios()};
-            BooleanSupplier more = () -> left[0]-- > 0;
-            Checker.Result result = Checker.of(check.book("", 0), Checker.Progress.NONE).run(wanted.seed(), more);
-            for (Checker.Finding f : result.findings()) {
-                if (f.verdict() == Checker.Verdict.REFUTED) {
-                    throw new Configuration.Invalid("expectation \"" + f.expectation().name() + "\" ("
-                        + f.expectation().place() + ") is refuted, it held in " + f.held() + " of " + f.judged());
-                }
+            List<String> broken = broken(config, wanted);
+            if (!broken.isEmpty()) {
+                throw new Configuration.Invalid(String.join("; ", broken));
             }
         } catch (Hcl.Invalid e) {
             throw new Configuration.Invalid(e.getMessage());
--- a/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
+++ b/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
@@ -166,9 +166,9 @@
     // ---- shared things ---------------------------------------------------------------------------------
 
     private Site fleet(Hcl.Block b) throws Hcl.Invalid {
-        int stations = (int) figure(b, "stations", 1, 1, 1_000);
+        int stations = (int) figure(b, "stations", 1, 1, 10_000);
         int caches = (int) figure(b, "caches", 3, 1, 10_000);
-        int districts = (int) figure(b, "district_caches", 2, 0, 1_000);
+        int districts = (int) figure(b, "district_caches", 2, 0, 10_000);
         int offices = (int) figure(b, "head_offices", 1, 0, 8);
         int doormans = (int) figure(b, "doormans", 2, 1, 1_000);
         double size = figure(b, "size", 8, 0.1, 1e6);
@@ -269,7 +269,8 @@
 
     // ---- expectations ----------------------------------------------------------------------------------
 
-    private static final List<String> FORMS = List.of("must", "never", "share", "eventually", "count");
+    private static final List<String> FORMS = List.of("must", "never", "share", "eventually", "count",
+        "settings");
 
     private Expectation expectation(Hcl.Block b) throws Hcl.Invalid {
         String about = word(b, "about", "", null);
@@ -292,7 +293,8 @@
         known.addAll(List.of("given", "after"));
         b.close(known);
         if (types.size() != 1) {
-            throw b.invalid("\"" + b.label() + "\" wants blocks of one of must, never, share, eventually and count");
+            throw b.invalid("\"" + b.label() + "\" wants blocks of one of must, never, share, eventually, "
+                + "count and settings");
         }
         if (b.blocks("after").size() > 1 || forms.size() > 1 && !types.contains("must")) {
             throw b.invalid("\"" + b.label() + "\" may have several given and must blocks, one of all others");
@@ -328,6 +330,19 @@
                 }
                 return new Expectation.Share(condition(f), least, most);
             }
+            case "settings" -> {
+                List<Expectation.Figure> figures = new ArrayList<>();
+                for (Hcl.Value v : f.values()) {
+                    Double figure = names.get(v.key());
+                    if (figure == null) {
+                        throw v.invalid("names no figure of the settings" + Hcl.near(v.key(), names.keySet()));
+                    }
+                    figures.add(new Expectation.Figure(figure, quantity.range(v), v.place(), v.key() + " = "
+                        + v.value()));
+                }
+                f.close(List.of());
+                return new Expectation.Figures(figures);
+            }
             case "eventually" -> {
                 int chances = (int) figure(f, "chances", 20, 1, 1e6);
                 return new Expectation.Eventually(condition(f), chances);
--- a/doorman/src/main/java/barleyspur/config/Sites.java
+++ b/doorman/src/main/java/barleyspur/config/Sites.java
@@ -64,7 +64,7 @@
                         double size = t.optDouble("capacity_hint", 0);
                         boxes.put(uid, new Box(uid, next++, place(at + ".az", names.zones(), t.getString("az")),
                             place(at + ".model", names.kinds(), t.getString("model")), t.optInt("pod_group"),
-                            size > 0 ? size : SIZE, 0));
+                            size > 0 ? size : SIZE));
                     }
                 } catch (JSONException e) {
                     throw new Configuration.Invalid(at + ": " + e.getMessage());
@@ -91,13 +91,13 @@
         }
         for (int zone : stations) {
             for (int i = 1; i <= 3; i++) {
-                boxes.add(new Box("cache-" + names.zones().get(zone) + "-" + i, node++, zone, cacheKind, 0, SIZE, 0));
+                boxes.add(new Box("cache-" + names.zones().get(zone) + "-" + i, node++, zone, cacheKind, 0, SIZE));
             }
         }
         for (int i = 1; s.parentKind() >= 0 && i <= 2; i++) {
-            boxes.add(new Box("district-" + i, node++, 0, s.parentKind(), 0, 3 * SIZE * stations.size(), 0));
+            boxes.add(new Box("district-" + i, node++, 0, s.parentKind(), 0, 3 * SIZE * stations.size()));
         }
-        boxes.add(new Box("head-office-1", node, 0, s.originKind(), 0, 12 * SIZE * stations.size(), 0));
+        boxes.add(new Box("head-office-1", node, 0, s.originKind(), 0, 12 * SIZE * stations.size()));
         return boxes;
     }
 
@@ -106,7 +106,7 @@
                           List<ExpectationFiles.Box> described) {
         List<Box> boxes = new ArrayList<>();
         for (ExpectationFiles.Box b : described) {
-            boxes.add(new Box(b.uid(), boxes.size() + 1L, b.zone(), b.kind(), 0, b.size(), 0));
+            boxes.add(new Box(b.uid(), boxes.size() + 1L, b.zone(), b.kind(), 0, b.size()));
         }
         return Site.of(name, like.told(), like.any(), doormanZones, zones, like.kinds(), like.classes(), boxes);
     }
--- a/doorman/src/main/java/barleyspur/config/Traces.java
+++ b/doorman/src/main/java/barleyspur/config/Traces.java
@@ -37,8 +37,7 @@
             .put("doormans", new JSONArray(site.doormanZones())).put("settings", new JSONObject(site.told())));
         JSONArray boxes = new JSONArray();
         for (Box b : site.boxes()) {
-            boxes.put(new JSONArray(List.of(b.uid(), b.node(), b.zone(), b.kind(), b.cell(), b.size(),
-                b.startedAtMs())));
+            boxes.put(new JSONArray(List.of(b.uid(), b.node(), b.zone(), b.kind(), b.cell(), b.size())));
         }
         JSONArray faults = new JSONArray();
         for (Fault f : s.faults()) {
@@ -68,8 +67,7 @@
             List<Box> boxes = new ArrayList<>();
             for (Object o : json.getJSONArray("boxes")) {
                 JSONArray b = (JSONArray) o;
-                boxes.add(new Box(b.getString(0), b.getLong(1), b.getInt(2), b.getInt(3), b.getInt(4), b.getDouble(5),
-                    b.getDouble(6)));
+                boxes.add(new Box(b.getString(0), b.getLong(1), b.getInt(2), b.getInt(3), b.getInt(4), b.getDouble(5)));
             }
             Site site = Site.of(fleet.getString("name"), told, SettingsReader.read(told),
                 integers(fleet.getJSONArray("doormans")), texts(fleet.getJSONArray("zones")),
--- a/doorman/src/main/java/barleyspur/expect/Box.java
+++ b/doorman/src/main/java/barleyspur/expect/Box.java
@@ -9,6 +9,5 @@
  * @param kind     its model, by place in the site's names
  * @param cell     the group of boxes that drop repeats together
  * @param size     the transfers to clients that its link carries at once, over 0
- * @param startedAtMs when it last started, 0 for long ago
  */
-public record Box(String uid, long node, int zone, int kind, int cell, double size, double startedAtMs) { }
+public record Box(String uid, long node, int zone, int kind, int cell, double size) { }
--- a/doorman/src/main/java/barleyspur/expect/Checker.java
+++ b/doorman/src/main/java/barleyspur/expect/Checker.java
@@ -162,7 +162,10 @@
                 foundAt.put(place, (int) scenarios);
             }
         }
-        progress.played(scenarios, decisions, violations.size());
+        // A share is not refuted by one moment.
+        int refuted = (int) violations.values().stream()
+            .filter(v -> !(v.expectation().form() instanceof Expectation.Share)).count();
+        progress.played(scenarios, decisions, refuted);
     }
 
     private static boolean speaksOf(Set<String> names, String name) {
@@ -180,6 +183,11 @@
 
     private Finding finding(int i) {
         Expectation e = book.expectations().get(i);
+        if (e.form() instanceof Expectation.Figures f) {
+            int broken = f.broken().size();
+            return new Finding(e, broken == 0 ? Verdict.HOLDS : Verdict.REFUTED, f.figures().size(),
+                f.figures().size() - broken, 0, null);
+        }
         Judge.Tally t = totals.get(i);
         boolean refuted = violations.containsKey(i);
         if (e.form() instanceof Expectation.Share s) {
--- a/doorman/src/main/java/barleyspur/expect/Expectation.java
+++ b/doorman/src/main/java/barleyspur/expect/Expectation.java
@@ -18,7 +18,8 @@
                           Set<String> loads, Condition given, Form form, After after) {
 
     /** What must hold. */
-    public sealed interface Form permits Must, Never, Share, Eventually, Count {
+    public sealed interface Form permits Must, Never, Share, Eventually, Count,
+        Figures {
         Condition that();
     }
 
@@ -51,6 +52,22 @@
      */
     public record Count(Of of, Per per, double least, double most, Condition that) implements Form { }
 
+    /** One of the settings' figures: what it is and what it is to be. */
+    public record Figure(double value, Condition.Range wanted, String place, String text) { }
+
+    /** Of the settings themselves: nothing needs to be played. */
+    public record Figures(List<Figure> figures) implements Form {
+        @Override
+        public Condition that() {
+            return new Condition.All(List.of());
+        }
+
+        /** Those that are not what they are to be. */
+        public List<Figure> broken() {
+            return figures.stream().filter(f -> !f.wanted().matches(f.value())).toList();
+        }
+    }
+
     /**
      * A window that a change opens for the box it is about: at the doorman that was told, or at all where it happens.
      *
--- a/doorman/src/main/java/barleyspur/expect/Judge.java
+++ b/doorman/src/main/java/barleyspur/expect/Judge.java
@@ -131,7 +131,7 @@
         for (int i = 0; i < expectations.size(); i++) {
             Expectation e = expectations.get(i);
             said[i] = null;
-            if (e.kind() != kind) {
+            if (e.kind() != kind || e.form() instanceof Expectation.Figures) {
                 continue;
             }
             if (e.after() == null) {
@@ -156,11 +156,16 @@
         Tally t = tallies.get(i);
         boolean that = e.form().that().holds(moment, trigger);
         Expectation.Form form = e.form();
-        if (form instanceof Expectation.Must || form instanceof Expectation.Share) {
-            note(i, that, moment, that ? null : e.form().that().broken(moment, trigger), "does not hold");
+        if (form instanceof Expectation.Share share) {
+            // Where too many are so, one that is so shows why; else one that is not.
+            boolean shows = share.least() > 0 ? !that : that;
+            note(i, that, moment, that ? null : e.form().that().broken(moment, trigger),
+                share.least() > 0 ? "does not hold" : "holds too often", shows);
+        } else if (form instanceof Expectation.Must) {
+            note(i, that, moment, that ? null : e.form().that().broken(moment, trigger), "does not hold", !that);
         } else if (form instanceof Expectation.Never) {
             note(i, !that, moment, that ? new Condition.Not(e.form().that()).broken(moment, trigger) : null,
-                "must never hold");
+                "must never hold", that);
         } else if (form instanceof Expectation.Eventually) {
             window.moments++;
             window.met |= that;
@@ -171,14 +176,14 @@
         }
     }
 
-    private void note(int i, boolean holds, Moment moment, Condition.Test broken, String what) {
+    private void note(int i, boolean holds, Moment moment, Condition.Test broken, String what, boolean shows) {
         Tally t = tallies.get(i);
         t.judged++;
         t.held += holds ? 1 : 0;
         if (!(expectations.get(i).form() instanceof Expectation.Share)) {
             said[i] = holds && (said[i] == null || said[i]);
         }
-        if (!holds && t.first == null) {
+        if (shows && t.first == null) {
             t.first = new Violation(expectations.get(i), moment.atMs(), moment, broken, what);
         }
     }
--- a/doorman/src/main/java/barleyspur/expect/World.java
+++ b/doorman/src/main/java/barleyspur/expect/World.java
@@ -53,7 +53,7 @@
         int number;
         Director.Settings settings;
         Director director;
-        /** By node; nodes that were never told are not in it. */
+        /** By node; all that were listed at the start and of which nothing was told since are not in it. */
         final Map<Long, Entry> list = new HashMap<>();
         /** Told purges by object: when told, and the purge's own time. */
         final Map<Long, double[]> purges = new HashMap<>();
@@ -85,6 +85,9 @@
         boolean over;
     }
 
+    /** What all lists say of the boxes of the start. */
+    private static final Entry AT_START = new Entry();
+
     private final Scenario scenario;
     private final Site site;
     private final Observer observer;
@@ -104,6 +107,7 @@
     private long order;
     private long lastId;
     private long lastNode;
+    private final long lastAtStart;
     private long decisions;
 
     World(Scenario scenario, Maker maker, Observer observer) {
@@ -122,6 +126,7 @@
             plants.put(b.node(), plant(b));
             lastNode = Math.max(lastNode, b.node());
         }
+        lastAtStart = lastNode;
         for (int i = 0; i < site.settings().size(); i++) {
             Doorman d = new Doorman();
             d.number = i;
@@ -133,11 +138,13 @@
 
     private Plant plant(Box b) {
         Director.ColdRule rule = site.role(b) == Site.Role.DISTRICT ? site.any().coldParent() : site.any().coldCache();
-        Plant p = new Plant(b, site.any(), rule);
-        if (b.startedAtMs() > 0) {
-            p.startedAt = b.startedAtMs() - EPOCH;
-        }
-        return p;
+        return new Plant(b, site.any(), rule);
+    }
+
+    /** What a doorman's list says of a box; null where it never said anything. */
+    private Entry entry(Doorman d, Box b) {
+        Entry e = d.list.get(b.node());
+        return e != null || b.node() > lastAtStart ? e : AT_START;
     }
 
     /** How many events the decision modules were told. */
@@ -146,16 +153,12 @@
     }
 
     void play() {
-        for (Doorman d : doormen) {
-            List<Director.Node> nodes = new ArrayList<>();
-            for (Box b : site.boxes()) {
-                Entry e = new Entry();
-                e.startedAt = b.startedAtMs() > 0 ? b.startedAtMs() - EPOCH : Double.NaN;
-                d.list.put(b.node(), e);
-                nodes.add(node(b, State.READY, b.startedAtMs()));
-            }
-            tell(d, new Director.Members(Director.ListKind.CACHED, nodes));
+        List<Director.Node> nodes = new ArrayList<>(site.boxes().size());
+        for (Box b : site.boxes()) {
+            nodes.add(node(b, State.READY, 0));
         }
+        Director.Members start = new Director.Members(Director.ListKind.CACHED, nodes);
+        doormen.forEach(d -> tell(d, start));
         scenario.faults().forEach(f -> at(f.atMs(), () -> happen(f)));
         scenario.asks().forEach(a -> at(a.atMs(), () -> ask(a, 1, a.remainingMs())));
         for (int i = 0; !tasks.isEmpty() && i < MOST_EVENTS; i++) {
@@ -219,7 +222,7 @@
     private void replace(Plant p, Fault f) {
         end(p);
         become(p, f, Moment.Told.TERMINATED);
-        Box b = new Box(p.box.uid() + "'", ++lastNode, p.box.zone(), p.box.kind(), p.box.cell(), p.box.size(), 0);
+        Box b = new Box(p.box.uid() + "'", ++lastNode, p.box.zone(), p.box.kind(), p.box.cell(), p.box.size());
         Plant next = plant(b);
         next.start(now);
         plants.put(b.node(), next);
@@ -277,15 +280,15 @@
             case TERMINATED -> tell(d, delta(node(b, State.GONE, at)));
             case MISSING -> {
                 List<Director.Node> others = new ArrayList<>();
-                d.list.forEach((node, entry) -> {
-                    Box other = plants.get(node).box;
-                    double since = Double.isNaN(entry.startedAt) ? 0 : EPOCH + entry.startedAt;
-                    if (entry.told == Moment.Told.IN_SERVICE) {
-                        others.add(node(other, State.READY, since));
-                    } else if (entry.told == Moment.Told.TERMINATING) {
-                        others.add(node(other, State.DRAINING, since));
+                for (Plant p : plants.values()) {
+                    Entry entry = entry(d, p.box);
+                    double since = entry == null || Double.isNaN(entry.startedAt) ? 0 : EPOCH + entry.startedAt;
+                    if (entry != null && entry.told == Moment.Told.IN_SERVICE) {
+                        others.add(node(p.box, State.READY, since));
+                    } else if (entry != null && entry.told == Moment.Told.TERMINATING) {
+                        others.add(node(p.box, State.DRAINING, since));
                     }
-                });
+                }
                 tell(d, new Director.Members(Director.ListKind.FULL, others));
             }
         }
@@ -460,7 +463,7 @@
     }
 
     private Moment.Seen seen(Doorman d, Try t, Plant p) {
-        Entry e = d.list.get(p.box.node());
+        Entry e = entry(d, p.box);
         double warm = site.role(p.box) == Site.Role.DISTRICT ? d.settings.coldParent().warmAfterMs()
             : d.settings.coldCache().warmAfterMs();
         double coldFor = e != null && now - e.startedAt < warm ? now - e.startedAt : Double.NaN;
@@ -477,7 +480,7 @@
     // ---- boxes -----------------------------------------------------------------------------------------
 
     private boolean knows(Doorman d, Plant p) {
-        Entry e = d.list.get(p.box.node());
+        Entry e = entry(d, p.box);
         return e != null && e.startedAt >= p.startedAt;
     }
 
--- /dev/null
+++ b/doorman/src/test/java/barleyspur/cli/ExpectCommandTest.java
@@ -0,0 +1,136 @@
+package barleyspur.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The commands as an operator meets them: the examples' verdicts, messages and exit codes. */
+class ExpectCommandTest {
+
+    private static final String EXAMPLES = "../examples/expectations/";
+
+    @TempDir
+    private Path folder;
+
+    private record Ended(int code, String out, String err) { }
+
+    private static Ended run(String... args) {
+        PrintStream out = System.out;
+        PrintStream err = System.err;
+        ByteArrayOutputStream outBytes = new ByteArrayOutputStream();
+        ByteArrayOutputStream errBytes = new ByteArrayOutputStream();
+        try {
+            System.setOut(new PrintStream(outBytes, true, StandardCharsets.UTF_8));
+            System.setErr(new PrintStream(errBytes, true, StandardCharsets.UTF_8));
+            int code = Cli.run(args);
+            return new Ended(code, outBytes.toString(StandardCharsets.UTF_8), errBytes.toString(StandardCharsets.UTF_8));
+        } finally {
+            System.setOut(out);
+            System.setErr(err);
+        }
+    }
+
+    private Ended expect(String config, String file) {
+        return run("expect", "--cases", "60", "--traces", folder.toString(), "--config", EXAMPLES + config,
+            EXAMPLES + file);
+    }
+
+    /** Guards: the example that a new user starts from holds. */
+    @Test
+    void theStationKeepsToItsExpectations() {
+        Ended e = expect("station.json", "station.hcl");
+        assertEquals(0, e.code(), e.out() + e.err());
+        assertTrue(e.out().contains("covered: 54 orders of up to 1 of 88 events"), e.out());
+    }
+
+    /** Guards: each configuration that is wrong on purpose is caught, with what is wrong about it. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(delimiter = '|', textBlock = """
+        wrong-kind              | station.hcl:27: source.box = [d-00000a01, d-00000a02] does not hold; it is o-00000b01
+        wrong-drain-grace       | station.hcl:12: settings.drain_grace = <= patience does not hold; it is 20000.0
+        wrong-no-district-cache | station.hcl:26: source.kind = district does not hold; it is head-office
+        wrong-safe-class        | station.hcl:43: attempt.maybe_ran = true must never hold; it is true
+        wrong-attempts          | station.hcl:14: settings.most_attempts = <= 8 does not hold; it is 50.0
+        wrong-purge-grace       | station.hcl:13: settings.purge_grace = <= 1s does not hold; it is 8000.0
+        """)
+    void aWrongConfigurationIsCaught(String config, String said) {
+        Ended e = expect(config + ".json", "station.hcl");
+        assertEquals(1, e.code(), e.out() + e.err());
+        assertTrue(e.out().contains(said), e.out());
+    }
+
+    /** Guards: a wrong expectation is refuted too, and its trace tells the same each time it is replayed. */
+    @Test
+    void aCounterexampleIsReplayed() throws IOException {
+        Ended e = expect("station.json", "wrong-expectation.hcl");
+        assertEquals(1, e.code(), e.out() + e.err());
+        String trace = folder.resolve("nothing-ever-from-the-head-office.trace.json").toString();
+        Ended once = run("explain", trace);
+        assertEquals(1, once.code(), once.out() + once.err());
+        assertTrue(once.out().contains("NOT as expected by \"nothing ever from the head office\""), once.out());
+        assertEquals(once, run("explain", trace));
+        // A module that holds to it now says so: the same trace with the expectation mended.
+        String mended = Files.readString(Path.of(trace)).replace("never { source", "must { source");
+        Files.writeString(folder.resolve("mended.json"), mended);
+        assertEquals(0, run("explain", folder.resolve("mended.json").toString()).code());
+    }
+
+    /** Guards: input that can't be used ends with 2 and names file, line and key. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(delimiter = '|', textBlock = """
+        station.json | wrong-name.hcl | wrong-name.hcl:3: key stat is unknown in block target: did you mean state?
+        wrong-model.json | station.hcl | key known.cmds.0.nodes.targets.0.model names samll-box, which is unknown: did you mean small-box?
+        station.json | missing.hcl | missing.hcl
+        missing.json | station.hcl | missing.json can't be read
+        """)
+    void unusableInputIsNamed(String config, String file, String said) {
+        Ended e = expect(config, file);
+        assertEquals(2, e.code(), e.out() + e.err());
+        assertTrue(e.err().contains(said), e.err());
+    }
+
+    /** Guards: a trace that is none is turned down. */
+    @Test
+    void aTraceThatIsNone() {
+        Ended e = run("explain", EXAMPLES + "station.json");
+        assertEquals(2, e.code());
+        assertTrue(e.err().contains("key barleyspur_trace is not 1"), e.err());
+    }
+
+    /** Guards: the same configuration routes the same, and another one's differences are told by request. */
+    @Test
+    void theDifferenceOfTwoConfigurations() {
+        String station = EXAMPLES + "station.json";
+        Ended none = run("expect", "--cases", "4", "--diff", station, station, EXAMPLES + "station.hcl");
+        assertEquals(0, none.code(), none.out() + none.err());
+        assertTrue(none.out().contains("0 of "), none.out());
+        Ended some = run("expect", "--cases", "12", "--diff", station, EXAMPLES + "wrong-safe-class.json",
+            EXAMPLES + "station.hcl");
+        assertEquals(1, some.code(), some.out() + some.err());
+        assertTrue(some.out().contains("(swap-record"), some.out());
+    }
+
+    /** Guards: wrong options end with 2 and say where help is; each command has help of its own. */
+    @Test
+    void optionsAndHelp() {
+        assertEquals(2, run("expect").code());
+        assertTrue(run("expect", "--depht", "2", "x.hcl").err().contains("see barleyspur expect --help"));
+        assertTrue(run("expect", "--seed", "x", "--config", EXAMPLES + "station.json", EXAMPLES + "station.hcl").err()
+            .contains("--seed is not a whole number"));
+        for (String command : new String[] {"serve", "check", "expect", "explain", "rehearse", "simhost", "version"}) {
+            Ended help = run(command, "--help");
+            assertEquals(0, help.code());
+            assertTrue(help.out().contains("barleyspur " + command), help.out());
+        }
+    }
+}
--- /dev/null
+++ b/doorman/src/test/java/barleyspur/config/HclPropertiesTest.java
@@ -0,0 +1,121 @@
+package barleyspur.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.StringLength;
+import org.junit.jupiter.api.Test;
+
+/** Reading HCL: bad text gets a message with file, line and key, never a wrong value or another exception. */
+class HclPropertiesTest {
+
+    private static final String GOOD = """
+        # all that the language has
+        include = ["a.hcl", "b.hcl"]
+        let {
+          patience = "2s"
+        }
+        expectation "x" {
+          given { request { class = ["a", "b"] } } // two on a line
+          must { target {
+            cold = false
+            pressure = 1.5
+          } }
+          must { attempt { number = -3 } }
+        }
+        """;
+
+    private static String failure(String text) {
+        return assertThrows(Hcl.Invalid.class, () -> Hcl.read("f.hcl", text)).getMessage();
+    }
+
+    /** Guards: values are found at their places, also where blocks of a type come several times. */
+    @Test
+    void valuesAndPlaces() throws Hcl.Invalid {
+        Hcl.Block root = Hcl.read("f.hcl", GOOD);
+        assertEquals(List.of("a.hcl", "b.hcl"), root.value("include").texts());
+        Hcl.Block x = root.blocks("expectation").get(0);
+        assertEquals("x", x.label());
+        List<Hcl.Block> musts = x.blocks("must");
+        Hcl.Value pressure = musts.get(0).blocks().get(0).value("pressure");
+        assertEquals(1.5, pressure.number());
+        assertEquals("f.hcl:10", pressure.place());
+        assertEquals(-3, musts.get(1).blocks().get(0).value("number").number());
+        assertEquals(false, musts.get(0).blocks().get(0).value("cold").flag());
+    }
+
+    /** Guards: what hcl4j passes over or cuts short is turned down, with the line. */
+    @Test
+    void whatTheLibraryLetsThrough() {
+        assertEquals("f.hcl:1: block a has no end: a } is missing", failure("a {\n b = 1\n"));
+        assertEquals("f.hcl:2: key b is neither a number, true, false, a string in quotes nor a list: ",
+            failure("a {\n b = \n}"));
+        assertEquals("f.hcl:1: key b: after its value comes *", failure("b = 2 * 3"));
+        assertEquals("f.hcl:1: key b is neither a number, true, false, a string in quotes nor a list: c.d",
+            failure("b = c.d"));
+        assertEquals("f.hcl:2: key b stands twice", failure("b = 1\nb = 2"));
+        assertEquals("f.hcl:2: a } without a {", failure("a {}\n}"));
+        assertEquals("f.hcl:1: key b: a string has no end", failure("b = \"x\n\""));
+        assertEquals("f.hcl:1: key b: strings are taken as they are, without ${...}", failure("b = \"${file}\""));
+        assertEquals("f.hcl:1: key b: between items of a list comes a comma", failure("b = [1 2]"));
+    }
+
+    /** Guards: a wrong name is told with its line and the near one. */
+    @Test
+    void nearNames() {
+        assertEquals(": did you mean in_service?", Hcl.near("in_servce", List.of("in_service", "terminating")));
+        assertEquals(": known are a, b", Hcl.near("something", List.of("b", "a")));
+    }
+
+    /** Guards: text cut anywhere is read or turned down, nothing else. */
+    @Property(seed = "11")
+    void cuts(@ForAll @IntRange(max = 330) int at) {
+        readOrInvalid(GOOD.substring(0, Math.min(at, GOOD.length())));
+    }
+
+    /** Guards: garbage is read or turned down, nothing else. */
+    @Property(seed = "11")
+    void garbage(@ForAll @StringLength(max = 60) String text) {
+        readOrInvalid(text);
+    }
+
+    /** Guards: garbage amid what is good is read or turned down, nothing else. */
+    @Property(seed = "11")
+    void garbageAmidGood(@ForAll @IntRange(max = 250) int at, @ForAll @StringLength(max = 4) String text) {
+        readOrInvalid(GOOD.substring(0, at) + text + GOOD.substring(at));
+    }
+
+    private static void readOrInvalid(String text) {
+        try {
+            Hcl.read("f.hcl", text);
+        } catch (Hcl.Invalid e) {
+            assertTrue(e.getMessage().matches("(?s)f\\.hcl:\\d+: .+"), e.getMessage());
+        }
+    }
+
+    private static double of(String text) throws Hcl.Invalid {
+        return new Quantity(Map.of("drain_grace", 2_000.0, "let_go", 7.0))
+            .of(new Hcl.Value("f.hcl", 3, "k", text));
+    }
+
+    /** Guards: units, names, sums and products. */
+    @Test
+    void quantities() throws Hcl.Invalid {
+        assertEquals(2_000, of("2s"));
+        assertEquals(2_050, of("drain_grace + 50ms"));
+        assertEquals(1_900, of("drain_grace - 100"));
+        assertEquals(4_007, of("2 * drain_grace + let_go"));
+        assertEquals(0.3, of("30%"), 1e-12);
+        assertEquals(90_000, of("1.5min"));
+        assertEquals("f.hcl:3: key k names drain_grase, which nothing defines: did you mean drain_grace?",
+            assertThrows(Hcl.Invalid.class, () -> of("drain_grase")).getMessage());
+        assertEquals("f.hcl:3: key k is no time or number: '2 weeks'",
+            assertThrows(Hcl.Invalid.class, () -> of("2 weeks")).getMessage());
+    }
+}
