--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -10,6 +10,7 @@
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.LoopClock;
 import barleyspur.front.thrift.ThriftFront;
+import barleyspur.log.LogEvent;
 import barleyspur.transport.Connector;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -79,7 +80,7 @@
     /** Rehearses, learns what is known, then listens; throws where the address can't be had. */
     public void start() throws IOException, InterruptedException, ExecutionException {
         long answered = group.submit(() -> new Rehearsal(group, configuration).play(REHEARSED)).get();
-        LOG.info("rehearsed {} requests, {} bytes of answers", REHEARSED, answered);
+        LogEvent.log(LOG.atInfo(), "rehearsed", "requests", REHEARSED, "bytes", answered);
         group.submit(() -> {
             commands.known(configuration.known());
             channel.start();
@@ -89,7 +90,7 @@
             group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
             throw new IOException("can't listen on " + configuration.listen() + ": " + bound.cause().getMessage());
         }
-        LOG.info("{} serves on {}", configuration.name(), configuration.listen());
+        LogEvent.log(LOG.atInfo(), "serves", "name", configuration.name(), "address", configuration.listen());
     }
 
     /**
@@ -104,7 +105,7 @@
                     group.execute(() -> apply(next));
                 }
             } catch (Configuration.Invalid e) {
-                LOG.error("reload: {}: the configuration before stays", e.getMessage());
+                LogEvent.log(LOG.atError(), "reload: the configuration before stays", "cause", e.getMessage());
             }
         });
     }
@@ -112,7 +113,8 @@
     private void apply(Configuration next) {
         List<String> fixed = configuration.changedButChannel(next);
         if (!fixed.isEmpty()) {
-            LOG.warn("reload: {} changed, which counts from the next start on", String.join(", ", fixed));
+            LogEvent.log(LOG.atWarn(), "reload: changes that count from the next start on", "keys",
+                String.join(",", fixed));
         }
         LOG.info("reload: done");
         configuration = configuration.withChannel(next.channel());
--- a/doorman/src/main/java/barleyspur/channel/CommandChannel.java
+++ b/doorman/src/main/java/barleyspur/channel/CommandChannel.java
@@ -2,6 +2,7 @@
 
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
+import barleyspur.log.LogEvent;
 import barleyspur.transport.Connector;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
@@ -62,7 +63,7 @@
         if (closed || next.equals(address)) {
             return;
         }
-        LOG.info("moves from {} to {} after command {}", address, next, reader.cursor());
+        LogEvent.log(LOG.atInfo(), "moves", "from", address, "to", next, "after", reader.cursor());
         address = next;
         Connection before = current;
         if (before != null) {
@@ -78,7 +79,7 @@
 
     private void again(Connection lost, String why) {
         if (lost == current && !closed) {
-            log.warn("cut after command {}: {}", reader.cursor(), why);
+            log.warn("cut", "after", reader.cursor(), "cause", why);
             clock.after(AGAIN_MS, () -> {
                 if (lost == current && !closed) {
                     start();
@@ -107,7 +108,7 @@
                 drop();
                 return;
             }
-            LOG.info("connected to {}, resuming after command {}", address, reader.cursor());
+            LogEvent.log(LOG.atInfo(), "connected", "address", address, "after", reader.cursor());
             ctx.writeAndFlush(ByteBufUtil.writeUtf8(ctx.alloc(), "resume " + reader.cursor() + "\n"));
         }
 
@@ -119,13 +120,13 @@
             silence.cancel();
             silence = clock.after(SILENCE_MS, this::silent);
             if (!reader.line(line)) {
-                log.warn("gap after command {}: resuming", reader.cursor());
+                log.warn("gap: resuming", "after", reader.cursor());
                 ctx.close();
             }
         }
 
         private void silent() {
-            log.warn("silent after command {}", reader.cursor());
+            log.warn("silent", "after", reader.cursor());
             drop();
         }
 
@@ -137,7 +138,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.warn("connection closed: {}", cause.toString());
+            log.warn("connection closed", "cause", cause);
             ctx.close();
         }
     }
--- a/doorman/src/main/java/barleyspur/channel/CommandReader.java
+++ b/doorman/src/main/java/barleyspur/channel/CommandReader.java
@@ -1,9 +1,10 @@
 package barleyspur.channel;
 
-import barleyspur.decision.Director.State;
 import barleyspur.config.Configuration;
+import barleyspur.decision.Director.State;
 import barleyspur.doorman.Commands;
 import barleyspur.doorman.Listing;
+import barleyspur.log.LogEvent;
 import java.util.ArrayList;
 import java.util.List;
 import org.json.JSONArray;
@@ -64,7 +65,7 @@
             }
             return true;
         } catch (JSONException | NumberFormatException e) {
-            LOG.warn("bad line: {}", e.getMessage());
+            LogEvent.log(LOG.atWarn(), "bad line", "cause", e.getMessage());
             return false;
         }
     }
@@ -77,10 +78,12 @@
             } else if (command.has("drop")) {
                 drop(command.getJSONObject("drop"));
             } else {
-                LOG.warn("command {}: neither nodes nor drop", command.opt("cursor"));
+                LogEvent.log(LOG.atWarn(), "command passed over", "command", command.opt("cursor"), "cause",
+                    "neither nodes nor drop");
             }
         } catch (JSONException | IllegalArgumentException e) {
-            LOG.warn("command {} passed over: {}", command.opt("cursor"), e.getMessage());
+            LogEvent.log(LOG.atWarn(), "command passed over", "command", command.opt("cursor"), "cause",
+                e.getMessage());
         }
     }
 
@@ -91,7 +94,7 @@
             try {
                 listings.add(listing(targets.getJSONObject(i)));
             } catch (JSONException | IllegalArgumentException e) {
-                LOG.warn("node passed over: {}", e.getMessage());
+                LogEvent.log(LOG.atWarn(), "node passed over", "cause", e.getMessage());
             }
         }
         commands.listed(nodes.optBoolean("all"), listings);
--- a/doorman/src/main/java/barleyspur/depot/DepotClient.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotClient.java
@@ -72,7 +72,7 @@
             if (best == null) {
                 best = connections < limits.mostConnections() || makeRoom() ? connect() : null;
                 if (best == null) {
-                    shared.log().warn("{}: no connection: {} are open", listing.uid(), connections);
+                    shared.log().warn("no connection: too many are open", "depot", listing.uid(), "open", connections);
                 }
             } else if (best.load() > 0 && !coming && pool.size() < SPREAD
                 && connections < limits.mostConnections() * SPARE_SHARE) {
--- a/doorman/src/main/java/barleyspur/depot/DepotConnection.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotConnection.java
@@ -3,8 +3,9 @@
 import barleyspur.decision.Director.Result;
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
-import barleyspur.doorman.Depots;
 import barleyspur.doorman.Depots.Answer;
+import barleyspur.doorman.Depots;
+import barleyspur.log.LogEvent;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -144,7 +145,7 @@
                 open.values().forEach(Call::write);
                 closeIfRetired();
             } else {
-                LOG.debug("{}: no connection: {}", uid, done.cause().getMessage());
+                LogEvent.log(LOG.atDebug(), "no connection", "depot", uid, "cause", done.cause().getMessage());
                 failAll(Result.CONNECT_FAILED);
             }
         });
@@ -181,7 +182,7 @@
     /** Ends the connection if an answer has stopped short. */
     void checkStalled() {
         if (up && channel.config().isAutoRead() && decoder.midMessage() && now() - waitingSince > STALLED_MS) {
-            client.log().warn("{}: connection closed: an answer has stopped short", uid);
+            client.log().warn("connection closed: an answer has stopped short", "depot", uid);
             close();
         }
     }
@@ -273,7 +274,7 @@
             case "PAST" -> Result.MOOT;
             case "BROKE", "UNFIT" -> Result.ERROR;
             default -> {
-                client.log().warn("{}: unknown answer {}", uid, word);
+                client.log().warn("unknown answer", "depot", uid, "word", word);
                 yield Result.ERROR;
             }
         };
@@ -305,9 +306,9 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
-            LOG.debug("{}: connection lost: {}", uid, cause.getMessage());
+            LogEvent.log(LOG.atDebug(), "connection lost", "depot", uid, "cause", cause.getMessage());
         } else {
-            client.log().warn("{}: connection closed: {}", uid, cause.getMessage());
+            client.log().warn("connection closed", "depot", uid, "cause", cause.getMessage());
         }
         ctx.close();
     }
--- a/doorman/src/main/java/barleyspur/doorman/CappedLog.java
+++ b/doorman/src/main/java/barleyspur/doorman/CappedLog.java
@@ -1,12 +1,13 @@
 package barleyspur.doorman;
 
+import barleyspur.log.LogEvent;
 import java.util.HashMap;
 import java.util.Map;
 import org.slf4j.Logger;
 
 /**
  * Warns a few times a cause and period, then only counts. Guards the loop and the disk against whoever sends the
- * same fault at full speed. A cause is its line's format, so there are no more of them than there are calls.
+ * same fault at full speed. A cause is its event's text, so there are no more of them than there are calls.
  */
 public final class CappedLog {
 
@@ -28,18 +29,18 @@
     }
 
     /** Warns, unless this cause has had its lines; the next period's first line is preceded by how many it lacked. */
-    public void warn(String format, Object... arguments) {
-        Cause cause = causes.computeIfAbsent(format, k -> new Cause());
+    public void warn(String event, Object... keysAndValues) {
+        Cause cause = causes.computeIfAbsent(event, k -> new Cause());
         double now = clock.nowMs();
         if (now - cause.since >= PERIOD_MS) {
             if (cause.lines > MOST_LINES) {
-                log.warn("{} more lines like the next were left out", cause.lines - MOST_LINES);
+                LogEvent.log(log.atWarn(), "more lines like the next were left out", "lines", cause.lines - MOST_LINES);
             }
             cause.since = now;
             cause.lines = 0;
         }
         if (++cause.lines <= MOST_LINES) {
-            log.warn(format, arguments);
+            LogEvent.log(log.atWarn(), event, keysAndValues);
         }
     }
 }
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -1,7 +1,8 @@
 package barleyspur.doorman;
 
-import barleyspur.decision.Director;
 import barleyspur.decision.Director.Result;
+import barleyspur.decision.Director;
+import barleyspur.log.LogEvent;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -74,7 +75,7 @@
     /** Takes a request and its body. The caller may be answered from within this call. */
     public Ticket take(Ask ask, Caller caller) {
         if (owed >= maxOpen) {
-            LOG.warn("request {} refused: {} requests are open", ask.id(), owed);
+            LogEvent.log(LOG.atWarn(), "refused: too many requests are open", "request", ask.id(), "open", owed);
             ask.body().release();
             caller.refused(settings.maxRetryAfterMs());
             return () -> { };
@@ -109,7 +110,7 @@
             return;
         }
         draining = true;
-        LOG.info("drain: asked to stop, {} requests open", owed);
+        LogEvent.log(LOG.atInfo(), "drain: asked to stop", "open", owed);
         clock.after(DRAIN_MS, () -> {
             drained = then;
             leaveIfDone();
@@ -135,7 +136,7 @@
 
     private void overdue(Exchange x) {
         if (!x.over) {
-            LOG.error("request {} was left unanswered by the director: failed", x.ask.id());
+            LogEvent.log(LOG.atError(), "left unanswered by the director: failed", "request", x.ask.id());
             close(x);
             x.caller.failed();
             tell(new Director.Gone(x.id));
@@ -175,18 +176,20 @@
             long node = l.node();
             String known = uids.get(node);
             if (known != null && !known.equals(l.uid())) {
-                LOG.error("node {} passed over: its number {} is {}'s", l.uid(), node, known);
+                LogEvent.log(LOG.atError(), "node passed over: its number is another's", "uid", l.uid(), "node", node, "other",
+                    known);
                 continue;
             }
             if (l.state() == Director.State.GONE) {
-                LOG.info("node {} is gone", node);
+                LogEvent.log(LOG.atInfo(), "node is gone", "node", node);
                 retire(node);
             } else {
                 if (known == null) {
-                    LOG.info("node {} is {} at {}, kind {}, started at {}", node, l.uid(), l.address(), l.kind(), (long) l.bootMs());
+                    LogEvent.log(LOG.atInfo(), "node is listed", "node", node, "uid", l.uid(), "address", l.address(), "kind",
+                        l.kind(), "started", (long) l.bootMs());
                 }
                 if (l.state() == Director.State.DRAINING) {
-                    LOG.info("node {} drains", node);
+                    LogEvent.log(LOG.atInfo(), "node drains", "node", node);
                 }
                 uids.put(node, l.uid());
                 depots.list(node, l);
@@ -236,7 +239,7 @@
         try {
             director.handle(clock.nowMs(), event, actions::add);
         } catch (RuntimeException e) {
-            LOG.error("director failed on {}", event.getClass().getSimpleName(), e);
+            LogEvent.log(LOG.atError().setCause(e), "director failed", "event", event.getClass().getSimpleName());
         }
         for (Director.Action a = actions.poll(); a != null; a = actions.poll()) {
             carryOut(a);
@@ -264,7 +267,8 @@
             LOG.info("director: {}", a.line());
         } else {
             // Peers and a list that must be asked for do not exist on these sockets.
-            LOG.warn("director ordered {}, which this platform lacks", action.getClass().getSimpleName());
+            LogEvent.log(LOG.atWarn(), "director ordered what this platform lacks", "action",
+                action.getClass().getSimpleName());
         }
     }
 
--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -5,6 +5,7 @@
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
+import barleyspur.log.LogEvent;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -85,7 +86,7 @@
             used();
             answer("alive", c.seqid(), Unpooled.EMPTY_BUFFER, Map.of(), !doorman.draining());
         } else if (call instanceof ThriftCall.Unknown c) {
-            log.warn("client {}: unknown method {}", channel.remoteAddress(), c.method());
+            log.warn("unknown method", "client", channel.remoteAddress(), "method", c.method());
             bad(c.method(), c.seqid(), Thrift.UNKNOWN_METHOD, "unknown method");
         }
     }
@@ -94,7 +95,7 @@
     private void watch() {
         halfSent = front.clock().after(HALF_SENT_MS, () -> {
             if (!useful) {
-                log.warn("client {}: connection closed: no request in {} ms", channel.remoteAddress(), HALF_SENT_MS);
+                log.warn("connection closed: no request came", "client", channel.remoteAddress(), "ms", HALF_SENT_MS);
                 lastWord(Thrift.PROTOCOL_ERROR, "no request came");
             }
         });
@@ -116,7 +117,7 @@
     private void watchRest(long frames) {
         halfSent = front.clock().after(HALF_SENT_MS, () -> {
             if (decoder.frames() == frames && open.isEmpty()) {
-                log.warn("client {}: connection closed: half a request", channel.remoteAddress());
+                log.warn("connection closed: half a request", "client", channel.remoteAddress());
                 lastWord(Thrift.PROTOCOL_ERROR, "half a request came");
             } else {
                 watchRest(decoder.frames());
@@ -184,14 +185,14 @@
                 throw new IllegalArgumentException("field i is the id of an earlier request");
             }
         } catch (IllegalArgumentException e) {
-            log.warn("client {}: bad request: {}", channel.remoteAddress(), e.getMessage());
+            log.warn("bad request", "client", channel.remoteAddress(), "cause", e.getMessage());
             bad(DISPATCH, seqid, Thrift.PROTOCOL_ERROR, e.getMessage());
             return;
         }
         useful = true;
         if (open.size() >= front.mostOpen() || unread.full()) {
-            log.warn("client {}: refused, {} requests are open here{}", channel.remoteAddress(), open.size(),
-                unread.full() ? " and too much is unread" : "");
+            log.warn("refused: too many requests are open here", "client", channel.remoteAddress(), "open", open.size(),
+                "unread", unread.full());
             write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of()));
             idleIfDone();
             return;
@@ -286,7 +287,7 @@
         }
         if (!writable && channel.isActive()) {
             stuck = front.clock().after(STUCK_MS, () -> {
-                log.warn("client {}: connection closed: it does not read its answers", channel.remoteAddress());
+                log.warn("connection closed: it does not read its answers", "client", channel.remoteAddress());
                 channel.close();
             });
         }
@@ -308,13 +309,14 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
-            LOG.debug("client {}: connection lost: {}", ctx.channel().remoteAddress(), cause.getMessage());
+            LogEvent.log(LOG.atDebug(), "connection lost", "client", ctx.channel().remoteAddress(), "cause",
+                cause.getMessage());
             ctx.close();
         } else if (cause instanceof ThriftCall.Malformed || cause instanceof DecoderException) {
-            log.warn("client {}: connection closed: {}", ctx.channel().remoteAddress(), cause.getMessage());
+            log.warn("connection closed", "client", ctx.channel().remoteAddress(), "cause", cause.getMessage());
             lastWord(Thrift.PROTOCOL_ERROR, "not the strict binary protocol");
         } else {
-            log.warn("client {}: connection closed: {}", ctx.channel().remoteAddress(), cause.toString());
+            log.warn("connection closed", "client", ctx.channel().remoteAddress(), "cause", cause);
             ctx.close();
         }
     }
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -88,13 +88,13 @@
             // Guards the limit on descriptors: without it a crowd of clients would cut off the depots.
             FrontConnection leaves = crowd.makeRoom(clock.nowMs());
             if (leaves == null) {
-                log.warn("client {}: turned away, all {} connections are in use", channel.remoteAddress(),
+                log.warn("turned away: all connections are in use", "client", channel.remoteAddress(), "open",
                     connections.size());
                 channel.close();
                 return;
             }
-            log.warn("{} connections are open: one that is not in use makes room for {}", connections.size(),
-                channel.remoteAddress());
+            log.warn("a connection that is not in use makes room", "client", channel.remoteAddress(), "open",
+                connections.size());
             leaves.makeRoom();
         }
         connections.add(channel);
--- a/doorman/src/main/java/barleyspur/front/thrift/UnreadAnswers.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/UnreadAnswers.java
@@ -1,5 +1,6 @@
 package barleyspur.front.thrift;
 
+import barleyspur.log.LogEvent;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,11 +29,11 @@
         bytes += change;
         if (!full && bytes > most) {
             full = true;
-            LOG.warn("{} bytes of answers are unread: depots are not read", bytes);
+            LogEvent.log(LOG.atWarn(), "answers are unread: depots are not read", "bytes", bytes);
             onFull.accept(true);
         } else if (full && bytes <= most / 2) {
             full = false;
-            LOG.info("{} bytes of answers are unread: depots are read again", bytes);
+            LogEvent.log(LOG.atInfo(), "answers are unread: depots are read again", "bytes", bytes);
             onFull.accept(false);
         }
     }
--- /dev/null
+++ b/lab/src/main/java/barleyspur/lab/DecisionScale.java
@@ -0,0 +1,119 @@
+package barleyspur.lab;
+
+import barleyspur.decision.Decide;
+import barleyspur.decision.Director;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** What the decision module costs by the size of the fleet: a full list, a change of it, a request with its outcome. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class DecisionScale {
+
+    private static final int PER_STATION = 8;
+    private static final int PER_PARENT = 24;
+    private static final int PARENT = 2;
+    private static final int ORIGIN = 3;
+    private static final int OBJECTS = 3_000;
+
+    /** Caches in all; stations of 8, a parent for every 24. */
+    @Param({"12", "1000", "10000"})
+    private int boxes;
+
+    private Director director;
+    private List<Director.Node> nodes;
+    private final List<Director.Action> actions = new ArrayList<>();
+    private final SplittableRandom random = new SplittableRandom(4);
+    private double now = 1_000_000;
+    private long request;
+    private int change;
+
+    private static Director.RequestClass requestClass(double freshMs) {
+        return new Director.RequestClass(Director.Effect.SAFE, Director.Scope.ALL, 0, 400, 2, 5_000, 1, 0.2, false,
+            false, false, freshMs, 0, 0.7);
+    }
+
+    static Director.Settings settings(int stations) {
+        List<Integer> perZone = new ArrayList<>(List.of(0));
+        for (int i = 0; i < stations; i++) {
+            perZone.add(3);
+        }
+        return new Director.Settings(List.of(requestClass(0), requestClass(8_000)), 0, 3 * stations, 1, perZone,
+            PARENT, ORIGIN, true, false, 0, 2, 8, 2_000, new Director.ColdRule(0.24, 17_000, 3),
+            new Director.ColdRule(0.068, 19_000, 2), 3_000, 1_000, 6_000, true, true, Director.Siblings.ANY,
+            Director.Notes.HIT, 5.8, Director.Reports.WITH_PROBES, List.of("load_share"), 8, true, true, true, false,
+            1_000);
+    }
+
+    /** The fleet's list. */
+    static List<Director.Node> fleet(int boxes) {
+        int stations = Math.max(1, boxes / PER_STATION);
+        int parents = Math.max(2, boxes / PER_PARENT);
+        List<Director.Node> nodes = new ArrayList<>();
+        for (int i = 0; i < boxes; i++) {
+            nodes.add(node(i, 1 + i / PER_STATION % stations, i % 2, 4 + i % 5));
+        }
+        for (int i = 0; i < parents; i++) {
+            nodes.add(node(boxes + i, 0, PARENT, 20 + i % 3));
+        }
+        nodes.add(node(boxes + parents, 0, ORIGIN, 50));
+        return nodes;
+    }
+
+    private static Director.Node node(long id, int zone, int kind, double size) {
+        return new Director.Node(id + 1, zone, kind, 0, Director.State.READY, size, 0);
+    }
+
+    /** A director that has its list. */
+    @Setup
+    public void start() {
+        nodes = fleet(boxes);
+        director = new Decide(settings(Math.max(1, boxes / PER_STATION)), 1);
+        full();
+    }
+
+    /** The whole list, in which nothing has changed. */
+    @Benchmark
+    public int full() {
+        return tell(new Director.Members(Director.ListKind.FULL, nodes));
+    }
+
+    /** One box of the list anew. */
+    @Benchmark
+    public int delta() {
+        change = (change + 7) % nodes.size();
+        return tell(new Director.Members(Director.ListKind.DELTA, List.of(nodes.get(change))));
+    }
+
+    /** A request and the outcome of its attempt. */
+    @Benchmark
+    public int requestWithOutcome() {
+        now += 4;
+        long id = ++request;
+        tell(new Director.Request(id, (int) (id % 2), 0, 1 + random.nextInt(OBJECTS), 0, 5, 4_000, 400, false, false));
+        for (Director.Action a : actions) {
+            if (a instanceof Director.Get g) {
+                return tell(new Director.Outcome(id, 0, g.node(), Director.Result.OK, 50, true, Director.Note.FILLED, 0,
+                    List.of()));
+            }
+        }
+        return 0;
+    }
+
+    private int tell(Director.Event event) {
+        actions.clear();
+        director.handle(now, event, actions::add);
+        return actions.size();
+    }
+}
