--- a/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
+++ b/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
@@ -220,11 +220,13 @@
                 figure(c, "work", classes.get(place).workMs(), 0.01, 1e6)));
             c.close(List.of());
         }
+        Hcl.Value marks = b.value("marks_retries");
         int objects = (int) figure(b, "objects", usual.objects(), 1, 1 << 19);
         Load read = new Load(b.label(), figure(b, "utilisation", usual.utilisation(), 0.01, 10),
             figure(b, "length", usual.lengthMs(), 100, 600_000), (int) figure(b, "requests", usual.most(), 1, 1e6),
             objects, (int) figure(b, "hot", Math.min(objects, usual.hot()), 0, objects),
-            figure(b, "once", usual.onceShare(), 0, 1), (int) figure(b, "retries", usual.retries(), 0, 10), classes);
+            figure(b, "once", usual.onceShare(), 0, 1), (int) figure(b, "retries", usual.retries(), 0, 10),
+            marks != null && marks.flag(), classes);
         b.close(List.of("class"));
         if (classes.stream().allMatch(c -> c.share() == 0)) {
             throw b.invalid("asks for nothing: every class has share 0");
--- a/doorman/src/main/java/barleyspur/config/Traces.java
+++ b/doorman/src/main/java/barleyspur/config/Traces.java
@@ -49,7 +49,7 @@
                 a.part(), a.group(), a.sizeKb(), a.remainingMs(), a.leavesMs())));
         }
         json.put("mean_work", new JSONArray(s.meanWork())).put("boxes", boxes).put("events", faults).put("requests", asks).put("seed", s.seed())
-            .put("retries", s.retries());
+            .put("retries", s.retries()).put("marked", s.marked());
         return json.toString(1);
     }
 
@@ -84,7 +84,7 @@
                 asks.add(new Ask(a.getInt(0), a.getDouble(1), a.getInt(2), a.getInt(3), a.getLong(4), a.getString(5),
                     a.getInt(6), a.getInt(7), a.getDouble(8), a.getDouble(9), a.getDouble(10)));
             }
-            Scenario scenario = new Scenario(site, json.getLong("seed"), json.getInt("retries"),
+            Scenario scenario = new Scenario(site, json.getLong("seed"), json.getInt("retries"), json.getBoolean("marked"),
                 json.getJSONArray("mean_work").toList().stream().map(w -> ((Number) w).doubleValue()).toList(), faults,
                 asks);
             return new Trace(scenario, expectation(file, json, site));
--- a/doorman/src/main/java/barleyspur/expect/Expectation.java
+++ b/doorman/src/main/java/barleyspur/expect/Expectation.java
@@ -40,7 +40,7 @@
     public record Eventually(Condition that, int chances) implements Form { }
 
     /** What a count goes by. */
-    public enum Per { REQUEST, OBJECT, BOX, SCENARIO }
+    public enum Per { REQUEST, OBJECT, BOX, STATION, SCENARIO }
 
     /** What is counted. */
     public enum Of { ATTEMPTS, TARGETS, SOURCES }
--- a/doorman/src/main/java/barleyspur/expect/Explorer.java
+++ b/doorman/src/main/java/barleyspur/expect/Explorer.java
@@ -143,8 +143,8 @@
     }
 
     private static Plan plan(Site site, Load load, List<Fault> faults, long variant, String caseName) {
-        return new Plan(Scenario.of(site, variant, load.retries(), faults, load.asks(site, variant)), caseName,
-            load.name());
+        return new Plan(Scenario.of(site, variant, load.retries(), load.marked(), faults, load.asks(site, variant)),
+            caseName, load.name());
     }
 
     // ---- orders ----------------------------------------------------------------------------------------
--- a/doorman/src/main/java/barleyspur/expect/Field.java
+++ b/doorman/src/main/java/barleyspur/expect/Field.java
@@ -19,6 +19,7 @@
     GROUP("request", "group", Type.NUMBER, Kind.ANY, asked(a -> (double) a.ask().group())),
     WRITE("request", "write", Type.FLAG, Kind.ANY, asked(a -> a.grade().write())),
     PARTS("request", "parts", Type.FLAG, Kind.ANY, asked(a -> a.grade().parts())),
+    REPEAT("request", "repeat", Type.FLAG, Kind.ANY, asked(a -> a.repeat())),
     TRY("request", "try", Type.NUMBER, Kind.ANY, asked(a -> (double) a.attempt())),
     DOORMAN("request", "doorman", Type.NUMBER, Kind.ANY, asked(a -> (double) a.ask().doorman())),
 
--- a/doorman/src/main/java/barleyspur/expect/Judge.java
+++ b/doorman/src/main/java/barleyspur/expect/Judge.java
@@ -193,6 +193,7 @@
             case REQUEST -> a.asked().number();
             case OBJECT -> a.asked().ask().object();
             case BOX -> a.target().box().node();
+            case STATION -> a.asked().zone();
             case SCENARIO -> 0;
         };
         Counted counted = counts.get(i).computeIfAbsent(key, k -> new Counted(new HashSet<>(), new long[1]));
--- a/doorman/src/main/java/barleyspur/expect/Load.java
+++ b/doorman/src/main/java/barleyspur/expect/Load.java
@@ -19,10 +19,11 @@
  * @param hot         how many of them, the first ones, are called hot
  * @param onceShare   share of requests for objects that are wanted only once, from 0 to 1
  * @param retries     how often a client tries again by itself
+ * @param marked      whether it says so, where the settings have clients mark repeats
  * @param classes     what is asked of each class, by its place
  */
 public record Load(String name, double utilisation, double lengthMs, int most, int objects, int hot,
-                   double onceShare, int retries, List<OfClass> classes) {
+                   double onceShare, int retries, boolean marked, List<OfClass> classes) {
 
     /**
      * @param share  of the requests, over 0; shares are taken in proportion
@@ -45,7 +46,7 @@
         for (Director.RequestClass c : settings.classes()) {
             classes.add(c.write() ? new OfClass(0.04, 5) : c.parts() ? new OfClass(0.55, 330) : new OfClass(0.41, 55));
         }
-        return new Load("usual", 0.5, 9_000, 800, 2_000, 20, 0.08, 3, classes);
+        return new Load("usual", 0.5, 9_000, 800, 2_000, 20, 0.08, 3, false, classes);
     }
 
     /** Draws the requests for a site. */
--- a/doorman/src/main/java/barleyspur/expect/Moment.java
+++ b/doorman/src/main/java/barleyspur/expect/Moment.java
@@ -30,8 +30,9 @@
      *
      * @param number  its place among all tries of the play, from 1
      * @param attempt which of the client's tries it is, from 1
+     * @param repeat  whether the doorman is told that it is a repeat
      */
-    record Asked(long number, int attempt, double atMs, Ask ask, Director.RequestClass grade, String category,
+    record Asked(long number, int attempt, boolean repeat, double atMs, Ask ask, Director.RequestClass grade, String category,
                  String station, int zone) { }
 
     /**
--- a/doorman/src/main/java/barleyspur/expect/World.java
+++ b/doorman/src/main/java/barleyspur/expect/World.java
@@ -339,7 +339,7 @@
         t.remaining = remaining;
         t.doorman = d;
         Director.RequestClass grade = d.settings.classes().get(a.category());
-        t.asked = new Moment.Asked(t.id, attempt, now, a, grade, site.classes().get(a.category()),
+        t.asked = new Moment.Asked(t.id, attempt, scenario.marked() && attempt > 1, now, a, grade, site.classes().get(a.category()),
             site.zones().get(d.settings.zone()), d.settings.zone());
         tries.put(t.id, t);
         at(now + remaining + d.settings.answerSlackMs() + d.settings.tickMs(), () -> finish(t, Moment.Ending.NONE, 0));
@@ -352,7 +352,7 @@
             });
         }
         tell(d, new Director.Request(t.id, a.category(), 0, a.object(), a.part(), a.group(), remaining, a.sizeKb(),
-            false, grade.write()));
+            t.asked.repeat(), grade.write()));
     }
 
     private void finish(Try t, Moment.Ending ending, double backMs) {
--- /dev/null
+++ b/doorman/src/main/java/barleyspur/tier/History.java
@@ -0,0 +1,167 @@
+package barleyspur.tier;
+
+/**
+ * What is known of objects that were asked for lately, kept or not: how often, on which of the last eight days, and at
+ * what time of the day. A slot takes 16 bytes, their number is a power of two, and three quarters of them are filled at
+ * most: 21 to 43 MB for a million objects, 33.6 for exactly that. Where it is full, the one asked for longest ago of a few goes.
+ *
+ * <p>Frequency halves every {@link #HALF_LIFE_MIN} minutes, reckoned when an object is looked at.
+ */
+final class History {
+
+    private static final int DAY_MIN = 1_440;
+    /** A day's bins for the time of the first request: ten minutes each. */
+    private static final int BIN_MIN = 10;
+    private static final int BINS = DAY_MIN / BIN_MIN;
+    private static final int HALF_LIFE_MIN = 90;
+    private static final int LOOKED_AT = 8;
+    private static final double MINUTE_MS = 60_000;
+    /** Frequencies are kept in 256ths. */
+    private static final double UNIT = 256;
+    /** What an object's first request counts: most objects that are new are not asked for again. */
+    private static final int FIRST = 64;
+    private static final int MOST_COUNT = 0xFFFF;
+
+    private final long[] objects;
+    private final int[] lastMin;
+    /** Of each object: days (8 bits, the lowest is the day of lastMin), bin (8 bits), frequency (16 bits). */
+    private final int[] packed;
+    private final int mask;
+    private final int most;
+    private int size;
+    private long draws = 0x9E3779B97F4A7C15L;
+
+    /** For at most so many objects; from 16 on. */
+    History(int most) {
+        int slots = Integer.highestOneBit(Math.max(16, most) * 4 / 3 - 1) << 1;
+        this.most = most;
+        objects = new long[slots];
+        lastMin = new int[slots];
+        packed = new int[slots];
+        mask = slots - 1;
+    }
+
+    /** An object as it stands: how often it is asked for a minute now, and how likely and how soon it comes back. */
+    record Known(double perMinute, double dailyShare, double untilBinMin) {
+        static final Known NOTHING = new Known(0, 0, DAY_MIN);
+    }
+
+    int size() {
+        return size;
+    }
+
+    static int bytesPerSlot() {
+        return Long.BYTES + 2 * Integer.BYTES;
+    }
+
+    int slots() {
+        return objects.length;
+    }
+
+    /** Spreads the bits of a number (the finisher of SplitMix64, Steele et al. 2014). */
+    static long mix(long z) {
+        long a = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
+        long b = (a ^ (a >>> 27)) * 0x94D049BB133111EBL;
+        return b ^ (b >>> 31);
+    }
+
+    private static long name(long object) {
+        long name = mix(object + 1);
+        return name == 0 ? 1 : name;
+    }
+
+    private int find(long name) {
+        int at = (int) name & mask;
+        while (objects[at] != 0 && objects[at] != name) {
+            at = at + 1 & mask;
+        }
+        return at;
+    }
+
+    /** An object was asked for. */
+    void asked(long object, double nowMs) {
+        int minute = (int) (nowMs / MINUTE_MS);
+        long name = name(object);
+        int at = find(name);
+        if (objects[at] == 0) {
+            if (size >= most) {
+                forgetOne();
+                at = find(name);
+            }
+            size++;
+            objects[at] = name;
+            lastMin[at] = minute;
+            packed[at] = 1 << 24 | minute % DAY_MIN / BIN_MIN << 16 | FIRST;
+            return;
+        }
+        int days = minute / DAY_MIN - lastMin[at] / DAY_MIN;
+        int seen = packed[at] >>> 24;
+        int bin = packed[at] >>> 16 & 0xFF;
+        if (days > 0) {
+            seen = days > 7 ? 1 : seen << days & 0xFF | 1;
+            bin = minute % DAY_MIN / BIN_MIN;
+        }
+        int count = (int) Math.min(MOST_COUNT, aged(at, minute) + UNIT);
+        lastMin[at] = minute;
+        packed[at] = seen << 24 | bin << 16 | count;
+    }
+
+    private double aged(int at, int minute) {
+        return (packed[at] & 0xFFFF) * Math.exp(-Math.log(2) * (minute - lastMin[at]) / HALF_LIFE_MIN);
+    }
+
+    /** What is known of an object at a time. */
+    Known known(long object, double nowMs) {
+        int at = find(name(object));
+        if (objects[at] == 0) {
+            return Known.NOTHING;
+        }
+        int minute = (int) (nowMs / MINUTE_MS);
+        // The mean count of a steady stream is its rate times the half life over ln 2.
+        double perMinute = aged(at, minute) / UNIT * Math.log(2) / HALF_LIFE_MIN;
+        int days = minute / DAY_MIN - lastMin[at] / DAY_MIN;
+        int seen = days > 7 ? 0 : (packed[at] >>> 24) << days;
+        // Of the three days before this one: whether it has come today already is in the frequency.
+        double share = Integer.bitCount(seen >> 1 & 0b111) / 3.0;
+        int bin = packed[at] >>> 16 & 0xFF;
+        int until = Math.floorMod(bin - minute % DAY_MIN / BIN_MIN, BINS) * BIN_MIN;
+        // An object that has come today by this time next comes tomorrow.
+        boolean doneToday = (seen & 1) != 0 && until == 0;
+        return new Known(perMinute, share, doneToday ? DAY_MIN : until);
+    }
+
+    /** Makes room: of a few at a random place, the one asked for longest ago on the fewest days. */
+    private void forgetOne() {
+        draws = mix(draws + 0x9E3779B97F4A7C15L);
+        int at = (int) draws & mask;
+        int worst = -1;
+        long worstValue = Long.MAX_VALUE;
+        for (int looked = 0; looked < LOOKED_AT; at = at + 1 & mask) {
+            if (objects[at] != 0) {
+                looked++;
+                long value = lastMin[at] + (long) DAY_MIN * Integer.bitCount(packed[at] >>> 24);
+                if (value < worstValue) {
+                    worst = at;
+                    worstValue = value;
+                }
+            }
+        }
+        remove(worst);
+    }
+
+    /** Closes the gap that a removed object leaves, so that probing needs no marks of what was there. */
+    private void remove(int hole) {
+        int gap = hole;
+        for (int at = gap + 1 & mask; objects[at] != 0; at = at + 1 & mask) {
+            int home = (int) objects[at] & mask;
+            if ((at - home & mask) >= (at - gap & mask)) {
+                objects[gap] = objects[at];
+                lastMin[gap] = lastMin[at];
+                packed[gap] = packed[at];
+                gap = at;
+            }
+        }
+        objects[gap] = 0;
+        size--;
+    }
+}
--- a/doorman/src/test/java/barleyspur/expect/ExplorerTest.java
+++ b/doorman/src/test/java/barleyspur/expect/ExplorerTest.java
@@ -29,7 +29,7 @@
 
     private static Load load() {
         Load usual = Load.usual(Texts.site().any());
-        return new Load("tiny", 0.5, 500, 5, 10, 1, 0, 0, usual.classes());
+        return new Load("tiny", 0.5, 500, 5, 10, 1, 0, 0, false, usual.classes());
     }
 
     /** An order by what it does to the first, second, ... box of each kind that it strikes. */
--- a/doorman/src/test/java/barleyspur/expect/HardCasesTest.java
+++ b/doorman/src/test/java/barleyspur/expect/HardCasesTest.java
@@ -427,6 +427,37 @@
         assertTrue(news >= 10, "only " + news + " pieces of news are left");
     }
 
+    /** Guards: repeats reach the module where clients mark them, and further tries are told from first ones. */
+    @Test
+    void clientsRepeatsAreMarkedWhereTheLoadSaysSo() {
+        String text = """
+            load "marked" {
+              utilisation   = 1.5
+              requests      = 1500
+              marks_retries = true
+            }
+            expectation "told" {
+              given {
+                request { try = ">= 2" }
+                attempt { number = 1 }
+              }
+              must { request { repeat = true } }
+            }
+            expectation "one station at a time" {
+              count {
+                of       = "targets"
+                per      = "station"
+                at_least = 2
+                at_most  = 8
+                target { kind = "cache" }
+              }
+            }
+            """;
+        Checker.Result r = Texts.check(text, Decide::new, 1);
+        assertEquals(Checker.Verdict.HOLDS, verdict(r, "told"));
+        assertEquals(Checker.Verdict.HOLDS, verdict(r, "one station at a time"));
+    }
+
     // ---- the checker's own honesty ----------------------------------------------------------------------
 
     /** Guards: an expectation that nothing met is said to be vacuous, and two that no moment meets both of are named. */
--- a/lab/src/main/java/barleyspur/lab/Lab.java
+++ b/lab/src/main/java/barleyspur/lab/Lab.java
@@ -30,7 +30,8 @@
     private static final int USAGE = 2;
     private static final String HELP = """
         usage: barleyspur-lab COMMAND [OPTIONS]
-          scale    measure the decision module at 12, 1,000 and 10,000 boxes, with a plot
+          scale        measure the decision module at 12, 1,000 and 10,000 boxes, with a plot
+          tier-replay  replay generated days through policies for the disk tier, against Belady's bound, with a plot
         barleyspur-lab COMMAND --help tells the options of each.
         """;
 
@@ -46,31 +47,76 @@
             System.out.print(HELP);
             return OK;
         }
-        if (!name.equals("scale")) {
-            System.err.println("barleyspur-lab: " + (name.isEmpty() ? "a command is missing" : "unknown command " + name));
-            System.err.print(HELP);
-            return USAGE;
-        }
         Options options = new Options()
-            .addOption(Option.builder().longOpt("seconds").hasArg().argName("N").desc("for each figure, 2").get())
-            .addOption(Option.builder().longOpt("plot").hasArg().argName("FILE.png").desc("write a plot there").get())
-            .addOption(Option.builder().longOpt("c1").desc("with the first compiler only, as the doorman runs").get())
+            .addOption(value("plot", "FILE.png", "write a plot there"))
             .addOption(Option.builder("h").longOpt("help").desc("print this").get());
+        switch (name) {
+            case "scale" -> options.addOption(value("seconds", "N", "for each figure, 2"))
+                .addOption(Option.builder().longOpt("c1").desc("with the first compiler only, as the doorman runs")
+                    .get());
+            case "tier-replay" -> options.addOption(value("days", "N", "how many, from 3 on; 8"))
+                .addOption(value("requests", "N", "a day, roughly; 60000"))
+                .addOption(value("scan", "PERCENT", "of the requests during scans, 3.7 to 19; 10"))
+                .addOption(value("seed", "N", "of the days, 1"))
+                .addOption(value("mb", "N,N,...", "sizes of the store; 500,1000,2000,4000,8000"));
+            default -> {
+                System.err.println("barleyspur-lab: " + (name.isEmpty() ? "a command is missing"
+                    : "unknown command " + name));
+                System.err.print(HELP);
+                return USAGE;
+            }
+        }
         try {
             CommandLine line = new DefaultParser().parse(options, Arrays.copyOfRange(args, 1, args.length));
             if (line.hasOption("help")) {
-                HelpFormatter.builder().setShowSince(false).get().printHelp("barleyspur-lab scale [OPTIONS]",
-                    "Measure the decision module by the size of the fleet.", options, "", false);
+                HelpFormatter.builder().setShowSince(false).get().printHelp("barleyspur-lab " + name + " [OPTIONS]",
+                    name.equals("scale") ? "Measure the decision module by the size of the fleet."
+                        : "Replay generated days through policies for the disk tier.", options, "", false);
                 return OK;
             }
-            int seconds = Integer.parseInt(line.getOptionValue("seconds", "2"));
-            return scale(seconds, line.getOptionValue("plot"), line.hasOption("c1"));
-        } catch (ParseException | NumberFormatException e) {
-            System.err.println("barleyspur-lab: " + e.getMessage() + "; see barleyspur-lab scale --help");
+            return name.equals("scale") ? scale(number(line, "seconds", 2, 1), line.getOptionValue("plot"),
+                line.hasOption("c1")) : replay(line);
+        } catch (ParseException | IllegalArgumentException e) {
+            System.err.println("barleyspur-lab: " + e.getMessage() + "; see barleyspur-lab " + name + " --help");
             return USAGE;
         }
     }
 
+    private static Option value(String name, String value, String about) {
+        return Option.builder().longOpt(name).hasArg().argName(value).desc(about).get();
+    }
+
+    private static int number(CommandLine line, String option, int otherwise, int least) {
+        return number(option, line.getOptionValue(option, Integer.toString(otherwise)), least);
+    }
+
+    private static int number(String option, String text, int least) {
+        try {
+            int number = Integer.parseInt(text.strip());
+            if (number >= least) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Said below, with the option.
+        }
+        throw new IllegalArgumentException("--" + option + " is not a whole number from " + least + " on: " + text);
+    }
+
+    private static int replay(CommandLine line) throws IOException {
+        List<Integer> sizes = new ArrayList<>();
+        for (String mb : line.getOptionValue("mb", "500,1000,2000,4000,8000").split(",")) {
+            sizes.add(number("mb", mb, 1));
+        }
+        String plot = line.getOptionValue("plot");
+        double scan = Double.parseDouble(line.getOptionValue("scan", "10"));
+        if (!(scan >= 0 && scan <= 25)) {
+            throw new IllegalArgumentException("--scan is not from 0 to 25: " + scan);
+        }
+        TierReplay.report(number(line, "days", 8, 3), number(line, "requests", 60_000, 100), scan / 100,
+            number(line, "seed", 1, 0), sizes, plot == null ? null : Path.of(plot));
+        return OK;
+    }
+
     private static int scale(int seconds, String plot, boolean firstCompiler) throws IOException {
         List<String> jvm = new ArrayList<>(List.of("-XX:+UseSerialGC", "-Xmx512m"));
         if (firstCompiler) {
