--- a/doorman/src/main/java/barleyspur/expect/World.java
+++ b/doorman/src/main/java/barleyspur/expect/World.java
@@ -97,7 +97,8 @@
     private final Map<Long, Plant> plants = new LinkedHashMap<>();
     private final List<Doorman> doormen = new ArrayList<>();
     private final Map<Long, Try> tries = new HashMap<>();
-    private final Map<Long, Double> purges = new HashMap<>();
+    /** The first purge of each object: what boxes held of it since before the start goes with that one. */
+    private final Map<Long, Double> firstPurges = new HashMap<>();
     private final Map<Integer, Double> linkLostUntil = new HashMap<>();
     private final int[] runs;
     private double staleUntil;
@@ -300,7 +301,7 @@
 
     private void purge(long object, Fault f) {
         double at = now;
-        purges.put(object, at);
+        firstPurges.putIfAbsent(object, at);
         double done = site.any().purgeDoneMs();
         for (Plant p : plants.values()) {
             if (site.role(p.box) != Site.Role.HEAD_OFFICE) {
@@ -576,7 +577,7 @@
         }
         boolean held = draw.unit(p.box.node(), part.object(), 51) < HELD_AT_START && part.object() < Load.FIRST_ONCE;
         double dated = -draw.between(1_000, 15_000, p.box.node(), part.object(), 53);
-        Double purge = purges.get(part.object());
+        Double purge = firstPurges.get(part.object());
         boolean dropped = purge != null && now - purge >= site.any().purgeDoneMs() / 2;
         return held && !dropped ? dated : Double.NaN;
     }
--- a/doorman/src/test/java/barleyspur/cli/ExpectCommandTest.java
+++ b/doorman/src/test/java/barleyspur/cli/ExpectCommandTest.java
@@ -99,6 +99,26 @@
         assertTrue(e.err().contains(said), e.err());
     }
 
+    /** Guards: files include others by paths of their own, share what those define, and name what is missing. */
+    @Test
+    void filesIncludeOthers() throws IOException {
+        Files.createDirectories(folder.resolve("shared"));
+        Files.writeString(folder.resolve("shared/names.hcl"), "let {\n  patience = \"2s\"\n}\n");
+        Path main = folder.resolve("main.hcl");
+        Files.writeString(main, """
+            include = ["shared/names.hcl"]
+            expectation "agreed" {
+              settings { drain_grace = "patience" }
+            }
+            """);
+        String[] args = {"expect", "--cases", "1", "--config", EXAMPLES + "station.json", main.toString()};
+        assertEquals(0, run(args).code());
+        Files.writeString(main, Files.readString(main).replace("names.hcl", "nmaes.hcl"));
+        Ended missing = run(args);
+        assertEquals(2, missing.code());
+        assertTrue(missing.err().contains("main.hcl:1: file " + folder.resolve("shared/nmaes.hcl")), missing.err());
+    }
+
     /** Guards: a trace that is none is turned down. */
     @Test
     void aTraceThatIsNone() {
--- a/doorman/src/test/java/barleyspur/expect/HardCasesTest.java
+++ b/doorman/src/test/java/barleyspur/expect/HardCasesTest.java
@@ -317,6 +317,45 @@
             .site().boxes().stream().noneMatch(b -> b.node() == fault.node()) || fault.kind() != Fault.Kind.SLOW));
     }
 
+    /** Guards: a second purge does not bring back what boxes dropped for the first one. */
+    @Test
+    void aSecondPurgeOfTheSameObject() {
+        String text = fleet(3, 1, """
+            load "one video" {
+              objects = 1
+              hot     = 1
+              once    = 0
+              length  = "9s"
+            }
+            case "purged twice" {
+              event "purge" {
+                at   = "100ms"
+                told = "100ms"
+                size = 1
+              }
+              event "purge" {
+                at   = "4300ms"
+                told = "5s"
+                size = 1
+              }
+            }
+            expectation "no copy from before a purge is served" {
+              cases = ["purged twice"]
+              never { answer { purged_copy = true } }
+            }
+            expectation "copies are served" {
+              cases = ["purged twice"]
+              share {
+                at_least = "50%"
+                answer { copy_age = "< 1min" }
+              }
+            }
+            """);
+        Checker.Result r = Texts.check(text, Decide::new, 1);
+        assertEquals(Checker.Verdict.HOLDS, verdict(r, "no copy from before a purge is served"));
+        assertEquals(Checker.Verdict.HOLDS, verdict(r, "copies are served"));
+    }
+
     // ---- many doormans ----------------------------------------------------------------------------------
 
     /**
