Keep the tier's parts in a table of 16 bytes a slot

Need: a kept part took about 120 bytes in a map and a list; the aim is under 64 MB for a million parts. Change: PartTable, open addressing over plain arrays, drawn from by slots; expectation files find words in one place.

--- a/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
+++ b/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
@@ -556,22 +556,26 @@
     }
 
     private static <T> T find(Hcl.Value v, String text, T[] all, Word<T> word, String what) throws Hcl.Invalid {
-        for (T t : all) {
-            if (word.of(t).equals(text)) {
-                return t;
-            }
+        T found = find(text, all, word);
+        if (found == null) {
+            throw v.invalid("names " + text + ", which is no " + what + near(text, all, word));
         }
-        throw v.invalid("names " + text + ", which is no " + what
-            + Hcl.near(text, Arrays.stream(all).map(word::of).toList()));
+        return found;
     }
 
     private static <T> T find(Hcl.Block b, String text, T[] all, Word<T> word, String what) throws Hcl.Invalid {
-        for (T t : all) {
-            if (word.of(t).equals(text)) {
-                return t;
-            }
+        T found = find(text, all, word);
+        if (found == null) {
+            throw b.invalid("\"" + text + "\" is no " + what + near(text, all, word));
         }
-        throw b.invalid("\"" + text + "\" is no " + what
-            + Hcl.near(text, Arrays.stream(all).map(word::of).toList()));
+        return found;
+    }
+
+    private static <T> T find(String text, T[] all, Word<T> word) {
+        return Arrays.stream(all).filter(t -> word.of(t).equals(text)).findFirst().orElse(null);
+    }
+
+    private static <T> String near(String text, T[] all, Word<T> word) {
+        return Hcl.near(text, Arrays.stream(all).map(word::of).toList());
     }
 }
--- a/doorman/src/main/java/barleyspur/tier/RecurrentKeeper.java
+++ b/doorman/src/main/java/barleyspur/tier/RecurrentKeeper.java
@@ -1,9 +1,7 @@
 package barleyspur.tier;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Keeps what is worth most for its place: how often its object is asked for now, or is likely to be soon by the days and
@@ -22,25 +20,11 @@
     /** Between counting requests (1) and bytes (0). */
     private static final double SIZE_POWER = 0.6;
 
-    private record Part(long object, int part) { }
-
-    private static final class Held {
-        final Part part;
-        final int kb;
-        int place;
-
-        Held(Part part, int kb, int place) {
-            this.part = part;
-            this.kb = kb;
-            this.place = place;
-        }
-    }
+    private record Leaving(long object, int part, int kb) { }
 
     private final long mostKb;
     private final History history;
-    private final Map<Part, Held> held = new HashMap<>();
-    /** The kept ones in no order, to draw from. */
-    private final List<Held> places = new ArrayList<>();
+    private final PartTable held = new PartTable();
     private long keptKb;
     private long draws;
 
@@ -63,7 +47,7 @@
     @Override
     public boolean asked(long object, int part, int kb, double nowMs) {
         history.asked(object, nowMs);
-        return held.containsKey(new Part(object, part));
+        return held.holds(object, part);
     }
 
     /** What a KB of it is worth. */
@@ -75,42 +59,42 @@
 
     @Override
     public boolean offered(long object, int part, int kb, double nowMs, Dropped dropped) {
-        Part offered = new Part(object, part);
-        if (kb > mostKb || held.containsKey(offered)) {
+        if (kb > mostKb || held.holds(object, part)) {
             return false;
         }
         double worth = worth(object, kb, nowMs);
-        List<Held> leaving = new ArrayList<>();
+        List<Leaving> leaving = new ArrayList<>();
         long room = mostKb - keptKb;
         while (room < kb) {
-            Held least = least(leaving, nowMs);
-            if (least == null || worth(least.part.object(), least.kb, nowMs) >= worth) {
+            Leaving least = least(leaving, nowMs);
+            if (least == null || worth(least.object(), least.kb(), nowMs) >= worth) {
                 return false;
             }
             leaving.add(least);
-            room += least.kb;
+            room += least.kb();
         }
-        for (Held h : leaving) {
-            drop(h);
-            dropped.part(h.part.object(), h.part.part());
+        for (Leaving l : leaving) {
+            removed(l.object(), l.part());
+            dropped.part(l.object(), l.part());
         }
-        Held h = new Held(offered, kb, places.size());
-        held.put(offered, h);
-        places.add(h);
+        held.put(object, part, kb);
         keptKb += kb;
         return true;
     }
 
-    private Held least(List<Held> but, double nowMs) {
-        Held least = null;
+    private Leaving least(List<Leaving> but, double nowMs) {
+        Leaving least = null;
         double leastWorth = Double.POSITIVE_INFINITY;
-        for (int i = 0; i < SAMPLE && !places.isEmpty(); i++) {
+        for (int i = 0; i < SAMPLE && held.count() > 0; i++) {
             draws += 0x9E3779B97F4A7C15L;
-            Held h = places.get((int) Long.remainderUnsigned(History.mix(draws), places.size()));
-            double worth = worth(h.part.object(), h.kb, nowMs);
-            if (worth < leastWorth && !but.contains(h)) {
-                least = h;
-                leastWorth = worth;
+            int slot = held.draw(History.mix(draws));
+            double worth = worth(held.object(slot), held.kb(slot), nowMs);
+            if (worth < leastWorth) {
+                Leaving drawn = new Leaving(held.object(slot), held.part(slot), held.kb(slot));
+                if (!but.contains(drawn)) {
+                    least = drawn;
+                    leastWorth = worth;
+                }
             }
         }
         return least;
@@ -118,20 +102,8 @@
 
     @Override
     public boolean removed(long object, int part) {
-        Held h = held.get(new Part(object, part));
-        if (h != null) {
-            drop(h);
-        }
-        return h != null;
-    }
-
-    private void drop(Held h) {
-        held.remove(h.part);
-        Held last = places.remove(places.size() - 1);
-        if (last != h) {
-            places.set(h.place, last);
-            last.place = h.place;
-        }
-        keptKb -= h.kb;
+        int kb = held.remove(object, part);
+        keptKb -= kb;
+        return kb > 0;
     }
 }
