Take out what the review of expectations found: one fault size twice, a figure nobody reads

Cause: read once more, the judge reckoned each expectation's kind anew at every moment, what a fault's size usually is stood in the reader and in the explorer, the name of the configuration's fleet in two files, and how long a box had been cold in truth was carried to no field. Change: kinds are reckoned once, Fault.Kind knows its usual size, the fleet's name is the site's, the figure is gone.

--- a/doorman/src/main/java/barleyspur/config/ExpectationCheck.java
+++ b/doorman/src/main/java/barleyspur/config/ExpectationCheck.java
@@ -1,5 +1,6 @@
 package barleyspur.config;
 
+import barleyspur.expect.Case;
 import barleyspur.expect.Checker;
 import barleyspur.expect.Load;
 import barleyspur.expect.Site;
@@ -78,7 +79,7 @@
         return read.loads().isEmpty() ? List.of(Load.usual(site.any())) : read.loads();
     }
 
-    public List<barleyspur.expect.Case> cases() {
+    public List<Case> cases() {
         return read.cases();
     }
 
--- a/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
+++ b/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
@@ -46,8 +46,6 @@
     public record Read(List<Expectation> expectations, List<Site> fleets, List<Load> loads, List<Case> cases, int depth,
                        Map<String, String> texts) { }
 
-    private static final String OWN_FLEET = "configuration";
-
     private final Texts texts;
     private final Site site;
     private final Map<String, String> read = new LinkedHashMap<>();
@@ -252,23 +250,13 @@
                 word(e, "station", "", null), word(e, "box", "", null),
                 all ? Integer.MAX_VALUE : (int) figure(e, "boxes", 1, 1, 1e6), quantity.of(at),
                 delay.least(), delay.most(), figure(e, "lasts", 5_000, 0, 1e9),
-                figure(e, "size", sizeOf(kind), 0, 1e12)));
+                figure(e, "size", kind.usualSize(), 0, 1e12)));
             e.close(List.of());
         }
         b.close(List.of("event"));
         return new Case(b.label(), steps);
     }
 
-    private static double sizeOf(Fault.Kind kind) {
-        return switch (kind) {
-            case SLOW -> 6;
-            case FAIL -> 0.7;
-            case STALE -> 5_000;
-            case PURGE -> 1;
-            default -> 0;
-        };
-    }
-
     // ---- expectations ----------------------------------------------------------------------------------
 
     private static final List<String> FORMS = List.of("must", "never", "share", "eventually", "count",
@@ -277,7 +265,7 @@
     private Expectation expectation(Hcl.Block b) throws Hcl.Invalid {
         String about = word(b, "about", "", null);
         Set<String> fleetNames = new LinkedHashSet<>(fleets.stream().map(Site::name).toList());
-        fleetNames.add(OWN_FLEET);
+        fleetNames.add(site.name());
         Set<String> inFleets = namesOf(b, "fleets", fleetNames);
         Set<String> inCases = namesOf(b, "cases", cases.stream().map(Case::name).toList());
         Set<String> atLoads = namesOf(b, "loads", loads.stream().map(Load::name).toList());
--- a/doorman/src/main/java/barleyspur/config/Sites.java
+++ b/doorman/src/main/java/barleyspur/config/Sites.java
@@ -6,6 +6,7 @@
 import barleyspur.expect.Site;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -49,7 +50,7 @@
     }
 
     private static List<Box> known(JSONObject known, Configuration.Names names) throws Configuration.Invalid {
-        java.util.LinkedHashMap<String, Box> boxes = new java.util.LinkedHashMap<>();
+        Map<String, Box> boxes = new LinkedHashMap<>();
         JSONArray cmds = known.getJSONArray("cmds");
         for (int i = 0; i < cmds.length(); i++) {
             JSONObject nodes = cmds.getJSONObject(i).optJSONObject("nodes");
--- a/doorman/src/main/java/barleyspur/expect/Case.java
+++ b/doorman/src/main/java/barleyspur/expect/Case.java
@@ -13,7 +13,7 @@
      * @param station of which station, empty for any
      * @param box     of which box by name, empty for any
      * @param count   how many of them; {@link Integer#MAX_VALUE} for all
-     * @param sizes   least and most of what the fault's size is drawn from; the times likewise
+     * @param toldLeastMs from here to {@code toldMostMs} it is drawn how long after it the list tells
      */
     public record Step(Fault.Kind kind, Site.Role role, String station, String box, int count, double atMs,
                        double toldLeastMs, double toldMostMs, double forMs, double size) { }
--- a/doorman/src/main/java/barleyspur/expect/Explorer.java
+++ b/doorman/src/main/java/barleyspur/expect/Explorer.java
@@ -29,9 +29,6 @@
     private static final double GAP_MS = 700;
     private static final double TOLD_MS = 300;
     private static final double LASTS_MS = 3_000;
-    private static final double SLOWER = 6;
-    private static final double FAILING = 0.7;
-    private static final double LAG_MS = 5_000;
     private static final int MOST_RANDOM = 16;
     /** How often each case is played at each load. */
     static final int VARIANTS = 3;
@@ -203,13 +200,7 @@
     }
 
     private Fault fault(Fault.Kind kind, Box box, double at, double told, double lasts, long object) {
-        double size = switch (kind) {
-            case SLOW -> SLOWER;
-            case FAIL -> FAILING;
-            case STALE -> LAG_MS;
-            case PURGE -> object;
-            default -> 0;
-        };
+        double size = kind == Fault.Kind.PURGE ? object : kind.usualSize();
         return new Fault(kind, box == null ? -1 : box.node(), at, told, lasts, size);
     }
 
--- a/doorman/src/main/java/barleyspur/expect/Fault.java
+++ b/doorman/src/main/java/barleyspur/expect/Fault.java
@@ -54,6 +54,17 @@
             return word;
         }
 
+        /** The size where none is said: times slower, share of failures, lag in ms, object. */
+        public double usualSize() {
+            return switch (this) {
+                case SLOW -> 6;
+                case FAIL -> 0.7;
+                case STALE -> 5_000;
+                case PURGE -> 1;
+                default -> 0;
+            };
+        }
+
         /** Whether the command channel tells it. */
         public boolean told() {
             return told;
--- a/doorman/src/main/java/barleyspur/expect/Judge.java
+++ b/doorman/src/main/java/barleyspur/expect/Judge.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 
@@ -60,6 +61,7 @@
 
     private final Site site;
     private final List<Expectation> expectations;
+    private final List<Condition.Kind> kinds;
     private final List<Tally> tallies = new ArrayList<>();
     private final List<List<Window>> windows = new ArrayList<>();
     private final List<Map<Object, Counted>> counts = new ArrayList<>();
@@ -70,6 +72,7 @@
     Judge(Site site, List<Expectation> expectations) {
         this.site = site;
         this.expectations = expectations;
+        kinds = expectations.stream().map(Expectation::kind).toList();
         expectations.forEach(e -> {
             tallies.add(new Tally());
             windows.add(new ArrayList<>());
@@ -131,7 +134,7 @@
         for (int i = 0; i < expectations.size(); i++) {
             Expectation e = expectations.get(i);
             said[i] = null;
-            if (e.kind() != kind || e.form() instanceof Expectation.Figures) {
+            if (kinds.get(i) != kind || e.form() instanceof Expectation.Figures) {
                 continue;
             }
             if (e.after() == null) {
@@ -216,8 +219,8 @@
     }
 
     private static String said(Expectation.Count c, double n) {
-        return figure(n) + " " + c.of().name().toLowerCase(java.util.Locale.ROOT) + " per "
-            + c.per().name().toLowerCase(java.util.Locale.ROOT);
+        return figure(n) + " " + c.of().name().toLowerCase(Locale.ROOT) + " per "
+            + c.per().name().toLowerCase(Locale.ROOT);
     }
 
     private static String figure(double n) {
--- a/doorman/src/main/java/barleyspur/expect/Moment.java
+++ b/doorman/src/main/java/barleyspur/expect/Moment.java
@@ -42,7 +42,6 @@
      * @param toldForMs  for how long it has said so
      * @param actual     what it does in truth
      * @param coldForMs  how long ago it started by the doorman's list; NaN where it is not cold by that
-     * @param coldInFactMs how long ago it started in truth; NaN where it is warm
      * @param fault      what else is wrong with it: none, hang, slow, full or fail
      * @param pressure   what all doormans that were told of its start sent within the rule's span, over what the rule
      *                   allows; 0 where it is not cold
@@ -50,7 +49,7 @@
      * @param tried      how many earlier attempts of the same try went there
      */
     record Seen(Box box, Site.Role role, String model, String station, boolean own, Told told, double toldForMs,
-                Told actual, double coldForMs, double coldInFactMs, String fault, double pressure,
+                Told actual, double coldForMs, String fault, double pressure,
                 double pressureOfAll, int tried) { }
 
     /**
--- a/doorman/src/main/java/barleyspur/expect/Plant.java
+++ b/doorman/src/main/java/barleyspur/expect/Plant.java
@@ -85,11 +85,6 @@
         return !Double.isNaN(startedAt) && now - startedAt < warmAfterMs;
     }
 
-    /** How long ago it started; NaN where it is warm. */
-    double coldFor(double now) {
-        return cold(now) ? now - startedAt : Double.NaN;
-    }
-
     private double shareAt(double now) {
         double age = Math.max(0, now - startedAt) / warmAfterMs;
         return Double.isNaN(startedAt) || age >= 1 ? 1 : coldFrom + (1 - coldFrom) * age;
--- a/doorman/src/main/java/barleyspur/expect/World.java
+++ b/doorman/src/main/java/barleyspur/expect/World.java
@@ -475,7 +475,7 @@
         return new Moment.Seen(p.box, site.role(p.box), site.kinds().get(p.box.kind()),
             site.zones().get(p.box.zone()), p.box.zone() == d.settings.zone(),
             e == null ? Moment.Told.MISSING : e.told, e == null ? Double.NaN : now - e.toldAt, p.state, coldFor,
-            p.coldFor(now), p.fault(now), p.pressure(now, true, slack), p.pressure(now, false, slack), tried);
+            p.fault(now), p.pressure(now, true, slack), p.pressure(now, false, slack), tried);
     }
 
     // ---- boxes -----------------------------------------------------------------------------------------
