Second address with health, quiesce and resume; upgrades share the port and hand off

Change: barleyspur.admin listens on mgmt/RELAY_MGMT (our own HTTP/1.1 decoder, 8 KiB head, 64 KiB body, 2 s for a whole call, 64 callers with the oldest silent one making room). barleyspur.duty decides health, which requests are taken and which idle connections close. Quiesced, idle client connections close; kept ones are served for 1 s, then refused with w=50 so they come to a moment with nothing open. With a second address the clients' port is bound with SO_REUSEPORT; the new process leaves a note in $TMPDIR and the old one, on SIGTERM, stops listening at once, serves kept connections 0.5 s more and ends when all is answered.

--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -1,5 +1,8 @@
 package barleyspur;
 
+import barleyspur.admin.AdminServer;
+import barleyspur.admin.DutyCalls;
+import barleyspur.admin.Routes;
 import barleyspur.channel.CommandChannel;
 import barleyspur.channel.CommandReader;
 import barleyspur.config.Configuration;
@@ -9,14 +12,18 @@
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.LoopClock;
+import barleyspur.duty.Duty;
 import barleyspur.front.thrift.ThriftFront;
 import barleyspur.log.LogEvent;
 import barleyspur.transport.Connector;
+import barleyspur.upgrade.HandOffNote;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -42,6 +49,8 @@
     private static final int UNREAD_SHARE = 24;
     /** Requests played before the start: by then what each request runs through is compiled. */
     private static final int REHEARSED = 200;
+    /** New requests may come for 0.6 s after SIGTERM, and must still be answered. */
+    private static final double DRAIN_MS = 750;
 
     /** Reads a configuration. */
     public interface Source {
@@ -58,12 +67,18 @@
     private final CommandChannel channel;
     private final ThriftFront front;
     private final CommandReader commands;
+    private final Clock clock;
+    private final Duty duty = new Duty();
+    /** The second address; null where the platform gives none. */
+    private final AdminServer admin;
+    /** Where an upgrade's processes say which of them listens last; null without a second address. */
+    private final HandOffNote handOff;
 
     public Node(Configuration configuration) {
         this.configuration = configuration;
         Configuration.Limits limits = configuration.limits();
         Director.Settings settings = configuration.settings();
-        Clock clock = new LoopClock(group.next());
+        clock = new LoopClock(group.next());
         DepotClient depots = new DepotClient(Connector.tcp(group, limits.connectTimeoutMs()), clock,
             new DepotClient.Limits(limits.streams(), limits.idleMs(), limits.sockets() / SHARES),
             settings.reportFields());
@@ -74,7 +89,16 @@
             configuration.channel(), clock, commands);
         front = new ThriftFront(group, doorman, clock, configuration.names().classes(), settings,
             Math.max(limits.sockets() / SHARES + 1, limits.sockets() - limits.sockets() / SHARES - OWN_SOCKETS),
-            limits.memoryMb() * MEGABYTE / UNREAD_SHARE, depots::pauseReading);
+            limits.memoryMb() * MEGABYTE / UNREAD_SHARE, depots::pauseReading, duty, configuration.mgmt() != null);
+        if (configuration.mgmt() == null) {
+            admin = null;
+            handOff = null;
+        } else {
+            // Only a platform that gives a second address upgrades a doorman beside itself.
+            admin = new AdminServer(group, clock, new DutyCalls(duty, clock, front::closeIdle)
+                .addTo(Routes.builder()).build());
+            handOff = new HandOffNote(configuration.scratch(), configuration.listen());
+        }
     }
 
     /** Rehearses, learns what is known, then listens; throws where the address can't be had. */
@@ -85,12 +109,22 @@
             commands.known(configuration.known());
             channel.start();
         }).sync();
-        var bound = front.listen(configuration.listen()).await();
+        listen(front.listen(configuration.listen()), configuration.listen());
+        group.submit(() -> duty.serving(clock.nowMs())).sync();
+        if (admin != null) {
+            listen(admin.listen(configuration.mgmt()), configuration.mgmt());
+            handOff.announce(ProcessHandle.current().pid());
+        }
+        LogEvent.log(LOG.atInfo(), "serves", "name", configuration.name(), "address", configuration.listen(), "mgmt",
+            configuration.mgmt());
+    }
+
+    private void listen(ChannelFuture future, InetSocketAddress address) throws IOException, InterruptedException {
+        ChannelFuture bound = future.await();
         if (!bound.isSuccess()) {
             group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
-            throw new IOException("can't listen on " + configuration.listen() + ": " + bound.cause().getMessage());
+            throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage());
         }
-        LogEvent.log(LOG.atInfo(), "serves", "name", configuration.name(), "address", configuration.listen());
     }
 
     /**
@@ -121,12 +155,25 @@
         channel.moveTo(next.channel());
     }
 
-    /** Answers what is open and what still comes for a while, then ends. */
+    /**
+     * Answers what is open and what still comes for a while, then ends. Where a successor listens on the clients'
+     * address (an upgrade), nothing new comes here: it stops listening at once, closes what is idle and ends as soon
+     * as what is open is answered. The note is read here, off the event loop.
+     */
     public void drain() {
-        group.execute(() -> doorman.drain(() -> front.close(() -> {
-            channel.close();
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> ended.countDown());
-        })));
+        long successor = handOff == null ? -1 : handOff.successorOf(ProcessHandle.current().pid());
+        group.execute(() -> {
+            duty.leave(clock.nowMs(), successor >= 0);
+            LogEvent.log(LOG.atInfo(), "leaving", "successor", successor);
+            if (!duty.listening()) {
+                front.stopListening();
+                front.closeIdle();
+            }
+            doorman.drain(duty.listening() ? DRAIN_MS : 0, () -> front.close(() -> {
+                channel.close();
+                group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> ended.countDown());
+            }));
+        });
     }
 
     /** Waits until a drain has ended. */
--- a/doorman/src/main/java/barleyspur/Rehearsal.java
+++ b/doorman/src/main/java/barleyspur/Rehearsal.java
@@ -7,6 +7,7 @@
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.Listing;
+import barleyspur.duty.Duty;
 import barleyspur.front.thrift.ThriftFront;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -75,9 +76,11 @@
             settings.reportFields());
         Doorman doorman = new Doorman(settings, requests, new Decide(settings, 1), this, client);
         doorman.listed(true, listings(settings));
+        Duty duty = new Duty();
+        duty.serving(now);
         ThriftFront front = new ThriftFront(group, doorman, this,
             configuration.names().classes(), settings, CLIENTS,
-            Long.MAX_VALUE, full -> { });
+            Long.MAX_VALUE, full -> { }, duty, false);
         List<EmbeddedChannel> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             clients.add(new EmbeddedChannel(front.acceptor()));
--- /dev/null
+++ b/doorman/src/main/java/barleyspur/admin/http/HttpAnswer.java
@@ -0,0 +1,55 @@
+package barleyspur.admin.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * An answer to one call: status, header fields beside the standard ones, and a body of text. Each one closes its
+ * connection ({@code Connection: close}, RFC 9112 section 9.6): one call per connection.
+ */
+public record HttpAnswer(int status, Map<String, String> headers, String contentType, String body) {
+
+    private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"), Map.entry(400, "Bad Request"),
+        Map.entry(404, "Not Found"), Map.entry(405, "Method Not Allowed"), Map.entry(408, "Request Timeout"), Map.entry(409, "Conflict"),
+        Map.entry(413, "Content Too Large"), Map.entry(431, "Request Header Fields Too Large"),
+        Map.entry(500, "Internal Server Error"), Map.entry(501, "Not Implemented"),
+        Map.entry(503, "Service Unavailable"), Map.entry(505, "HTTP Version Not Supported"));
+
+    /** An answer whose body is one JSON object. */
+    public static HttpAnswer json(int status, String body) {
+        return new HttpAnswer(status, Map.of(), "application/json", body + "\n");
+    }
+
+    /** An answer that says what went wrong, as the caller's fault or ours. */
+    public static HttpAnswer problem(int status, String message) {
+        return new HttpAnswer(status, Map.of(), "text/plain; charset=utf-8", message + "\n");
+    }
+
+    /** The same with one header field more. */
+    public HttpAnswer with(String name, String value) {
+        Map<String, String> more = new LinkedHashMap<>(headers);
+        more.put(name, value);
+        return new HttpAnswer(status, Map.copyOf(more), contentType, body);
+    }
+
+    /** Whether it says yes: RFC 9110 section 15.3. */
+    public boolean yes() {
+        return status >= 200 && status < 300;
+    }
+
+    /** The bytes on the wire. */
+    public ByteBuf encode(ByteBufAllocator alloc) {
+        byte[] content = body.getBytes(StandardCharsets.UTF_8);
+        StringBuilder head = new StringBuilder(128).append("HTTP/1.1 ").append(status).append(' ')
+            .append(REASONS.getOrDefault(status, "Status")).append("\r\n");
+        headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+        head.append("Content-Type: ").append(contentType).append("\r\nContent-Length: ").append(content.length)
+            .append("\r\nConnection: close\r\n\r\n");
+        byte[] start = head.toString().getBytes(StandardCharsets.ISO_8859_1);
+        ByteBuf out = alloc.buffer(start.length + content.length);
+        return out.writeBytes(start).writeBytes(content);
+    }
+}
--- /dev/null
+++ b/doorman/src/main/java/barleyspur/admin/http/HttpRequestDecoder.java
@@ -0,0 +1,208 @@
+package barleyspur.admin.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * Reads one HTTP/1.1 request from a stream (RFC 9112): the request line (section 3), header fields (section 5), and a
+ * body of {@code Content-Length} bytes (section 6.2). One call per connection: once a request is whole, what follows is
+ * thrown away. Lines may end in CRLF or in a bare LF (section 2.2). Bounded in size: a head of over
+ * {@code maxHead} bytes is a 431, a body of over {@code maxBody} a 413. Faults are {@link HttpFault}s, after which
+ * nothing more is read.
+ */
+public final class HttpRequestDecoder extends ByteToMessageDecoder {
+
+    private static final int HTTP_BAD = 400;
+    private static final int HTTP_TOO_LARGE = 413;
+    private static final int HTTP_HEAD_TOO_LARGE = 431;
+    private static final int HTTP_NOT_IMPLEMENTED = 501;
+    private static final int HTTP_VERSION = 505;
+    /** What a token may hold beside letters and digits: RFC 9110 section 5.6.2. */
+    private static final String TCHAR = "!#$%&'*+-.^_`|~";
+
+    private final int maxHead;
+    private final int maxBody;
+    /** How much of what is left is known to hold no end of the head. */
+    private int searched;
+    private String method;
+    private String target;
+    private Map<String, String> headers;
+    private int bodyLength = -1;
+    private boolean done;
+
+    public HttpRequestDecoder(int maxHead, int maxBody) {
+        this.maxHead = maxHead;
+        this.maxBody = maxBody;
+    }
+
+    /** Whether a whole request has come. */
+    public boolean whole() {
+        return done;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (done) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        if (bodyLength < 0 && !head(in)) {
+            return;
+        }
+        if (in.readableBytes() >= bodyLength) {
+            done = true;
+            out.add(new HttpRequest(method, target, headers, in.readRetainedSlice(bodyLength)));
+            in.skipBytes(in.readableBytes());
+        }
+    }
+
+    /** Reads the head, if it is whole; true once it is. */
+    private boolean head(ByteBuf in) {
+        int start = in.readerIndex();
+        int end = endOfHead(in, start);
+        if (end < 0) {
+            if (in.readableBytes() > maxHead) {
+                throw fault(in, HTTP_HEAD_TOO_LARGE, "a head of over " + maxHead + " bytes");
+            }
+            return false;
+        }
+        if (end - start > maxHead) {
+            throw fault(in, HTTP_HEAD_TOO_LARGE, "a head of over " + maxHead + " bytes");
+        }
+        String text = in.toString(start, end - start, StandardCharsets.ISO_8859_1);
+        in.readerIndex(end);
+        String[] lines = text.split("\r?\n", -1);
+        // RFC 9112 section 2.2: empty lines before the request line are passed over.
+        int first = 0;
+        while (first < lines.length && lines[first].isEmpty()) {
+            first++;
+        }
+        if (first == lines.length) {
+            throw fault(in, HTTP_BAD, "no request line");
+        }
+        requestLine(in, lines[first]);
+        headers = new LinkedHashMap<>();
+        for (int i = first + 1; i < lines.length; i++) {
+            if (!lines[i].isEmpty()) {
+                field(in, lines[i]);
+            }
+        }
+        bodyLength = bodyLength(in);
+        return true;
+    }
+
+    /**
+     * The index just past the empty line that ends the head, or -1 while it has not come. Empty lines before the request
+     * line don't count. A line feed at the end of what has come is looked at again when more comes.
+     */
+    private int endOfHead(ByteBuf in, int start) {
+        int last = in.writerIndex();
+        int from = start;
+        while (from < last && (in.getByte(from) == '\r' || in.getByte(from) == '\n')) {
+            from++;
+        }
+        for (int i = Math.max(from, start + searched); i < last; i++) {
+            if (in.getByte(i) != '\n') {
+                continue;
+            }
+            if (i + 1 < last && in.getByte(i + 1) == '\n') {
+                return i + 2;
+            }
+            if (i + 2 < last && in.getByte(i + 1) == '\r' && in.getByte(i + 2) == '\n') {
+                return i + 3;
+            }
+            if (i + 2 >= last) {
+                searched = i - start;
+                return -1;
+            }
+        }
+        searched = last - start;
+        return -1;
+    }
+
+    private void requestLine(ByteBuf in, String line) {
+        String[] parts = line.split(" ", -1);
+        if (parts.length != 3 || !token(parts[0]) || parts[1].isEmpty()) {
+            throw fault(in, HTTP_BAD, "no request line: method, target and version apart by one space");
+        }
+        if (!parts[2].matches("HTTP/[0-9]\\.[0-9]")) {
+            throw fault(in, HTTP_BAD, "no HTTP version");
+        }
+        if (!parts[2].startsWith("HTTP/1.")) {
+            throw fault(in, HTTP_VERSION, "version " + parts[2] + " is not spoken");
+        }
+        for (int i = 0; i < parts[1].length(); i++) {
+            char c = parts[1].charAt(i);
+            if (c <= ' ' || c >= 0x7f) {
+                throw fault(in, HTTP_BAD, "the target holds a byte that is not visible ASCII");
+            }
+        }
+        if (parts[1].charAt(0) != '/') {
+            throw fault(in, HTTP_BAD, "the target is not in origin form");
+        }
+        method = parts[0];
+        target = parts[1];
+    }
+
+    /** One header field: RFC 9112 section 5. */
+    private void field(ByteBuf in, String line) {
+        if (line.charAt(0) == ' ' || line.charAt(0) == '\t') {
+            throw fault(in, HTTP_BAD, "a folded header line");
+        }
+        int colon = line.indexOf(':');
+        if (colon <= 0 || !token(line.substring(0, colon))) {
+            throw fault(in, HTTP_BAD, "a header line without a name and a colon");
+        }
+        String name = line.substring(0, colon).toLowerCase(Locale.ROOT);
+        String value = line.substring(colon + 1).strip();
+        headers.merge(name, value, (a, b) -> a + ", " + b);
+    }
+
+    private int bodyLength(ByteBuf in) {
+        if (headers.containsKey("transfer-encoding")) {
+            throw fault(in, HTTP_NOT_IMPLEMENTED, "no transfer coding is spoken; send Content-Length");
+        }
+        String length = headers.get("content-length");
+        if (length == null) {
+            return 0;
+        }
+        // RFC 9110 section 8.6: a list of the same figure is that figure.
+        String[] figures = length.split("\\s*,\\s*");
+        for (String f : figures) {
+            if (!f.equals(figures[0]) || !f.matches("[0-9]{1,10}")) {
+                throw fault(in, HTTP_BAD, "Content-Length is not one number");
+            }
+        }
+        long bytes = Long.parseLong(figures[0]);
+        if (bytes > maxBody) {
+            throw fault(in, HTTP_TOO_LARGE, "a body of over " + maxBody + " bytes");
+        }
+        return (int) bytes;
+    }
+
+    private static boolean token(String text) {
+        if (text.isEmpty()) {
+            return false;
+        }
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (!(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || TCHAR.indexOf(c) >= 0)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** What comes after a fault is not read: else the end of the connection would bring a second complaint. */
+    private HttpFault fault(ByteBuf in, int status, String message) {
+        done = true;
+        in.skipBytes(in.readableBytes());
+        return new HttpFault(status, message);
+    }
+}
--- a/doorman/src/main/java/barleyspur/config/Configuration.java
+++ b/doorman/src/main/java/barleyspur/config/Configuration.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import org.json.JSONArray;
 import org.json.JSONException;
 import org.json.JSONObject;
@@ -17,10 +18,13 @@
 
 /**
  * All that one doorman is told: read, checked and defaulted here and nowhere else. {@code known} is the
- * command channel's own form, for the channel's parser to read.
+ * command channel's own form, for the channel's parser to read. {@code mgmt}, the second address, is null where the
+ * platform gives none; {@code scratch} is the folder that {@code $TMPDIR} names, which an upgrade's two processes
+ * share.
  */
-public record Configuration(String name, InetSocketAddress listen, InetSocketAddress channel, long seed,
-                            JSONObject known, Director.Settings settings, Names names, Limits limits) {
+public record Configuration(String name, InetSocketAddress listen, InetSocketAddress channel, InetSocketAddress mgmt,
+                            Path scratch, long seed, JSONObject known, Director.Settings settings, Names names,
+                            Limits limits) {
 
     /** The names that sockets use for what the settings number. */
     public record Names(List<String> classes, List<String> zones, List<String> kinds) { }
@@ -73,12 +77,15 @@
             throw new Invalid("key name is missing");
         }
         String listen = variables.getOrDefault("RELAY_LISTEN", json.optString("listen"));
+        String mgmt = variables.getOrDefault("RELAY_MGMT", json.optString("mgmt"));
+        Path scratch = Path.of(variables.getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir")));
         JSONObject settings = object(json, "settings");
         JSONObject known = known(object(json, "known"));
         try {
             Map<String, String> flat = SettingsReader.flatten(settings);
             return new Configuration(name, address("listen", listen), address("channel", json.optString("channel")),
-                seed(json), known, SettingsReader.read(flat), names(settings), limits(json, flat));
+                mgmt.isBlank() ? null : address("mgmt", mgmt), scratch, seed(json), known, SettingsReader.read(flat),
+                names(settings), limits(json, flat));
         } catch (IllegalArgumentException e) {
             throw new Invalid(e.getMessage());
         }
@@ -100,7 +107,7 @@
 
     /** This one with another command channel: all that a running doorman can change. */
     public Configuration withChannel(InetSocketAddress next) {
-        return new Configuration(name, listen, next, seed, known, settings, names, limits);
+        return new Configuration(name, listen, next, mgmt, scratch, seed, known, settings, names, limits);
     }
 
     /** The keys that differ and that a running doorman can't change; seed and known are new each time. */
@@ -108,6 +115,7 @@
         Map<String, Boolean> same = new LinkedHashMap<>();
         same.put("name", name.equals(next.name));
         same.put("listen", listen.equals(next.listen));
+        same.put("mgmt", Objects.equals(mgmt, next.mgmt));
         same.put("limits", limits.equals(next.limits));
         same.put("settings", settings.equals(next.settings) && names.equals(next.names));
         return same.entrySet().stream().filter(e -> !e.getValue()).map(Map.Entry::getKey).toList();
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -22,8 +22,6 @@
 public final class Doorman implements Commands {
 
     private static final Logger LOG = LoggerFactory.getLogger("doorman");
-    /** New requests may come for 0.6 s after a stop was asked for, and must still be answered. */
-    private static final double DRAIN_MS = 750;
     /** Ids given to the director stay below 2^32, where its timer tokens begin. */
     private static final long MOST_IDS = 1L << 32;
     private static final double PROBE_TIMEOUT_MS = 250;
@@ -99,19 +97,14 @@
         return takenIds.contains(id);
     }
 
-    /** Whether new clients are welcome. */
-    public boolean draining() {
-        return draining;
-    }
-
-    /** Goes on for a while, finishes what is open, then calls {@code then}, once. */
-    public void drain(Runnable then) {
+    /** Goes on for {@code graceMs}, finishes what is open, then calls {@code then}, once. */
+    public void drain(double graceMs, Runnable then) {
         if (draining) {
             return;
         }
         draining = true;
         LogEvent.log(LOG.atInfo(), "drain: asked to stop", "open", owed);
-        clock.after(DRAIN_MS, () -> {
+        clock.after(graceMs, () -> {
             drained = then;
             leaveIfDone();
         });
--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -5,6 +5,7 @@
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
+import barleyspur.duty.Duty;
 import barleyspur.log.LogEvent;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -33,12 +34,14 @@
     /** How long a client has to read a last error before its connection is closed. */
     static final double LAST_WORD_MS = 500;
     private static final long MOST_DISCARDED = 256 * 1024;
+    /** How long a client that is sent away for a drain or an upgrade is told to stay away: its connection closes. */
+    static final long AWAY_MS = 50;
     /** Requests that can't be used, after which a connection with nothing open is closed. */
     private static final int MOST_BAD = 8;
 
     /** What all connections of one front have in common. */
     record Shared(Doorman doorman, Clock clock, RequestFields.Bounds bounds, int mostOpen, UnreadAnswers unread,
-                  Crowd<FrontConnection> crowd, CappedLog log) { }
+                  Crowd<FrontConnection> crowd, CappedLog log, Duty duty) { }
 
     private final Shared front;
     private final UnreadAnswers unread;
@@ -52,6 +55,8 @@
     private boolean useful;
     private boolean leaving;
     private int bad;
+    /** Answers and errors written and not yet out. */
+    private int unwritten;
 
     FrontConnection(Shared front, ThriftFrameDecoder decoder) {
         this.front = front;
@@ -84,7 +89,7 @@
             }
         } else if (call instanceof ThriftCall.Alive c) {
             used();
-            answer("alive", c.seqid(), Unpooled.EMPTY_BUFFER, Map.of(), !doorman.draining());
+            answer("alive", c.seqid(), Unpooled.EMPTY_BUFFER, Map.of(), front.duty().ready());
         } else if (call instanceof ThriftCall.Unknown c) {
             log.warn("unknown method", "client", channel.remoteAddress(), "method", c.method());
             bad(c.method(), c.seqid(), Thrift.UNKNOWN_METHOD, "unknown method");
@@ -133,6 +138,23 @@
     private void idleIfDone() {
         if (open.isEmpty() && !leaving && useful) {
             front.crowd().idle(this, front.clock().nowMs());
+            if (front.duty().closeWhenIdle()) {
+                // After the answer that made it idle has been written, which comes after this call.
+                channel.eventLoop().execute(this::closeIfQuiet);
+            }
+        }
+    }
+
+    /**
+     * Closes the connection where the duty wants idle ones gone and nothing is open or unwritten on it. One that never
+     * asked is left to the watch on half-sent requests: it may be about to ask.
+     */
+    void closeIfQuiet() {
+        if (open.isEmpty() && unwritten == 0 && useful && !leaving && channel.isActive() && front.duty().closeWhenIdle()) {
+            front.crowd().leaving(this);
+            leaving = true;
+            halfSent.cancel();
+            channel.close();
         }
     }
 
@@ -190,6 +212,12 @@
             return;
         }
         useful = true;
+        if (!front.duty().takes(front.clock().nowMs())) {
+            // Its connection is to be closed, which needs a moment with nothing open: the client asks again elsewhere.
+            write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of("w", Long.toString(AWAY_MS))));
+            idleIfDone();
+            return;
+        }
         if (open.size() >= front.mostOpen() || unread.full()) {
             log.warn("refused: too many requests are open here", "client", channel.remoteAddress(), "open", open.size(),
                 "unread", unread.full());
@@ -257,7 +285,17 @@
         channel.write(Thrift.answerHead(channel.alloc(), method, seqid, bodyBytes, tail.readableBytes()));
         channel.write(body);
         unread.add(bodyBytes);
-        channel.writeAndFlush(tail).addListener(written -> unread.add(-bodyBytes));
+        unwritten++;
+        channel.writeAndFlush(tail).addListener(written -> {
+            unread.add(-bodyBytes);
+            written();
+        });
+    }
+
+    private void written() {
+        if (--unwritten == 0 && open.isEmpty() && front.duty().closeWhenIdle()) {
+            closeIfQuiet();
+        }
     }
 
     /** Closes the connection for a newcomer's, unless what has just been read is a request on it. */
@@ -270,7 +308,8 @@
     }
 
     private void write(ByteBuf message) {
-        channel.writeAndFlush(message, channel.voidPromise());
+        unwritten++;
+        channel.writeAndFlush(message).addListener(out -> written());
     }
 
     /** Back-pressure: from a client that does not read its answers nothing more is read, and at last it is left. */
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -4,6 +4,7 @@
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
+import barleyspur.duty.Duty;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -14,8 +15,10 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.ChannelGroupFuture;
 import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.List;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +44,7 @@
     private final CappedLog log;
     private final Crowd<FrontConnection> crowd = new Crowd<>();
     private final FrontConnection.Shared shared;
+    private final boolean sharePort;
     private Channel listener;
 
     /**
@@ -49,19 +53,27 @@
      */
     public ThriftFront(EventLoopGroup group, Doorman doorman, Clock clock, List<String> classes,
                        Director.Settings settings, int mostConnections, long mostUnread,
-                       Consumer<Boolean> onFull) {
+                       Consumer<Boolean> onFull, Duty duty, boolean sharePort) {
         this.group = group;
         this.clock = clock;
         this.mostConnections = mostConnections;
         this.log = new CappedLog(LOG, clock);
         this.connections = new DefaultChannelGroup(group.next());
         this.shared = new FrontConnection.Shared(doorman, clock, new RequestFields.Bounds(classes, settings),
-            MOST_OPEN, new UnreadAnswers(mostUnread, onFull), crowd, log);
+            MOST_OPEN, new UnreadAnswers(mostUnread, onFull), crowd, log, duty);
+        this.sharePort = sharePort;
     }
 
-    /** Starts to listen. */
+    /**
+     * Starts to listen. Where the port is shared, with SO_REUSEPORT, an upgrade's new process can listen beside the old
+     * one, and the kernel spreads new connections over both.
+     */
     public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        ServerBootstrap bootstrap = new ServerBootstrap();
+        if (sharePort) {
+            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+        ChannelFuture bound = bootstrap.group(group).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -102,6 +114,21 @@
         channel.pipeline().addLast(decoder, new FrontConnection(shared, decoder));
     }
 
+    /** Closes every connection that has nothing open, as the duty wants it now. */
+    public void closeIdle() {
+        for (Channel c : connections) {
+            FrontConnection connection = c.pipeline().get(FrontConnection.class);
+            if (connection != null) {
+                connection.closeIfQuiet();
+            }
+        }
+    }
+
+    /** Stops listening: a successor has the address. Connections that are open stay. */
+    public void stopListening() {
+        listener.close();
+    }
+
     /** Stops listening and closes every connection once what was written to it is out, or after a while. */
     public void close(Runnable then) {
         listener.close();
--- a/doorman/src/test/java/barleyspur/arch/LayersTest.java
+++ b/doorman/src/test/java/barleyspur/arch/LayersTest.java
@@ -17,7 +17,8 @@
     /** Guards: decisions and the checker have no I/O, clock or random source of the system's. */
     @Test
     void whatDecidesIsPure() {
-        noClasses().that().resideInAnyPackage("barleyspur.decision", "barleyspur.expect", "barleyspur.tier").should()
+        noClasses().that().resideInAnyPackage("barleyspur.decision", "barleyspur.expect", "barleyspur.tier",
+            "barleyspur.duty").should()
             .dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..", "java.time..",
                 "java.util.concurrent..", "io.netty..", "org.slf4j..", "org.json..")
             .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.Random")
--- a/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
+++ b/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
@@ -250,7 +250,7 @@
     @Test
     void aDrainAnswersWhatIsOpenAndWhatStillComes() {
         boolean[] ended = new boolean[1];
-        doorman.drain(() -> ended[0] = true);
+        doorman.drain(750, () -> ended[0] = true);
         moveTo(1_600);
         take(e -> sendAll(1, e));
         moveTo(1_900);
--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -12,6 +12,7 @@
 import barleyspur.doorman.Depots;
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.Listing;
+import barleyspur.duty.Duty;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -43,14 +44,16 @@
         out = sink;
     }, this, this);
     private final Crowd<FrontConnection> crowd = new Crowd<>();
+    private final Duty duty = new Duty();
     private final List<Runnable> timers = new ArrayList<>();
     private double now;
     private final EmbeddedChannel channel = connect();
 
     private EmbeddedChannel connect() {
+        duty.serving(now);
         ThriftFrameDecoder decoder = new ThriftFrameDecoder(100_000);
         FrontConnection.Shared shared = new FrontConnection.Shared(doorman, this, BOUNDS, MOST_OPEN, new UnreadAnswers(1_000, full -> { }),
-            crowd, new CappedLog(LoggerFactory.getLogger("front"), this));
+            crowd, new CappedLog(LoggerFactory.getLogger("front"), this), duty);
         return new EmbeddedChannel(decoder, new FrontConnection(shared, decoder));
     }
 
@@ -228,4 +231,22 @@
         channel.runPendingTasks();
         assertTrue(channel.isOpen(), "what asked in the same moment stays");
     }
+
+    /** Guards the drain's rule: quiesced, a connection goes once its last answer is out, and not before. */
+    @Test
+    void quiescedAConnectionIsClosedOnceItsAnswersAreOut() {
+        dispatch(1, "small");
+        dispatch(2, "small");
+        duty.quiesce(now);
+        out.accept(new Director.Refuse(((Director.Request) events.get(0)).id(), 0));
+        doorman.purgedGroup(1, 0);
+        channel.runPendingTasks();
+        assertTrue(channel.isOpen(), "request 2 is open");
+        assertAnswer(Thrift.REPLY, 1, "");
+        out.accept(new Director.Refuse(((Director.Request) events.get(1)).id(), 0));
+        doorman.purgedGroup(1, 0);
+        channel.runPendingTasks();
+        assertFalse(channel.isOpen(), "nothing is open any more");
+        assertAnswer(Thrift.REPLY, 2, "");
+    }
 }
