Retune classes and attempts on SIGHUP; turn down a file with a deadline or cap under 1

SettingsReader wants promiseMs, hardLimitMs and sendCap above 0; a class named twice is refused. Configuration.load names file:line: key, the line found by org.json's tokenizer down the key's path (JsonLines).

--- a/decision/src/main/java/barleyspur/decision/Decide.java
+++ b/decision/src/main/java/barleyspur/decision/Decide.java
@@ -63,8 +63,7 @@
     private static final double LEAST_TICKS = 5;
     /** How far a request's worth for its work may stretch or shrink a limit for it. */
     private static final double FAVOUR_MOST = 4;
-    /** Weights of the newest sample in a class's sending time; answers also wait, so it rises the slower. */
-    private static final double WORK_UP = 0.001;
+    /** Weight of the newest sample in the worth and work asked for. */
     private static final double WORK_DOWN = 0.02;
     /** Time over which the work that nodes carry is averaged. */
     private static final double CARRIED_MS = 10_000;
@@ -82,7 +81,7 @@
 
     // ---- State -----------------------------------------------------------------------------------------
 
-    private final Settings settings;
+    private Settings settings;
     private final SplittableRandom random;
     private final Fleet fleet;
     /** Looked up only, never walked. An entry goes when the request is over and its attempts are back. */
@@ -91,8 +90,7 @@
     private final Bounded<Long, Boolean> lost = new Bounded<>(LOST_LIST);
     private final Bounded<Long, Double> purgedObjects = new Bounded<>(MOST_PURGES);
     private final Bounded<Integer, Double> purgedGroups = new Bounded<>(MOST_PURGES);
-    /** Mean sending time by class, learned from sizes where they are told, else from answers. */
-    private final double[] meanWork;
+    private final Work meanWork;
     private final Carried byCaches = new Carried(CARRIED_MS);
     private final Carried byParents = new Carried(CARRIED_MS);
     private double retryTokens = RETRY_SAVED;
@@ -113,10 +111,7 @@
         this.settings = settings;
         this.random = new SplittableRandom(seed);
         this.fleet = new Fleet(settings);
-        this.meanWork = new double[settings.classes().size()];
-        for (int i = 0; i < meanWork.length; i++) {
-            meanWork[i] = settings.classes().get(i).aimMs() / 2;
-        }
+        this.meanWork = new Work(settings.classes());
     }
 
     @Override
@@ -137,6 +132,9 @@
             onPurged(e);
         } else if (event instanceof FirstByte e && open.containsKey(e.request())) {
             open.get(e.request()).over = true;
+        } else if (event instanceof Retuned e) {
+            settings = e.settings();
+            meanWork.retune(settings.classes());
         }
     }
 
@@ -145,7 +143,7 @@
     private void onRequest(Request r) {
         retryTokens = Math.min(RETRY_SAVED, retryTokens + RETRY_EARNED);
         if (r.sizeKb() > 0) {
-            learnWork(r.category(), r.sizeKb() / settings.paceKbPerMs());
+            meanWork.learn(r.category(), r.sizeKb() / settings.paceKbPerMs());
         }
         worthAsked += (settings.classes().get(r.category()).worth() - worthAsked) * WORK_DOWN;
         workAsked += (sizeOf(r) - workAsked) * WORK_DOWN;
@@ -178,7 +176,7 @@
         List<Server> others = holders(o.request, beliefs.get(part(o.request)), candidates(o));
         List<Server> free = Lists.where(others, s -> !o.tried(s) && free(s));
         Server target = free.isEmpty() ? first.target : pick(free);
-        boolean able = fleet.caches.contains(target) && coldAllows(target, meanWork[o.request.category()]);
+        boolean able = fleet.caches.contains(target) && coldAllows(target, meanWork.of(o.request.category()));
         if (able && target.busy < BUSY && !shut(target.gate)) {
             backupTokens--;
             boolean fill = free.isEmpty() && first.fill;
@@ -395,7 +393,7 @@
 
     /** The location's caches that may take this request: first those in use and not yet tried. */
     private List<Server> candidates(Open o) {
-        double work = meanWork[o.request.category()];
+        double work = meanWork.of(o.request.category());
         List<Server> local = Lists.where(fleet.caches, s -> mayTake(o, s) && coldAllows(s, work));
         List<Server> inUse = Lists.where(local, this::inUse);
         List<Server> good = inUse.size() < LEAST_IN_USE * local.size() ? local : inUse;
@@ -433,7 +431,7 @@
         // With the origin failing more, a parent is not at fault for what it lacks, and serves what it holds.
         double failing = fleet.origin == null ? 0 : fleet.origin.failShare;
         double blameless = failing > BAD_SHARE ? failing : 0;
-        double work = meanWork[o.request.category()];
+        double work = meanWork.of(o.request.category());
         Server first = null;
         Server open = null;
         double firstScore = 0;
@@ -488,7 +486,7 @@
         a.source = source;
         a.fill = fill;
         a.sentAt = now;
-        a.work = meanWork[o.request.category()];
+        a.work = meanWork.of(o.request.category());
         a.rank = rank;
         a.trial = takeTrial(target);
         a.sourceTrial = source != null && fill && takeTrial(source);
@@ -644,12 +642,7 @@
     // ---- Work and cold nodes (rule 4) ------------------------------------------------------------------
 
     private double sizeOf(Request r) {
-        return r.sizeKb() > 0 ? r.sizeKb() / settings.paceKbPerMs() : meanWork[r.category()];
-    }
-
-    private void learnWork(int category, double sample) {
-        double rate = sample > meanWork[category] ? WORK_UP : WORK_DOWN;
-        meanWork[category] += (sample - meanWork[category]) * rate;
+        return r.sizeKb() > 0 ? r.sizeKb() / settings.paceKbPerMs() : meanWork.of(r.category());
     }
 
     private void carry(Server s, double work) {
@@ -683,19 +676,16 @@
         double age = Math.max(0, now - startedAt) / rule.warmAfterMs();
         double share = rule.fromShare() + (1 - rule.fromShare()) * age;
         double load = BUDGET_USED * rule.fallMultiple();
-        s.coldTokens = Math.min(mostWork(), s.coldTokens + load * share * warmRate(s) * (now - s.coldAt));
+        double earned = load * share * warmRate(s) * (now - s.coldAt);
+        s.coldTokens = Math.min(meanWork.most(), s.coldTokens + earned);
         s.coldAt = now;
         return s.coldTokens >= work;
     }
 
-    private double mostWork() {
-        return Arrays.stream(meanWork).max().orElse(0);
-    }
-
     /** The debt that a cold node starts with: spread evenly over the directors, up to one request. */
     private void startCold(Server s) {
         double turn = (double) settings.me() / settings.directors() + Rendezvous.unit(s.id());
-        s.coldTokens = -mostWork() * (turn - Math.floor(turn));
+        s.coldTokens = -meanWork.most() * (turn - Math.floor(turn));
         s.coldAt = now;
     }
 
@@ -768,7 +758,7 @@
 
     private void served(Open o, Attempt a, Outcome e, boolean sourced) {
         if (o.request.sizeKb() <= 0) {
-            learnWork(o.request.category(), e.latencyMs());
+            meanWork.learn(o.request.category(), e.latencyMs());
         }
         carry(a.target, a.work);
         succeeded(a.target, a.trial);
--- a/decision/src/main/java/barleyspur/decision/Director.java
+++ b/decision/src/main/java/barleyspur/decision/Director.java
@@ -49,7 +49,16 @@
                     ColdRule coldParent, double fallSpanMs, double purgeGraceMs, double purgeDoneMs,
                     boolean direct, boolean joins, Siblings siblings, Notes notes, double paceKbPerMs,
                     Reports reports, List<String> reportFields, int maxAttempts, boolean mayDuplicate,
-                    boolean mayCancel, boolean mayProbe, boolean mayTell, double maxRetryAfterMs) { }
+                    boolean mayCancel, boolean mayProbe, boolean mayTell, double maxRetryAfterMs) {
+
+        /** These settings with other classes and another cap on attempts: all that a retune changes. */
+        public Settings retuned(List<RequestClass> nextClasses, int nextMaxAttempts) {
+            return new Settings(List.copyOf(nextClasses), me, directors, zone, zoneDirectors, parentKind, originKind,
+                sizesCount, mustAsk, mustAskMs, tickMs, answerSlackMs, drainGraceMs, coldCache, coldParent, fallSpanMs,
+                purgeGraceMs, purgeDoneMs, direct, joins, siblings, notes, paceKbPerMs, reports, reportFields,
+                nextMaxAttempts, mayDuplicate, mayCancel, mayProbe, mayTell, maxRetryAfterMs);
+        }
+    }
 
     // ---- events ---------------------------------------------------------------------------------------
 
@@ -80,7 +89,7 @@
         SOURCE_LACKS, NO_FILL_PLACE, ORIGIN_FAILED }
 
     /** All that a director can be told. */
-    sealed interface Event permits Members, Request, FirstByte, Outcome, Gone, Alarm, Probed, Told, Purged { }
+    sealed interface Event permits Members, Request, FirstByte, Outcome, Gone, Alarm, Probed, Told, Purged, Retuned { }
 
     /** The list of nodes, whole or changed. */
     record Members(ListKind kind, List<Node> nodes) implements Event { }
@@ -111,6 +120,12 @@
     /** An object, or with {@code object} 0 a whole group, was purged {@code ageMs} ago. */
     record Purged(int group, long object, double ageMs) implements Event { }
 
+    /**
+     * The settings have changed while the director runs. Classes keep their numbers: a changed or added class comes
+     * behind those before, so that open requests keep the class that they were taken under.
+     */
+    record Retuned(Settings settings) implements Event { }
+
     // ---- actions --------------------------------------------------------------------------------------
 
     /** All that a director can order. */
--- /dev/null
+++ b/decision/src/test/java/barleyspur/decision/RetuneTest.java
@@ -0,0 +1,46 @@
+package barleyspur.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.decision.Director.Effect;
+import barleyspur.decision.Director.Get;
+import barleyspur.decision.Director.Note;
+import barleyspur.decision.Director.Result;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Settings that change while the director runs: classes behind those before, another cap on attempts. */
+class RetuneTest {
+
+    private final Director.Settings before = Bench.settings();
+    private final Bench bench = new Bench(before).list(4);
+
+    private Director.Settings withFifth(int maxAttempts) {
+        List<Director.RequestClass> classes = new ArrayList<>(before.classes());
+        classes.add(Bench.requestClass(Effect.UNSAFE, 0));
+        return before.retuned(classes, maxAttempts);
+    }
+
+    /** Guards a class that a retune adds: without the event its number is out of every table of the director. */
+    @Test
+    void aNewClassIsRoutedOnceTold() {
+        bench.tell(new Director.Retuned(withFifth(before.maxAttempts())));
+        List<Director.Action> actions = bench.request(4, 42, 2_000);
+        assertEquals(1, Bench.all(actions, Get.class).size(), actions.toString());
+    }
+
+    /** Guards a lower cap on attempts: a request that fails is not tried again beyond it. */
+    @Test
+    void aLowerCapOnAttemptsBindsNewRequests() {
+        Get first = bench.get(42);
+        List<Director.Action> again = bench.outcome(first, 0, Result.ERROR, Note.NONE);
+        assertEquals(1, Bench.all(again, Get.class).size(), "tried again under a cap of " + before.maxAttempts());
+        bench.tell(new Director.Retuned(withFifth(1)));
+        Get second = bench.get(43);
+        List<Director.Action> after = bench.outcome(second, 0, Result.ERROR, Note.NONE);
+        assertTrue(Bench.all(after, Get.class).isEmpty(), after.toString());
+        assertEquals(1, Bench.all(after, Director.Refuse.class).size() + Bench.all(after, Director.Fail.class).size());
+    }
+}
--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -15,6 +15,7 @@
 import barleyspur.duty.Duty;
 import barleyspur.front.thrift.ThriftFront;
 import barleyspur.log.LogEvent;
+import barleyspur.retune.ClassTable;
 import barleyspur.transport.Connector;
 import barleyspur.upgrade.HandOffNote;
 import io.netty.channel.ChannelFuture;
@@ -69,6 +70,8 @@
     private final CommandReader commands;
     private final Clock clock;
     private final Duty duty = new Duty();
+    /** The classes that requests may name; a retune makes a new table. */
+    private ClassTable classes;
     /** The second address; null where the platform gives none. */
     private final AdminServer admin;
     /** Where an upgrade's processes say which of them listens last; null without a second address. */
@@ -87,7 +90,8 @@
         commands = new CommandReader(configuration.names().zones(), configuration.names().kinds(), doorman);
         channel = new CommandChannel(Connector.tcp(group, CommandChannel.CONNECT_TIMEOUT_MS),
             configuration.channel(), clock, commands);
-        front = new ThriftFront(group, doorman, clock, configuration.names().classes(), settings,
+        classes = ClassTable.of(configuration.names().classes(), settings.classes());
+        front = new ThriftFront(group, doorman, clock, classes,
             Math.max(limits.sockets() / SHARES + 1, limits.sockets() - limits.sockets() / SHARES - OWN_SOCKETS),
             limits.memoryMb() * MEGABYTE / UNREAD_SHARE, depots::pauseReading, duty, configuration.mgmt() != null);
         if (configuration.mgmt() == null) {
@@ -145,13 +149,23 @@
     }
 
     private void apply(Configuration next) {
-        List<String> fixed = configuration.changedButChannel(next);
+        List<String> fixed = configuration.fixedChanges(next);
         if (!fixed.isEmpty()) {
             LogEvent.log(LOG.atWarn(), "reload: changes that count from the next start on", "keys",
                 String.join(",", fixed));
         }
+        ClassTable.Retune retune = classes.retune(next.names().classes(), next.settings().classes());
+        int attempts = next.settings().maxAttempts();
+        if (!retune.same() || attempts != configuration.settings().maxAttempts()) {
+            classes = retune.table();
+            doorman.retune(configuration.settings().retuned(classes.classes(), attempts));
+            front.retune(classes);
+            LogEvent.log(LOG.atInfo(), "reload: classes retuned", "added", String.join(",", retune.added()),
+                "changed", String.join(",", retune.changed()), "dropped", String.join(",", retune.dropped()),
+                "attempts", attempts);
+        }
         LOG.info("reload: done");
-        configuration = configuration.withChannel(next.channel());
+        configuration = configuration.retuned(next);
         channel.moveTo(next.channel());
     }
 
--- a/doorman/src/main/java/barleyspur/Rehearsal.java
+++ b/doorman/src/main/java/barleyspur/Rehearsal.java
@@ -9,6 +9,7 @@
 import barleyspur.doorman.Listing;
 import barleyspur.duty.Duty;
 import barleyspur.front.thrift.ThriftFront;
+import barleyspur.retune.ClassTable;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -79,7 +80,7 @@
         Duty duty = new Duty();
         duty.serving(now);
         ThriftFront front = new ThriftFront(group, doorman, this,
-            configuration.names().classes(), settings, CLIENTS,
+            ClassTable.of(configuration.names().classes(), settings.classes()), CLIENTS,
             Long.MAX_VALUE, full -> { }, duty, false);
         List<EmbeddedChannel> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
--- a/doorman/src/main/java/barleyspur/config/Configuration.java
+++ b/doorman/src/main/java/barleyspur/config/Configuration.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.json.JSONArray;
 import org.json.JSONException;
 import org.json.JSONObject;
@@ -46,6 +48,8 @@
     /** The most that a scored day gives. */
     private static final int MEMORY_MB = 192;
     private static final int HEX = 16;
+    /** How errors name a key: of the file, or of its settings. */
+    private static final Pattern NAMED = Pattern.compile("^(key|setting) ([^ ]+)");
 
     /** Reads the file that {@code RELAY_CONFIG} names; name and address may also come as variables. */
     public static Configuration load(Map<String, String> variables) throws Invalid {
@@ -53,15 +57,39 @@
         if (file == null || file.isBlank()) {
             throw new Invalid("variable RELAY_CONFIG is missing");
         }
+        String text;
         try {
-            return read(new JSONObject(Files.readString(Path.of(file))), variables);
+            text = Files.readString(Path.of(file));
         } catch (IOException e) {
             throw new Invalid("variable RELAY_CONFIG: " + file + " can't be read: " + e.getMessage());
+        }
+        JSONObject json;
+        try {
+            json = new JSONObject(text);
         } catch (JSONException e) {
-            throw new Invalid("variable RELAY_CONFIG: " + file + " is not JSON: " + e.getMessage());
+            throw new Invalid(file + ": not JSON, or cut short: " + e.getMessage());
+        }
+        try {
+            return read(json, variables);
+        } catch (Invalid e) {
+            throw new Invalid(file + where(text, e.getMessage()) + ": " + e.getMessage());
         }
     }
 
+    /**
+     * {@code ":LINE"} where the message names a key that stands in {@code text}, as {@code "key K ..."} or
+     * {@code "setting K ..."}; else nothing.
+     */
+    private static String where(String text, String message) {
+        Matcher named = NAMED.matcher(message);
+        if (!named.find()) {
+            return "";
+        }
+        String path = (named.group(1).equals("setting") ? "settings." : "") + named.group(2);
+        int line = JsonLines.lineOf(text, path);
+        return line > 0 ? ":" + line : "";
+    }
+
     /** A small one on loopback, that a rehearsal can do with. */
     public static Configuration example() throws Invalid {
         try (InputStream in = Configuration.class.getResourceAsStream("/barleyspur/rehearsal.json")) {
@@ -105,19 +133,28 @@
         throw new IllegalArgumentException("key " + key + " is not an address with a port: '" + text + "'");
     }
 
-    /** This one with another command channel: all that a running doorman can change. */
-    public Configuration withChannel(InetSocketAddress next) {
-        return new Configuration(name, listen, next, mgmt, scratch, seed, known, settings, names, limits);
+    /**
+     * This one with what a running doorman takes from {@code next}: the command channel, the classes and the cap on
+     * attempts.
+     */
+    public Configuration retuned(Configuration next) {
+        return new Configuration(name, listen, next.channel, mgmt, scratch, seed, known,
+            settings.retuned(next.settings.classes(), next.settings.maxAttempts()),
+            new Names(next.names.classes, names.zones, names.kinds), limits);
     }
 
-    /** The keys that differ and that a running doorman can't change; seed and known are new each time. */
-    public List<String> changedButChannel(Configuration next) {
+    /**
+     * The keys that differ and that a running doorman can't change: all but the channel, the classes and the cap on
+     * attempts. Seed and known are new each time.
+     */
+    public List<String> fixedChanges(Configuration next) {
         Map<String, Boolean> same = new LinkedHashMap<>();
         same.put("name", name.equals(next.name));
         same.put("listen", listen.equals(next.listen));
         same.put("mgmt", Objects.equals(mgmt, next.mgmt));
         same.put("limits", limits.equals(next.limits));
-        same.put("settings", settings.equals(next.settings) && names.equals(next.names));
+        same.put("settings", settings.retuned(List.of(), 0).equals(next.settings.retuned(List.of(), 0))
+            && names.zones.equals(next.names.zones) && names.kinds.equals(next.names.kinds));
         return same.entrySet().stream().filter(e -> !e.getValue()).map(Map.Entry::getKey).toList();
     }
 
@@ -165,6 +202,11 @@
             if (classes[i].isEmpty()) {
                 throw new IllegalArgumentException("setting grades." + i + ".name is missing");
             }
+            for (int j = 0; j < i; j++) {
+                if (classes[j].equals(classes[i])) {
+                    throw new IllegalArgumentException("setting grades." + i + ".name is the name of grades." + j);
+                }
+            }
         }
         return new Names(List.of(classes), words(settings, "areas"), words(settings, "flavors"));
     }
--- a/doorman/src/main/java/barleyspur/config/SettingsReader.java
+++ b/doorman/src/main/java/barleyspur/config/SettingsReader.java
@@ -84,7 +84,7 @@
             number("rules.fallMs"), number("familyInfo.obeyAfterMs", 0),
             number("familyInfo.clearedWithinMs", 0), flag("familyInfo.passThroughOk"),
             flag("familyInfo.joins"), siblings(), notes(), number("familyInfo.paceKbPerS") / 1000, reports(),
-            list("report.fields"), integer("limits.sendCap"), flag("limits.mayDuplicate"),
+            list("report.fields"), (int) positive("limits.sendCap"), flag("limits.mayDuplicate"),
             flag("limits.cancel"), flag("limits.mayProbe"), flag("limits.peers"),
             flag("limits.retryAfter") ? number("limits.maxRetryAfterMs", 0) : 0);
     }
@@ -97,7 +97,7 @@
     private Director.RequestClass requestClass(int i) {
         String at = "grades." + i + ".";
         return new Director.RequestClass(effect(at), scope(at), number(at + "keyTtlMs", 0),
-            number(at + "promiseMs"), number(at + "aimStretch", 0), number(at + "hardLimitMs"),
+            positive(at + "promiseMs"), number(at + "aimStretch", 0), positive(at + "hardLimitMs"),
             number(at + "value", 1), number(at + "lateWorth", 0), flag(at + "stream"),
             isTrue(item("familyInfo.inParts", i)), isTrue(item("familyInfo.passOn", i)),
             decimal("familyInfo.goodForMs", i), decimal("familyInfo.staleForMs", i),
@@ -189,6 +189,18 @@
         return toNumber(path, word(path, null));
     }
 
+    /**
+     * A number above 0: a deadline, an aim or a cap on attempts that is none would refuse every request, so a file
+     * that has one is turned down whole.
+     */
+    private double positive(String path) {
+        double value = number(path);
+        if (!(value > 0) || Double.isInfinite(value)) {
+            throw bad(path, "a number above 0");
+        }
+        return value;
+    }
+
     private double number(String path, double otherwise) {
         return values.containsKey(path) ? number(path) : otherwise;
     }
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -27,7 +27,7 @@
     private static final double PROBE_TIMEOUT_MS = 250;
     private static final int MOST_TAKEN = 8_192;
 
-    private final Director.Settings settings;
+    private Director.Settings settings;
     private final int maxOpen;
     private final Director director;
     private final Clock clock;
@@ -92,6 +92,15 @@
         return () -> gone(x);
     }
 
+    /**
+     * The settings have changed: requests are taken under these from now on. Classes keep their numbers, so open
+     * requests keep theirs; the director is told in turn.
+     */
+    public void retune(Director.Settings next) {
+        settings = next;
+        tell(new Director.Retuned(next));
+    }
+
     /** Whether a request under this id was taken lately: each has a new one, also where a client asks again. */
     public boolean hasTaken(String id) {
         return takenIds.contains(id);
--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -7,6 +7,7 @@
 import barleyspur.doorman.Doorman;
 import barleyspur.duty.Duty;
 import barleyspur.log.LogEvent;
+import barleyspur.retune.ClassTable;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -19,6 +20,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,7 +42,7 @@
     private static final int MOST_BAD = 8;
 
     /** What all connections of one front have in common. */
-    record Shared(Doorman doorman, Clock clock, RequestFields.Bounds bounds, int mostOpen, UnreadAnswers unread,
+    record Shared(Doorman doorman, Clock clock, Supplier<ClassTable> classes, int mostOpen, UnreadAnswers unread,
                   Crowd<FrontConnection> crowd, CappedLog log, Duty duty) { }
 
     private final Shared front;
@@ -201,7 +203,7 @@
         }
         Ask ask;
         try {
-            ask = RequestFields.read(call.fields(), call.body(), front.bounds());
+            ask = RequestFields.read(call.fields(), call.body(), front.classes().get());
             if (doorman.hasTaken(ask.id())) {
                 // Two requests under one id would be taken for one another at a depot.
                 throw new IllegalArgumentException("field i is the id of an earlier request");
--- a/doorman/src/main/java/barleyspur/front/thrift/RequestFields.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/RequestFields.java
@@ -1,7 +1,7 @@
 package barleyspur.front.thrift;
 
-import barleyspur.decision.Director;
 import barleyspur.doorman.Ask;
+import barleyspur.retune.ClassTable;
 import io.netty.buffer.ByteBuf;
 import java.util.List;
 import java.util.Map;
@@ -21,9 +21,6 @@
     /** Far above any object's: one figure out of all measure would spoil what is learned from sizes. */
     private static final double MOST_KB = 1 << 20;
 
-    /** What a request may ask for. */
-    record Bounds(List<String> classes, Director.Settings settings) { }
-
     private final Map<String, String> fields;
 
     private RequestFields(Map<String, String> fields) {
@@ -31,13 +28,13 @@
     }
 
     /** The request; its body is still the frame's. */
-    static Ask read(Map<String, String> fields, ByteBuf body, Bounds bounds) {
-        return new RequestFields(fields).ask(body, bounds);
+    static Ask read(Map<String, String> fields, ByteBuf body, ClassTable classes) {
+        return new RequestFields(fields).ask(body, classes);
     }
 
-    private Ask ask(ByteBuf body, Bounds bounds) {
+    private Ask ask(ByteBuf body, ClassTable classes) {
         String className = word("c");
-        int category = bounds.classes().indexOf(className);
+        int category = classes.number(className);
         if (category < 0) {
             throw new IllegalArgumentException("field c: unknown class");
         }
@@ -45,7 +42,7 @@
         hex("i", id);
         String key = word("o");
         String size = fields.get("m");
-        int mostMs = (int) Math.ceil(bounds.settings().classes().get(category).deadlineMs());
+        int mostMs = (int) Math.ceil(classes.classes().get(category).deadlineMs());
         return new Ask(id, category, className, key, hex("o", key), word("seg"), whole("seg", MOST_PART),
             whole("bucket", MOST_GROUP), whole("d", mostMs), size == null ? 0 : decimal("m", size),
             tag(), body);
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -1,10 +1,10 @@
 package barleyspur.front.thrift;
 
-import barleyspur.decision.Director;
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import barleyspur.duty.Duty;
+import barleyspur.retune.ClassTable;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -19,7 +19,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
-import java.util.List;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -45,21 +44,23 @@
     private final Crowd<FrontConnection> crowd = new Crowd<>();
     private final FrontConnection.Shared shared;
     private final boolean sharePort;
+    private ClassTable classes;
     private Channel listener;
 
     /**
      * {@code mostUnread} bytes of answers may wait in memory for clients to read them; {@code onFull} is told when they leave more
      * than that unread, so that no more can be taken in, and when that is over.
      */
-    public ThriftFront(EventLoopGroup group, Doorman doorman, Clock clock, List<String> classes,
-                       Director.Settings settings, int mostConnections, long mostUnread,
+    public ThriftFront(EventLoopGroup group, Doorman doorman, Clock clock, ClassTable classes, int mostConnections,
+                       long mostUnread,
                        Consumer<Boolean> onFull, Duty duty, boolean sharePort) {
         this.group = group;
         this.clock = clock;
         this.mostConnections = mostConnections;
         this.log = new CappedLog(LOG, clock);
         this.connections = new DefaultChannelGroup(group.next());
-        this.shared = new FrontConnection.Shared(doorman, clock, new RequestFields.Bounds(classes, settings),
+        this.classes = classes;
+        this.shared = new FrontConnection.Shared(doorman, clock, () -> this.classes,
             MOST_OPEN, new UnreadAnswers(mostUnread, onFull), crowd, log, duty);
         this.sharePort = sharePort;
     }
@@ -114,6 +115,11 @@
         channel.pipeline().addLast(decoder, new FrontConnection(shared, decoder));
     }
 
+    /** Requests name these classes from now on. */
+    public void retune(ClassTable next) {
+        classes = next;
+    }
+
     /** Closes every connection that has nothing open, as the duty wants it now. */
     public void closeIdle() {
         for (Channel c : connections) {
--- a/doorman/src/test/java/barleyspur/config/ConfigurationTest.java
+++ b/doorman/src/test/java/barleyspur/config/ConfigurationTest.java
@@ -4,10 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** The node's configuration: what it comes to, and which key is named where it is faulty. */
 class ConfigurationTest {
@@ -50,9 +54,9 @@
         Configuration moved = Configuration.read(new JSONObject(CONFIG.replace(":2379", ":2380")), Map.of());
         Configuration other = Configuration.read(new JSONObject(CONFIG.replace("1024", "512")
             .replace("\"fallMs\":3000", "\"fallMs\":2000").replace("n3", "n4")), Map.of());
-        assertEquals(List.of(), before.changedButChannel(moved));
-        assertEquals(List.of("name", "limits", "settings"), before.changedButChannel(other));
-        assertEquals(2380, before.withChannel(moved.channel()).channel().getPort());
+        assertEquals(List.of(), before.fixedChanges(moved));
+        assertEquals(List.of("name", "limits", "settings"), before.fixedChanges(other));
+        assertEquals(2380, before.retuned(moved).channel().getPort());
     }
 
     @Test
@@ -78,4 +82,36 @@
         assertEquals("variable RELAY_CONFIG is missing",
             assertThrows(Configuration.Invalid.class, () -> Configuration.load(Map.of())).getMessage());
     }
+
+    /**
+     * Guards a retune that would break every request: a deadline, an aim or a cap on attempts that is not a number above
+     * 0 turns the file down whole, as a missing key does.
+     */
+    @Test
+    void aDeadlineOrCapThatIsNoNumberAbove0IsTurnedDown() {
+        assertEquals("setting grades.0.hardLimitMs is not a number above 0", fault("6000.0", "-5"));
+        assertEquals("setting grades.0.hardLimitMs is not a number above 0", fault("6000.0", "0"));
+        assertEquals("setting grades.0.hardLimitMs is not a number", fault("6000.0", "\"soon\""));
+        assertEquals("setting grades.1.promiseMs is not a number above 0", fault("700.0", "-1"));
+        assertEquals("setting limits.sendCap is not a number above 0", fault("\"sendCap\":8", "\"sendCap\":0"));
+        assertEquals("setting grades.1.name is the name of grades.0", fault("\"record\"", "\"parts\""));
+    }
+
+    /** Guards the operators' search: the log names the file, the line and the key of what is wrong. */
+    @Test
+    void aFaultyFileIsNamedWithItsLineAndKey(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("config.json");
+        Map<String, String> variables = Map.of("RELAY_CONFIG", file.toString());
+        Files.writeString(file, CONFIG.replace("6000.0", "-5"));
+        assertEquals(file + ":5: setting grades.0.hardLimitMs is not a number above 0",
+            assertThrows(Configuration.Invalid.class, () -> Configuration.load(variables)).getMessage());
+        Files.writeString(file, CONFIG.replace("\"listen\":\"10.0.0.4:7001\",", ""));
+        assertTrue(assertThrows(Configuration.Invalid.class, () -> Configuration.load(variables)).getMessage()
+            .startsWith(file + ": key listen is not an address"), "a missing key has no line");
+        for (String broken : List.of("", CONFIG.substring(0, CONFIG.length() / 2), "{}")) {
+            Files.writeString(file, broken);
+            String message = assertThrows(Configuration.Invalid.class, () -> Configuration.load(variables)).getMessage();
+            assertTrue(message.startsWith(file.toString()), message);
+        }
+    }
 }
--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -13,6 +13,7 @@
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.Listing;
 import barleyspur.duty.Duty;
+import barleyspur.retune.ClassTable;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -34,7 +35,7 @@
         familyInfo.paceKbPerS=7600\nlimits.sendCap=2\nrules.fallMs=1500\nrules.answerSlackMs=8
         rules.drainGraceMs=1000\nrules.coldFrom=0.24\nrules.coldMs=17000\nrules.tipMultiple=4
         """));
-    static final RequestFields.Bounds BOUNDS = new RequestFields.Bounds(List.of("small"), SETTINGS);
+    static final ClassTable CLASSES = ClassTable.of(List.of("small"), SETTINGS.classes());
     private static final int MOST_OPEN = 2;
 
     private final List<Director.Event> events = new ArrayList<>();
@@ -52,7 +53,7 @@
     private EmbeddedChannel connect() {
         duty.serving(now);
         ThriftFrameDecoder decoder = new ThriftFrameDecoder(100_000);
-        FrontConnection.Shared shared = new FrontConnection.Shared(doorman, this, BOUNDS, MOST_OPEN, new UnreadAnswers(1_000, full -> { }),
+        FrontConnection.Shared shared = new FrontConnection.Shared(doorman, this, () -> CLASSES, MOST_OPEN, new UnreadAnswers(1_000, full -> { }),
             crowd, new CappedLog(LoggerFactory.getLogger("front"), this), duty);
         return new EmbeddedChannel(decoder, new FrontConnection(shared, decoder));
     }
--- a/doorman/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
@@ -117,10 +117,10 @@
         for (String name : List.of("d", "seg", "bucket", "m")) {
             Map<String, String> fields = new HashMap<>(Map.of("c", "small", "i", "9b1f03aa5c7e2d41", "d",
                 "5000", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "255", "m", "412.5"));
-            RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.BOUNDS);
+            RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.CLASSES);
             fields.put(name, value);
             IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
-                () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.BOUNDS));
+                () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.CLASSES));
             assertTrue(e.getMessage().startsWith("field " + name), e.getMessage());
         }
     }
@@ -138,7 +138,7 @@
                 "1500", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"));
             fields.put(name, "x," + value);
             IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
-                () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.BOUNDS));
+                () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.CLASSES));
             assertTrue(e.getMessage().startsWith("field " + name), e.getMessage());
         }
     }
