Test two fronts on one port: the successor binds beside the old one and takes over

Change: SharedPortTest binds two fronts with SO_REUSEPORT on a loopback port, sees a third without it fail as the untouched program did, and has the successor take twenty clients once the old front stops listening.

--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -29,7 +29,7 @@
 /** One client connection before a core whose director does as each test says. */
 class FrontConnectionTest implements Depots, Clock {
 
-    private static final Director.Settings SETTINGS = SettingsReader.read(SettingsReader.lines("""
+    static final Director.Settings SETTINGS = SettingsReader.read(SettingsReader.lines("""
         groupSize=1\nmyNumber=0\nmyZone=0\nresolutionMs=2\ngrades.count=1\ngrades.0.promiseMs=400
         grades.0.hardLimitMs=5000\ngrades.0.repeat=repeatable\nfamilyInfo.midKind=2\nfamilyInfo.masterKind=3
         familyInfo.paceKbPerS=7600\nlimits.sendCap=2\nrules.fallMs=1500\nrules.answerSlackMs=8
--- /dev/null
+++ b/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
@@ -0,0 +1,94 @@
+package barleyspur.front.thrift;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.doorman.Depots;
+import barleyspur.doorman.Doorman;
+import barleyspur.doorman.Listing;
+import barleyspur.doorman.LoopClock;
+import barleyspur.duty.Duty;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** An upgrade's two fronts on one port, on loopback: the shell's part of the hand-off. */
+class SharedPortTest implements Depots {
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final LoopClock clock = new LoopClock(group.next());
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    @Override
+    public void list(long node, Listing listing) { }
+
+    @Override
+    public void retire(long node) { }
+
+    @Override
+    public Call send(long node, Order order, End end) {
+        return () -> { };
+    }
+
+    @Override
+    public void probe(long node, double timeoutMs, End end) { }
+
+    @Override
+    public void hangUp(long node) { }
+
+    private ThriftFront front(boolean share) {
+        Duty duty = new Duty();
+        duty.serving(0);
+        Doorman doorman = new Doorman(FrontConnectionTest.SETTINGS, 9, (now, event, sink) -> { }, clock, this);
+        return new ThriftFront(group, doorman, clock, FrontConnectionTest.CLASSES, 16, 1 << 20, full -> { }, duty,
+            share);
+    }
+
+    private static InetSocketAddress freePort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress("127.0.0.1", probe.getLocalPort());
+        }
+    }
+
+    /**
+     * Guards the upgrade's start: with the port shared the new process binds beside the old one, without it the bind
+     * fails as it did on the untouched program; once the old one stops listening, the new one takes every client.
+     */
+    @Test
+    void twoFrontsListenOnOnePortAndTheSecondTakesOver() throws Exception {
+        InetSocketAddress address = freePort();
+        ThriftFront old = front(true);
+        assertTrue(old.listen(address).await().isSuccess());
+        assertFalse(front(false).listen(address).await().isSuccess(), "a front that does not share can't bind");
+        ThriftFront next = front(true);
+        assertTrue(next.listen(address).await().isSuccess(), "the successor binds beside it");
+        group.submit(old::stopListening).sync();
+        for (int i = 0; i < 20; i++) {
+            try (Socket client = new Socket(address.getAddress(), address.getPort())) {
+                assertTrue(client.isConnected(), "connection " + i + " is taken by the successor");
+            }
+        }
+        group.submit(next::stopListening).sync();
+        assertTrue(refused(address), "with neither listening, nobody takes a client");
+    }
+
+    private static boolean refused(InetSocketAddress address) {
+        try (Socket client = new Socket(address.getAddress(), address.getPort())) {
+            return !client.isConnected();
+        } catch (IOException e) {
+            return true;
+        }
+    }
+}
