Wait for the listener's close in the shared-port test, which raced it

Cause: SharedPortTest failed once on 'with neither listening, nobody takes a client': stopListening ran on the loop but the listener's close completed after the test's connect.

Change: ThriftFront.stopListening returns the close future; the test waits for it.

--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -130,9 +130,9 @@
         }
     }
 
-    /** Stops listening: a successor has the address. Connections that are open stay. */
-    public void stopListening() {
-        listener.close();
+    /** Stops listening: a successor has the address. Connections that are open stay. Done when the future is. */
+    public ChannelFuture stopListening() {
+        return listener.close();
     }
 
     /** Stops listening and closes every connection once what was written to it is out, or after a while. */
--- a/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
@@ -74,13 +74,13 @@
         assertFalse(front(false).listen(address).await().isSuccess(), "a front that does not share can't bind");
         ThriftFront next = front(true);
         assertTrue(next.listen(address).await().isSuccess(), "the successor binds beside it");
-        group.submit(old::stopListening).sync();
+        group.submit(old::stopListening).sync().getNow().sync();
         for (int i = 0; i < 20; i++) {
             try (Socket client = new Socket(address.getAddress(), address.getPort())) {
                 assertTrue(client.isConnected(), "connection " + i + " is taken by the successor");
             }
         }
-        group.submit(next::stopListening).sync();
+        group.submit(next::stopListening).sync().getNow().sync();
         assertTrue(refused(address), "with neither listening, nobody takes a client");
     }
 
