--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -177,7 +177,7 @@
     public void drain() {
         long successor = handOff == null ? -1 : handOff.successorOf(ProcessHandle.current().pid());
         group.execute(() -> {
-            duty.leave(clock.nowMs(), successor >= 0);
+            duty.leave(clock.nowMs(), successor >= 0, Duty.killAfterMs(longestDeadlineMs()));
             LogEvent.log(LOG.atInfo(), "leaving", "successor", successor);
             if (!duty.listening()) {
                 front.stopListening();
@@ -190,6 +190,10 @@
         });
     }
 
+    private double longestDeadlineMs() {
+        return classes.classes().stream().mapToDouble(Director.RequestClass::deadlineMs).max().orElse(0);
+    }
+
     /** Waits until a drain has ended. */
     public void awaitEnd() throws InterruptedException {
         ended.await();
--- a/doorman/src/main/java/barleyspur/duty/Duty.java
+++ b/doorman/src/main/java/barleyspur/duty/Duty.java
@@ -20,10 +20,12 @@
      */
     static final double QUIESCED_TAKES_MS = 1_000;
     /**
-     * How long after SIGTERM a process that hands off still takes requests: SIGKILL comes after the longest deadline
-     * plus 0.7 s, and a request that came more than 0.7 s after SIGTERM must be answered before.
+     * How long after SIGTERM a process that hands off takes every request: SIGKILL may find a request unanswered that
+     * came within 0.7 s of SIGTERM (the protocol page's figures), and the clock of the platform may differ a little.
      */
     static final double HANDING_OFF_TAKES_MS = 500;
+    /** What an answer at its deadline may still take to be written, and the platform's clock to differ. */
+    static final double KILL_MARGIN_MS = 200;
 
     /** Where the doorman stands. */
     public enum Phase {
@@ -44,6 +46,8 @@
 
     private Phase phase = Phase.STARTING;
     private double sinceMs;
+    /** After SIGTERM, when SIGKILL may come at the soonest. */
+    private double killAtMs = Double.POSITIVE_INFINITY;
 
     /** The phase now. */
     public Phase phase() {
@@ -84,13 +88,25 @@
         return phase == Phase.SERVING;
     }
 
-    /** SIGTERM came; {@code successor}: another process listens on the clients' address and takes them. */
-    public void leave(double nowMs, boolean successor) {
+    /**
+     * SIGTERM came; {@code successor}: another process listens on the clients' address and takes them.
+     * {@code killAfterMs}: how long after SIGTERM SIGKILL may come at the soonest.
+     */
+    public void leave(double nowMs, boolean successor, double killAfterMs) {
         if (phase != Phase.LEAVING && phase != Phase.HANDING_OFF) {
             to(successor ? Phase.HANDING_OFF : Phase.LEAVING, nowMs);
+            killAtMs = nowMs + killAfterMs;
         }
     }
 
+    /**
+     * How long after SIGTERM SIGKILL may come at the soonest, for settings whose longest deadline is
+     * {@code longestDeadlineMs}: that deadline, taken as 3 s where it is longer, and 0.7 s (the protocol page).
+     */
+    public static double killAfterMs(double longestDeadlineMs) {
+        return Math.min(longestDeadlineMs, 3_000) + 700;
+    }
+
     /** Whether the clients' address is to be listened on: not once a successor has it. */
     public boolean listening() {
         return phase != Phase.HANDING_OFF;
@@ -101,12 +117,17 @@
         return phase == Phase.SERVING;
     }
 
-    /** Whether a request that a client sends now is taken; if not, it is refused, and its connection closes. */
-    public boolean takes(double nowMs) {
+    /**
+     * Whether a request that a client sends now, and waits {@code remainingMs} for, is taken; if not, it is refused, and
+     * its connection closes. Handing off, a request is taken while SIGKILL would excuse it, or where its deadline comes
+     * before SIGKILL can, so that it is answered in any case.
+     */
+    public boolean takes(double nowMs, double remainingMs) {
         return switch (phase) {
             case STARTING, SERVING, LEAVING -> true;
             case QUIESCED -> nowMs - sinceMs < QUIESCED_TAKES_MS;
-            case HANDING_OFF -> nowMs - sinceMs < HANDING_OFF_TAKES_MS;
+            case HANDING_OFF -> nowMs - sinceMs < HANDING_OFF_TAKES_MS
+                || nowMs + remainingMs < killAtMs - KILL_MARGIN_MS;
         };
     }
 
--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -214,7 +214,7 @@
             return;
         }
         useful = true;
-        if (!front.duty().takes(front.clock().nowMs())) {
+        if (!front.duty().takes(front.clock().nowMs(), ask.remainingMs())) {
             // Its connection is to be closed, which needs a moment with nothing open: the client asks again elsewhere.
             write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of("w", Long.toString(AWAY_MS))));
             idleIfDone();
--- a/doorman/src/test/java/barleyspur/admin/AdminServerTest.java
+++ b/doorman/src/test/java/barleyspur/admin/AdminServerTest.java
@@ -84,7 +84,7 @@
         assertEquals(1, quiesced, "a second quiesce is nothing new");
         assertTrue(call("PUT", "/admin/resume").startsWith("HTTP/1.1 200"));
         assertTrue(call("GET", "/admin/health").startsWith("HTTP/1.1 200"));
-        duty.leave(now, false);
+        duty.leave(now, false, 3_700);
         assertTrue(call("PUT", "/admin/resume").startsWith("HTTP/1.1 409"), "a leaving process is not taken back");
     }
 
--- a/doorman/src/test/java/barleyspur/duty/DutyTest.java
+++ b/doorman/src/test/java/barleyspur/duty/DutyTest.java
@@ -41,22 +41,31 @@
     void quiescedRequestsAreTakenForASecond() {
         duty.serving(0);
         duty.quiesce(1_000);
-        assertTrue(duty.takes(1_000 + Duty.QUIESCED_TAKES_MS - 1));
-        assertFalse(duty.takes(1_000 + Duty.QUIESCED_TAKES_MS));
+        assertTrue(duty.takes(1_000 + Duty.QUIESCED_TAKES_MS - 1, 100));
+        assertFalse(duty.takes(1_000 + Duty.QUIESCED_TAKES_MS, 100));
         duty.resume(3_000);
-        assertTrue(duty.takes(3_000));
+        assertTrue(duty.takes(3_000, 100));
     }
 
-    /** Guards an upgrade: with a successor the old process stops listening and hands its clients over. */
+    /**
+     * Guards an upgrade: with a successor the old process stops listening and hands its clients over. It takes what
+     * SIGKILL would excuse, and later only what is answered before SIGKILL can come; the rest is refused, so that
+     * SIGKILL finds nothing it would charge as lost.
+     */
     @Test
     void sigtermWithASuccessorHandsOff() {
         duty.serving(0);
-        duty.leave(2_000, true);
+        double kill = Duty.killAfterMs(4_740);
+        assertEquals(3_700, kill, "the longest deadline counts as 3 s, and 0.7 s more");
+        duty.leave(2_000, true, kill);
         assertEquals(Duty.Phase.HANDING_OFF, duty.phase());
         assertFalse(duty.listening());
         assertTrue(duty.closeWhenIdle());
-        assertTrue(duty.takes(2_000 + Duty.HANDING_OFF_TAKES_MS - 1));
-        assertFalse(duty.takes(2_000 + Duty.HANDING_OFF_TAKES_MS));
+        assertTrue(duty.takes(2_000 + Duty.HANDING_OFF_TAKES_MS - 1, 4_000), "excused by SIGKILL's 0.7 s");
+        assertFalse(duty.takes(2_000 + Duty.HANDING_OFF_TAKES_MS, 4_000), "it could still be open at SIGKILL");
+        double left = 2_000 + kill - Duty.KILL_MARGIN_MS - 3_000;
+        assertTrue(duty.takes(3_000, left - 1), "answered before SIGKILL");
+        assertFalse(duty.takes(3_000, left));
         assertFalse(duty.resume(3_000), "a process that leaves is not taken back");
         assertFalse(duty.ready());
     }
@@ -66,12 +75,12 @@
     void sigtermAloneGoesOnListening() {
         duty.serving(0);
         duty.quiesce(100);
-        duty.leave(2_000, false);
+        duty.leave(2_000, false, 3_700);
         assertEquals(Duty.Phase.LEAVING, duty.phase());
         assertTrue(duty.listening());
         assertFalse(duty.closeWhenIdle());
-        assertTrue(duty.takes(60_000));
-        duty.leave(2_100, true);
+        assertTrue(duty.takes(60_000, 4_000));
+        duty.leave(2_100, true, 3_700);
         assertEquals(Duty.Phase.LEAVING, duty.phase(), "the first SIGTERM decides");
     }
 }
