--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -30,7 +30,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("front");
     private static final String DISPATCH = "dispatch";
     /** No client waits this long for an answer: what is still unread then was for nobody. */
-    private static final double STUCK_MS = 10_000;
+    static final double STUCK_MS = 10_000;
     /** How long a client may take over its first whole request, or over the rest of one that it began. */
     static final int HALF_SENT_MS = 2_000;
     /** How long a client has to read a last error before its connection is closed. */
--- a/doorman/src/test/java/barleyspur/depot/DepotConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/depot/DepotConnectionTest.java
@@ -65,6 +65,20 @@
         channel.writeInbound(Resp.message(channel.alloc(), id, word, "-", ""));
     }
 
+    /** Guards a depot that writes in pieces of any size, down to one byte: the answer is read whole, once. */
+    @Test
+    void anAnswerThatComesOneByteAtATimeIsReadWhole() {
+        up();
+        open("a");
+        ByteBuf whole = Resp.message(channel.alloc(), "a", "DONE", "digest=4be0c1927d55a6f3", "bytes of the part");
+        while (whole.isReadable()) {
+            assertEquals(List.of(), ends, "nothing before the last byte");
+            channel.writeInbound(whole.readRetainedSlice(1));
+        }
+        whole.release();
+        assertEquals(List.of(Result.OK), ends);
+    }
+
     @Test
     void answersComeInAnyOrder() {
         up();
--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -120,6 +120,42 @@
         assertTrue(whole.toString(StandardCharsets.ISO_8859_1).contains(text), text);
     }
 
+    /** Guards a client that writes in pieces of any size, down to one byte: its request is taken once, when whole. */
+    @Test
+    void aRequestThatComesOneByteAtATimeIsTakenWhenWhole() {
+        Map<String, String> fields = Map.of("c", "small", "i", "9b1f03aa5c7e2d41", "d", "1500", "o", "7f3a9c21e0b4d655",
+            "seg", "3", "bucket", "17");
+        ByteBuf whole = ThriftPropertiesTest.dispatch(1, fields, new byte[4]);
+        while (whole.isReadable()) {
+            assertEquals(List.of(), events, "nothing before the last byte");
+            channel.writeInbound(whole.readRetainedSlice(1));
+        }
+        whole.release();
+        assertEquals(1, events.size());
+        assertTrue(channel.isOpen());
+    }
+
+    private void writable(boolean writable) {
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, writable);
+        channel.runPendingTasks();
+    }
+
+    /**
+     * Guards memory against a client that reads slowly: while what was written to it is not out, nothing more is read
+     * from it, so it can't ask for more; reading goes on when it catches up, and one that never does is let go.
+     */
+    @Test
+    void aSlowReaderIsNotReadUntilItCatchesUp() {
+        dispatch(1, "small");
+        writable(false);
+        assertFalse(channel.config().isAutoRead(), "its answers are not out: it asks no more");
+        writable(true);
+        assertTrue(channel.config().isAutoRead());
+        writable(false);
+        pass(FrontConnection.STUCK_MS);
+        assertFalse(channel.isOpen(), "nothing went out for 10 s");
+    }
+
     @Test
     void aRefusalSaysWhenToComeBack() {
         dispatch(1, "small");
