Take out two accessors nothing reads: HttpAnswer.yes and Duty.sinceMs

Cause: a read of the whole change found both public and unused; the house style wants no dead code.

Change: both removed; Duty keeps the field, which takes() reads.

Measured: mvn verify passes; behaviour unchanged.

--- a/doorman/src/main/java/barleyspur/admin/http/HttpAnswer.java
+++ b/doorman/src/main/java/barleyspur/admin/http/HttpAnswer.java
@@ -35,11 +35,6 @@
         return new HttpAnswer(status, Map.copyOf(more), contentType, body);
     }
 
-    /** Whether it says yes: RFC 9110 section 15.3. */
-    public boolean yes() {
-        return status >= 200 && status < 300;
-    }
-
     /** The bytes on the wire. */
     public ByteBuf encode(ByteBufAllocator alloc) {
         byte[] content = body.getBytes(StandardCharsets.UTF_8);
--- a/doorman/src/main/java/barleyspur/duty/Duty.java
+++ b/doorman/src/main/java/barleyspur/duty/Duty.java
@@ -54,11 +54,6 @@
         return phase;
     }
 
-    /** When the phase began, as the time given with its event, in milliseconds. */
-    public double sinceMs() {
-        return sinceMs;
-    }
-
     /** The clients' address is bound: it takes work from here on. */
     public void serving(double nowMs) {
         if (phase == Phase.STARTING) {
