Pass a lost station by, and tell a draining cache from a dead parent

Fills went to the origin (up to 270 a second, none before), and a parent that answered again was presumed restarted and cold for 8 s. - A bad cache was well again at 16.5 s and stood idle until 23 s, out for 8 s at a time, while 40 % of its station's requests were refused.

Change: one FULL of a fill counts against its source only where it is the first in a row at its cache, and three in a row, each at a cache that answered since, leave the source out; further ones count against the cache, softly. A cache out of reach is no candidate, so where all are, requests go straight to a parent (bypass), to a parent once.

Tests: LossesTest, five, each failing on the module before.

--- a/decision/src/main/java/barleyspur/decision/Decide.java
+++ b/decision/src/main/java/barleyspur/decision/Decide.java
@@ -34,13 +34,15 @@
     private static final double NEWEST = 1 / 6.0;
     /** Error share beyond which a node is left out, unless its peers do no better. */
     private static final double BAD_SHARE = 0.4;
-    /** Failed connects in a row that leave a node out; a reset may have struck one connection only. */
-    private static final int HARD_FAILURES = 1;
+    /** Fills turned away in a row, each the first in a row at its cache, that leave their source out. */
+    private static final int REFUSALS = 3;
     /** Fills overdue in a row, none served between, that leave a source out which is later than its peers. */
     private static final int SILENT = 5;
     /** First and longest time that a node is left out before it is tried again. */
     private static final double OUT_FIRST_MS = 500;
-    private static final double OUT_MOST_MS = 8_000;
+    private static final double OUT_MOST_MS = 2_000;
+    /** How long a node that was out of reach is believed cold, where the list tells nothing. */
+    private static final double PRESUMED_MS = 8_000;
     /** Trials in a row that must succeed before a node is back. */
     private static final int TRIALS = 3;
     /** With fewer than this share of the location's caches in use, exclusions are ignored. */
@@ -200,15 +202,16 @@
         }
         boolean keeps = !settings.classes().get(o.request.category()).write() && !o.request.write();
         Copies copies = keeps ? beliefs.get(part(o.request)) : null;
+        Server filling = copies == null || copies.fillsOpen == 0 ? null : fleet.listed.get(copies.fillAt);
         List<Server> holders = holders(o.request, copies, caches);
         List<Server> free = Lists.where(holders, this::free);
         if (!keeps) {
             send(o, pick(caches), 0, true);
         } else if (!free.isEmpty()) {
             send(o, pick(free), rank(o.request), false);
-        } else if (copies != null && copies.fillsOpen > 0 && usableFill(copies, caches) != null) {
+        } else if (caches.contains(filling)) {
             // A fill under way is no loss: the request joins it where it runs.
-            send(o, usableFill(copies, caches), rank(o.request), true);
+            send(o, filling, rank(o.request), true);
         } else {
             lose(o, caches, holders);
         }
@@ -224,13 +227,6 @@
         return g.inside + draw >= g.limit * favour;
     }
 
-    private void report(Server s, List<Float> load) {
-        int busy = settings.reportFields().indexOf(BUSY_FIELD);
-        if (busy >= 0 && busy < load.size()) {
-            s.busy = load.get(busy);
-        }
-    }
-
     private void learn(Gate g, boolean late, boolean mayCut) {
         g.lateShare += ((late ? 1 : 0) - g.lateShare) * NEWEST / 2;
         if (!late) {
@@ -369,10 +365,6 @@
         });
     }
 
-    private static Server usableFill(Copies copies, List<Server> caches) {
-        List<Server> there = Lists.where(caches, s -> s.id() == copies.fillAt);
-        return there.isEmpty() ? null : there.get(0);
-    }
 
     /** A holder is free while ours in flight to it stay under one more than our mean to a cache here. */
     private boolean free(Server s) {
@@ -380,9 +372,8 @@
     }
 
     private Server leastBusy(List<Server> from) {
-        int[] least = {Integer.MAX_VALUE};
-        from.forEach(s -> least[0] = Math.min(least[0], s.serving));
-        return pick(Lists.where(from, s -> s.serving == least[0]));
+        int least = from.stream().mapToInt(s -> s.serving).min().orElse(0);
+        return pick(Lists.where(from, s -> s.serving == least));
     }
 
     private Server pick(List<Server> from) {
@@ -391,10 +382,14 @@
 
     // ---- Candidates ------------------------------------------------------------------------------------
 
-    /** The location's caches that may take this request: first those in use and not yet tried. */
+    /**
+     * The location's caches that may take this request: first those in use and not yet tried. One out of
+     * reach is none, however few are left: where a whole location is lost, requests pass it by.
+     */
     private List<Server> candidates(Open o) {
         double work = meanWork.of(o.request.category());
-        List<Server> local = Lists.where(fleet.caches, s -> mayTake(o, s) && coldAllows(s, work));
+        List<Server> local = Lists.where(fleet.caches,
+            s -> mayTake(o, s) && coldAllows(s, work) && (!s.unreachable || inUse(s)));
         List<Server> inUse = Lists.where(local, this::inUse);
         List<Server> good = inUse.size() < LEAST_IN_USE * local.size() ? local : inUse;
         List<Server> fresh = Lists.where(good, s -> !o.tried(s));
@@ -443,7 +438,7 @@
                 continue;
             }
             Server s = fleet.parents.get(i);
-            if ((s.failShare < blameless || inUse(s)) && !o.failedFrom(s)
+            if ((s.failShare < blameless || inUse(s)) && !o.failedFrom(s) && !o.tried(s)
                 && (fill ? coldAllows(s, work) : !cold(s))) {
                 if (first == null || score > firstScore) {
                     first = s;
@@ -546,7 +541,8 @@
         Attempt a = o.attempts.get(e.attempt());
         a.back = true;
         o.back++;
-        report(a.target, e.load());
+        int busy = settings.reportFields().indexOf(BUSY_FIELD);
+        a.target.busy = busy >= 0 && busy < e.load().size() ? e.load().get(busy) : a.target.busy;
         boolean never = e.result() == Result.TIMEOUT || e.result() == Result.CANCELLED;
         a.target.heardAt = never ? a.target.heardAt : now;
         enter(o.request, a, -1);
@@ -720,37 +716,41 @@
             a.source.onTrial = false;
         }
         boolean sourced = reaches(a) && e.note() != Note.HIT && e.note() != Note.JOINED;
+        if (e.result() == Result.OK || e.result() == Result.MISS || e.result() == Result.ERROR) {
+            a.target.turnedAway = 0;
+        }
         if (reaches(a) && !sourced) {
             a.source.coldTokens += a.work;
         }
         switch (e.result()) {
             case OK -> served(o, a, e, sourced);
-            case CONNECT_FAILED -> failed(a.target, a, 1, true);
-            case RESET -> failed(a.target, a, 1, false);
+            case CONNECT_FAILED -> failed(a.target, a, true);
+            case RESET -> failed(a.target, a, false);
             case ERROR, TIMEOUT, FULL -> blame(a, e, sourced);
             default -> { }
         }
     }
 
     /**
-     * Notes tell a failed source from a failed cache. Without them a failed fill counts against both, and the
-     * comparison with peers clears the one that merely stood beside the other. Crowding is no ill health.
+     * Notes tell a failed source from a failed cache. Without them a failed fill counts against both, and
+     * the comparison with peers clears the one that merely stood beside the other. Who turned a fill away is
+     * told by who else does: a cache that drains, which the list tells late, turns away all that comes, and
+     * its sources are well; a source that is gone fails at every cache.
      */
     private void blame(Attempt a, Outcome e, boolean sourced) {
-        boolean ill = e.result() != Result.FULL;
+        boolean untold = sourced && settings.notes() != Notes.ALL;
         switch (e.note()) {
-            case SOURCE_REFUSED, SOURCE_FAILED -> {
-                if (a.source != null) {
-                    failed(a.source, a, 1, e.note() == Note.SOURCE_FAILED);
-                }
-            }
+            case SOURCE_REFUSED, SOURCE_FAILED ->
+                failed(a.source == null ? a.target : a.source, a, e.note() == Note.SOURCE_FAILED);
             case NO_FILL_PLACE, ORIGIN_FAILED, SOURCE_LACKS -> { }
             default -> {
-                if (ill) {
-                    failed(a.target, a, 1, false);
+                boolean full = e.result() == Result.FULL;
+                if (!full || a.target.turnedAway++ > 0 || !untold) {
+                    failed(a.target, a, false);
+                    untold &= !full;
                 }
-                if (sourced && settings.notes() != Notes.ALL) {
-                    failed(a.source, a, 1, !ill);
+                if (untold) {
+                    failed(a.source, a, full && ++a.source.refused >= REFUSALS);
                 }
             }
         }
@@ -771,10 +771,11 @@
     private void succeeded(Server s, boolean trial) {
         s.failShare -= s.failShare * NEWEST;
         s.silent = 0;
-        if (s.hardFailures >= HARD_FAILURES) {
+        s.refused = 0;
+        if (s.unreachable) {
             presumeRestart(s);
         }
-        s.hardFailures = 0;
+        s.unreachable = false;
         if (trial && s.isOut && --s.trialsLeft <= 0) {
             s.isOut = false;
             s.failShare = 0;
@@ -790,17 +791,17 @@
      */
     private void presumeRestart(Server s) {
         s.presumedStart = now;
-        s.presumedUntil = now + OUT_MOST_MS;
+        s.presumedUntil = now + PRESUMED_MS;
         s.forgetBefore = now;
         startCold(s);
     }
 
-    private void failed(Server s, Attempt a, double weight, boolean hard) {
-        s.failShare += (weight - s.failShare) * NEWEST;
-        s.hardFailures = hard ? s.hardFailures + 1 : s.hardFailures;
+    private void failed(Server s, Attempt a, boolean hard) {
+        s.failShare += (1 - s.failShare) * NEWEST;
+        s.unreachable |= hard;
         boolean fresh = !s.isOut || a.sentAt >= s.outUntil;
         boolean bad = s.failShare > BAD_SHARE && worse(s, p -> p.failShare);
-        if (fresh && (s.isOut || s.hardFailures >= HARD_FAILURES || bad)) {
+        if (fresh && (s.isOut || s.unreachable || bad)) {
             leaveOut(s, hard ? "does not answer" : "fails");
         }
     }
--- a/decision/src/main/java/barleyspur/decision/Server.java
+++ b/decision/src/main/java/barleyspur/decision/Server.java
@@ -15,7 +15,11 @@
     double busy;
     double heardAt;
     double failShare;
-    int hardFailures;
+    /** No connection came up, or no cache could fill by way of it; a reset may have struck one only. */
+    boolean unreachable;
+    /** Attempts it turned away since it last answered one, and fills by way of it that caches did. */
+    int turnedAway;
+    int refused;
     /** Fills by way of it that were still out at their aim since it last served one. */
     int silent;
     boolean isOut;
@@ -42,8 +46,10 @@
         isOut = false;
         onTrial = false;
         failShare = 0;
-        hardFailures = 0;
+        unreachable = false;
         silent = 0;
+        turnedAway = 0;
+        refused = 0;
         outFor = 0;
         busy = 0;
     }
--- a/decision/src/test/java/barleyspur/decision/Bench.java
+++ b/decision/src/test/java/barleyspur/decision/Bench.java
@@ -58,10 +58,20 @@
             requestClass(Effect.UNSAFE, 0), requestClass(Effect.KEYED, 0));
     }
 
+    /** Answers tell of hits only, as the platform's do: a fill that was turned away doesn't say by whom. */
+    static Director.Settings tellsHits() {
+        return settings(0, 2, classes(), Director.Notes.HIT);
+    }
+
     private static Director.Settings settings(int me, int directors, List<Director.RequestClass> classes) {
+        return settings(me, directors, classes, Director.Notes.ALL);
+    }
+
+    private static Director.Settings settings(int me, int directors, List<Director.RequestClass> classes,
+                                              Director.Notes notes) {
         return new Director.Settings(classes, me, directors, 1, List.of(0, directors), PARENT, ORIGIN, false, false, 0,
             TICK, 8, 1_000, new Director.ColdRule(0.25, 16_000, 4), new Director.ColdRule(0.06, 20_000, 2), 1_500, 500, 6_000, true,
-            true, Director.Siblings.NONE, Director.Notes.ALL, 5, Director.Reports.WITH_ANSWERS, List.of("load_share"),
+            true, Director.Siblings.NONE, notes, 5, Director.Reports.WITH_ANSWERS, List.of("load_share"),
             6, true, true, true, false, 500);
     }
 
--- /dev/null
+++ b/decision/src/test/java/barleyspur/decision/LossesTest.java
@@ -0,0 +1,121 @@
+package barleyspur.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.decision.Director.Action;
+import barleyspur.decision.Director.Get;
+import barleyspur.decision.Director.Note;
+import barleyspur.decision.Director.Refuse;
+import barleyspur.decision.Director.Result;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
+
+/** Caches and sources that go before the list tells: what a doorman with few requests makes of single failures. */
+class LossesTest {
+
+    private final Bench bench = new Bench(Bench.tellsHits()).list(4);
+    private long object = 1_000;
+
+    /** Sends {@code count} new objects, ends their first attempts so, and gives the sources that were named. */
+    private Set<Long> sources(int count, Predicate<Get> turnsAway) {
+        Set<Long> named = new HashSet<>();
+        for (int i = 0; i < count; i++) {
+            bench.now += 20;
+            Get get = bench.get(++object);
+            for (int attempt = 0; get != null; attempt++) {
+                named.add(get.source());
+                List<Action> next = turnsAway.test(get) ? bench.outcome(get, attempt, Result.FULL, Note.NONE, 5)
+                    : bench.outcome(get, attempt, Result.OK, Note.FILLED, 100);
+                List<Get> again = Bench.all(next, Get.class);
+                get = again.isEmpty() ? null : again.get(0);
+            }
+        }
+        return named;
+    }
+
+    /**
+     * A cache that drains before the list tells turns all away, fills included. Guards against taking its sources
+     * for dead: one such answer left a parent out, and all doormans' fills went to the origin.
+     */
+    @Test
+    void aCacheThatTurnsAllAwayLeavesItsSourcesIn() {
+        Set<Long> named = sources(60, get -> get.node() == 1);
+        assertEquals(Set.of(11L, 12L), named);
+    }
+
+    /** The other side: a source that can't be reached is known by failing at one cache after another. */
+    @Test
+    void aSourceWhoseFillsAllCachesTurnAwayIsLeftOut() {
+        sources(20, get -> get.source() == 11);
+        assertEquals(Set.of(12L), sources(10, get -> get.source() == 11));
+    }
+
+    private void loseAllCaches() {
+        Set<Long> gone = new HashSet<>();
+        for (int i = 0; i < 40 && gone.size() < 4; i++) {
+            bench.now += 20;
+            Get get = bench.get(++object);
+            for (int attempt = 0; get != null && get.node() <= 4; attempt++) {
+                gone.add(get.node());
+                List<Get> again = Bench.all(bench.outcome(get, attempt, Result.CONNECT_FAILED, Note.NONE, 400), Get.class);
+                get = again.isEmpty() ? null : again.get(0);
+            }
+        }
+        assertEquals(4, gone.size());
+    }
+
+    /**
+     * Where no cache of the location can be reached, requests go straight to a parent at once and none is refused.
+     * Guards against trying the dead ones over and over because few are left, at a connect's time each, until the
+     * budget of further attempts is gone.
+     */
+    @Test
+    void aLostLocationIsPassedBy() {
+        loseAllCaches();
+        List<Action> actions = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            bench.now += 5;
+            actions.addAll(bench.request(0, ++object, 4_000));
+        }
+        assertEquals(0, Bench.all(actions, Refuse.class).size());
+        assertTrue(Bench.all(actions, Get.class).stream().allMatch(get -> get.node() >= 11 && get.source() == 20));
+        assertEquals(40, Bench.all(actions, Get.class).size());
+    }
+
+    /** A parent that failed a request that passes the caches by is not tried for it again: the next one is. */
+    @Test
+    void pastTheCachesAFailedParentIsNotTriedAgain() {
+        loseAllCaches();
+        Get first = bench.get(++object);
+        Get second = Bench.only(bench.outcome(first, 0, Result.ERROR, Note.NONE, 5), Get.class);
+        assertNotEquals(first.node(), second.node());
+        assertTrue(second.node() == 11 || second.node() == 12);
+    }
+
+    /**
+     * A cache that failed for long is tried again within 2 s, so it is of use soon after it is well. Guards against
+     * a quarter of a location's caches standing idle for 8 s while the others turn requests away.
+     */
+    @Test
+    void aCacheThatWasIllForLongIsTriedWithinTwoSeconds() {
+        double illUntil = bench.now + 20_000;
+        while (bench.now < illUntil) {
+            bench.now += 20;
+            Get get = bench.get(++object);
+            bench.outcome(get, 0, get.node() == 1 ? Result.ERROR : Result.OK, Note.NONE, 50);
+        }
+        int tried = 0;
+        for (double until = bench.now + 2_200; bench.now < until; bench.now += 20) {
+            Get get = bench.get(++object);
+            tried += get.node() == 1 ? 1 : 0;
+            bench.outcome(get, 0, Result.OK, Note.FILLED, 50);
+        }
+        assertTrue(tried >= 3, tried + " attempts");
+    }
+}
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -80,9 +80,10 @@
         }
         double now = clock.nowMs();
         lastId = (lastId + 1) % MOST_IDS;
-        Exchange x = new Exchange(lastId, ask, caller, now + ask.remainingMs());
+        Exchange x = new Exchange(lastId, ask, caller, now);
         exchanges.put(x.id, x);
         takenIds.add(ask.id());
+        Trail.taken(ask);
         owed++;
         // Guards rule 1 against a director that leaves a request unanswered: half the slack is left by then.
         x.guard = clock.after(ask.remainingMs() + settings.answerSlackMs() / 2, () -> overdue(x));
@@ -130,7 +131,7 @@
 
     private void gone(Exchange x) {
         if (!x.over) {
-            close(x);
+            close(x, "gone");
             tell(new Director.Gone(x.id));
             forgetIfDone(x);
         }
@@ -139,7 +140,7 @@
     private void overdue(Exchange x) {
         if (!x.over) {
             LogEvent.log(LOG.atError(), "left unanswered by the director: failed", "request", x.ask.id());
-            close(x);
+            close(x, "failed");
             x.caller.failed();
             tell(new Director.Gone(x.id));
             forgetIfDone(x);
@@ -147,8 +148,9 @@
     }
 
     /** The request is over: nothing further is sent for it. */
-    private void close(Exchange x) {
+    private void close(Exchange x, String how) {
         x.over = true;
+        Trail.over(x, how, clock.nowMs() - x.takenAt);
         x.guard.cancel();
         x.ask.body().release();
         owed--;
@@ -256,9 +258,9 @@
         } else if (action instanceof Director.Cancel a) {
             cancel(a);
         } else if (action instanceof Director.Refuse a) {
-            finish(a.request(), x -> x.caller.refused(a.pauseMs()));
+            finish(a.request(), "refused", x -> x.caller.refused(a.pauseMs()));
         } else if (action instanceof Director.Fail a) {
-            finish(a.request(), x -> x.caller.failed());
+            finish(a.request(), "failed", x -> x.caller.failed());
         } else if (action instanceof Director.WakeAt a) {
             clock.after(a.atMs() - clock.nowMs(), () -> tell(new Director.Alarm(a.token())));
         } else if (action instanceof Director.Probe a) {
@@ -274,10 +276,10 @@
         }
     }
 
-    private void finish(long id, Consumer<Exchange> answer) {
+    private void finish(long id, String how, Consumer<Exchange> answer) {
         Exchange x = exchanges.get(id);
         if (x != null && !x.over) {
-            close(x);
+            close(x, how);
             answer.accept(x);
             forgetIfDone(x);
         }
@@ -301,6 +303,7 @@
         int number = x.attempts.size();
         x.attempts.add(attempt);
         x.out++;
+        Trail.sent(x, number, node, get);
         double left = x.deadline - now;
         double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
         if (x.over || number >= settings.maxAttempts() || wait <= 0) {
@@ -343,8 +346,10 @@
         if (attempt.timeout != null) {
             attempt.timeout.cancel();
         }
+        double ms = clock.nowMs() - attempt.sentAt;
+        Trail.ended(x, number, answer, ms);
         if (answer.result() == Result.OK && !x.over) {
-            close(x);
+            close(x, "served");
             if (answer.body() == null) {
                 x.caller.unchanged(answer.tag());
             } else {
@@ -353,8 +358,8 @@
         } else if (answer.body() != null) {
             answer.body().release();
         }
-        tell(new Director.Outcome(x.id, number, attempt.node, answer.result(), clock.nowMs() - attempt.sentAt,
-            x.over, answer.note(), 0, answer.load()));
+        tell(new Director.Outcome(x.id, number, attempt.node, answer.result(), ms, x.over,
+            answer.note(), 0, answer.load()));
         forgetIfDone(x);
     }
 }
--- a/doorman/src/main/java/barleyspur/doorman/Exchange.java
+++ b/doorman/src/main/java/barleyspur/doorman/Exchange.java
@@ -24,16 +24,18 @@
     final long id;
     final Ask ask;
     final Caller caller;
+    final double takenAt;
     final double deadline;
     final List<Attempt> attempts = new ArrayList<>(2);
     Clock.Timer guard;
     int out;
     boolean over;
 
-    Exchange(long id, Ask ask, Caller caller, double deadline) {
+    Exchange(long id, Ask ask, Caller caller, double takenAt) {
         this.id = id;
         this.ask = ask;
         this.caller = caller;
-        this.deadline = deadline;
+        this.takenAt = takenAt;
+        this.deadline = takenAt + ask.remainingMs();
     }
 }
--- a/doorman/src/test/java/barleyspur/expect/MutantsTest.java
+++ b/doorman/src/test/java/barleyspur/expect/MutantsTest.java
@@ -21,7 +21,7 @@
  */
 class MutantsTest {
 
-    private static final int SCENARIOS = 300;
+    private static final int SCENARIOS = 400;
 
     @TempDir
     private Path folder;
