Send past the caches what they can't take, and charge late fills to the crowded cache

In the station of 4 caches one was ill, two cold, one warm and jammed ("fills=7/8.82 draw=0.22 shutc=1 coldc=2 outc=1 of=4"). The settings give it a link of 83 MB/s and parents of 470 MB/s for a demand of 100 MB/s, while the one warm cache can send 26: the way by the link was idle beside a jammed cache. learnLateness() charged each late fill to the gate of all fills unless its source was to blame, so a crowded cache shut the fills of the others too. Ruled out: the parents' gates (lateShare under 0.25 at all), retry tokens (20 to 30 left), the origin (40 fills a second at most).

Change: a request that no cache may take or is let take goes straight to a parent (bypass) through a gate of its own, which opens from two at a time by answers in time. A cache whose hits are late is crowded: its late fills count against it, not against their way. What goes past the caches is booked to the parent as its source too.

Tests: LimitsTest (whileFillsAreKeptOutRequestsGoPastTheCaches, whilePastTheCachesAnswersComeLateRequestsAreRefused, lateFillsOfACrowdedCacheKeepNoOthersOut), LossesTest.theWayPastTheCachesOpensByItsAnswers. Refusals are so rare now that 80 scenarios held no unsafe one, so the check for vacuous expectations plays 400. New checksums in SameActionsTest.

--- a/decision/src/main/java/barleyspur/decision/Decide.java
+++ b/decision/src/main/java/barleyspur/decision/Decide.java
@@ -12,10 +12,9 @@
 
 /**
  * All decisions of one director: which cache serves a request, where a miss is filled from, what is kept.
- *
- * <p>The ordinary path is least-recently-lost (LRL) replication from "Adaptive Content Replication in
- * Edge-Assisted CDNs (loss-network model)": objects gain copies where requests for them find every believed
- * holder busy. Read {@link #route} first; the guards around it each say what they guard against.
+ * The ordinary path, {@link #route}, is least-recently-lost (LRL) replication from "Adaptive Content
+ * Replication in Edge-Assisted CDNs (loss-network model)": objects gain copies where requests for them find
+ * every believed holder busy. The guards around it each say what they guard against.
  */
 public final class Decide implements Director {
 
@@ -98,9 +97,11 @@
     private double retryTokens = RETRY_SAVED;
     private double backupTokens;
     private final Gate fills = new Gate();
+    /** What goes past the caches, straight to a parent or the origin: not tried yet, it opens by answers. */
+    private final Gate past = new Gate(2);
     private boolean watching;
-    private double worthAsked = 1;
-    private double workAsked = 1;
+    private double worthAsked;
+    private double workAsked;
     /** How much the request being routed is favoured where limits bind. */
     private double favour = 1;
     /** Where the request being routed stands among those that a limit under one lets in. */
@@ -147,8 +148,9 @@
         if (r.sizeKb() > 0) {
             meanWork.learn(r.category(), r.sizeKb() / settings.paceKbPerMs());
         }
-        worthAsked += (settings.classes().get(r.category()).worth() - worthAsked) * WORK_DOWN;
-        workAsked += (sizeOf(r) - workAsked) * WORK_DOWN;
+        double newest = workAsked == 0 ? 1 : WORK_DOWN;
+        worthAsked += (settings.classes().get(r.category()).worth() - worthAsked) * newest;
+        workAsked += (sizeOf(r) - workAsked) * newest;
         Open o = new Open(r, now + r.remainingMs(), random.nextDouble());
         open.put(r.id(), o);
         // Rule 1: the clock moves in ticks, so the last moment to answer in time is two of them early.
@@ -175,7 +177,7 @@
         }
         favour = favour(o.request);
         draw = o.draw;
-        List<Server> others = holders(o.request, beliefs.get(part(o.request)), candidates(o));
+        List<Server> others = holders(o.request, beliefs.get(Part.of(o.request)), candidates(o));
         List<Server> free = Lists.where(others, s -> !o.tried(s) && free(s));
         Server target = free.isEmpty() ? first.target : pick(free);
         boolean able = fleet.caches.contains(target) && coldAllows(target, meanWork.of(o.request.category()));
@@ -201,7 +203,7 @@
             return;
         }
         boolean keeps = !settings.classes().get(o.request.category()).write() && !o.request.write();
-        Copies copies = keeps ? beliefs.get(part(o.request)) : null;
+        Copies copies = keeps ? beliefs.get(Part.of(o.request)) : null;
         Server filling = copies == null || copies.fillsOpen == 0 ? null : fleet.listed.get(copies.fillAt);
         List<Server> holders = holders(o.request, copies, caches);
         List<Server> free = Lists.where(holders, this::free);
@@ -247,22 +249,28 @@
             return;
         }
         a.learned = true;
-        learn(a.target.gate, late, byTarget);
-        if (!a.fill || a.joined) {
-            return;
-        }
-        if (a.source != null) {
+        a.target.hitLate += a.fill ? 0 : ((late ? 1 : 0) - a.target.hitLate) * NEWEST;
+        // A cache whose hits are late too is crowded itself: there a late fill tells nothing of its way.
+        boolean crowded = a.target.hitLate > LATE_SHARE;
+        learn(a.target.gate, late, byTarget || crowded);
+        if (a.fill && !a.joined && a.source != null) {
             learn(a.source.sourceGate, late, bySource);
         }
-        if (!late || !bySource) {
-            learn(fills, late, true);
+        if (a.fill && !a.joined && !(late && (bySource || crowded))) {
+            learn(way(a), late, true);
         }
     }
 
+    /** The gate of the way that an attempt's bytes come by, beside the node's own. */
+    private Gate way(Attempt a) {
+        return fleet.isCache(a.target) ? fills : past;
+    }
+
     private void overdue(Attempt a) {
         if (!a.back) {
             learnLateness(a, true, a.surelyHeld || lateTarget(a), lateSource(a));
-            if (reaches(a) && ++a.source.silent >= SILENT && !a.source.isOut && lateSource(a)) {
+            boolean fetches = a.fill && !a.joined && a.source != null;
+            if (fetches && ++a.source.silent >= SILENT && !a.source.isOut && lateSource(a)) {
                 leaveOut(a.source, "serves nothing in time");
             }
         }
@@ -327,22 +335,13 @@
             }
         }
         boolean all = holders.contains(next);
-        if (!all && shut(fills)) {
-            look(o, next);
-            return;
-        }
-        send(o, all ? leastBusy(holders) : next, rank(o.request), !all);
-    }
-
-    /**
-     * Where no fill is let in, asks the next cache in hash order for what it holds: where directors meet, not
-     * talking, others have often filled it there. Covers any shut way to the sources. Costs an attempt.
-     */
-    private void look(Open o, Server s) {
-        if (shut(s.gate) || cold(s)) {
-            giveUp(o);
+        if (all || !shut(fills)) {
+            send(o, all ? leastBusy(holders) : next, rank(o.request), !all);
+        } else if (shut(next.gate) || cold(next)) {
+            bypass(o);
         } else {
-            attempt(o, s, s, rank(o.request), false);
+            // No fill is let in, but where directors meet, not talking, others have often filled it.
+            attempt(o, next, next, rank(o.request), false);
         }
     }
 
@@ -350,10 +349,6 @@
         return lost.containsKey(r.object()) ? RANK_LOST : RANK_PLAIN;
     }
 
-    private static Part part(Request r) {
-        return new Part(r.object(), r.part());
-    }
-
     private List<Server> holders(Request r, Copies copies, List<Server> caches) {
         if (copies == null) {
             return List.of();
@@ -453,14 +448,17 @@
         return open != null ? open : first != null ? first : fleet.origin;
     }
 
-    /** No cache may take it: straight to a parent, else to the origin, else refused. */
+    /**
+     * No cache may take it, or none is let: straight to a parent, else to the origin, else refused. The bytes
+     * come by the location's link but load no cache: each of these ways is shut by its own late answers.
+     */
     private void bypass(Open o) {
         Server source = settings.direct() ? source(o, true) : null;
-        boolean unfit = source == null || !mayTake(o, source) || fleet.origin == null;
+        boolean unfit = source == null || !mayTake(o, source) || fleet.origin == null || shut(past);
         if (unfit || source == fleet.origin && o.tried(fleet.origin)) {
             giveUp(o);
         } else {
-            attempt(o, source, fleet.origin, 0, true);
+            attempt(o, source, source, 0, true);
         }
     }
 
@@ -469,10 +467,10 @@
     /** Also a repeat, a joined fill or a further attempt finds a shut cache shut. */
     private void send(Open o, Server target, int rank, boolean fill) {
         if (shut(target.gate)) {
-            giveUp(o);
+            bypass(o);
             return;
         }
-        attempt(o, target, source(o, fill && !joins(beliefs.get(part(o.request)), target)), rank, fill);
+        attempt(o, target, source(o, fill && !joins(beliefs.get(Part.of(o.request)), target)), rank, fill);
     }
 
     private void attempt(Open o, Server target, Server source, int rank, boolean fill) {
@@ -494,9 +492,9 @@
         }
         RequestClass c = settings.classes().get(o.request.category());
         a.surelyHeld = !fill && c.freshMs() == 0;
-        long from = source == null ? target.id() : source.id();
+        Server from = !fleet.isCache(target) ? fleet.origin : source == null ? target : source;
         double age = maxAge(o.request, risky(a, c));
-        out.accept(new Get(o.request.id(), target.id(), o.deadline - now, from, rank, age,
+        out.accept(new Get(o.request.id(), target.id(), o.deadline - now, from.id(), rank, age,
             settings.joins() && !c.write(), false, false, c.freshMs() > 0));
     }
 
@@ -517,12 +515,12 @@
             fleet.serving += fleet.caches.contains(a.target) ? change : 0;
             return;
         }
-        Copies c = beliefs.computeIfAbsent(part(r), k -> new Copies());
+        Copies c = beliefs.computeIfAbsent(Part.of(r), k -> new Copies());
         if (change > 0) {
             a.joined = joins(c, a.target);
         }
         if (!a.joined) {
-            fills.inside += change;
+            way(a).inside += change;
             if (a.source != null) {
                 a.source.sourceGate.inside += change;
             }
@@ -558,19 +556,21 @@
         }
         o.over |= e.closed();
         if (!o.over && !o.waiting()) {
-            tryAgain(o, a.source == a.target && e.result() == Result.MISS);
+            tryAgain(o, !a.fill && a.source == a.target && e.result() == Result.MISS);
         }
         forgetIfDone(o);
     }
 
-    /** Further attempts come out of a budget, not to feed an overload; a look in vain is the last. */
+    /** Further attempts come out of a budget, not to feed overload; a look in vain is the last at caches. */
     private void tryAgain(Open o, boolean inVain) {
-        if (inVain || retryTokens < 1) {
+        if (inVain) {
+            bypass(o);
+        } else if (retryTokens < 1) {
             giveUp(o);
-            return;
+        } else {
+            retryTokens--;
+            route(o);
         }
-        retryTokens--;
-        route(o);
     }
 
     private void believe(Request r, Attempt a, Outcome e) {
@@ -578,9 +578,9 @@
         boolean current = a.sentAt >= a.target.forgetBefore;
         boolean kept = e.result() == Result.OK && a.rank > 0 && fleet.isCache(a.target) && current;
         if (kept) {
-            beliefs.computeIfAbsent(part(r), k -> new Copies()).seen.put(a.target.id(), now);
+            beliefs.computeIfAbsent(Part.of(r), k -> new Copies()).seen.put(a.target.id(), now);
         } else if (e.result() == Result.MISS) {
-            Copies c = beliefs.get(part(r));
+            Copies c = beliefs.get(Part.of(r));
             if (c != null) {
                 c.seen.remove(a.target.id());
             }
@@ -612,10 +612,9 @@
     private void giveUp(Open o) {
         RequestClass c = settings.classes().get(o.request.category());
         boolean mayRun = o.maybeRan || o.waiting();
-        boolean harmless = c.effect() == Effect.SAFE || !mayRun
-            || c.effect() == Effect.KEYED && c.scope() == Scope.ALL;
+        boolean drops = c.effect() == Effect.SAFE || c.effect() == Effect.KEYED && c.scope() == Scope.ALL;
         long id = o.request.id();
-        out.accept(harmless ? new Refuse(id, settings.maxRetryAfterMs()) : new Fail(id));
+        out.accept(drops || !mayRun ? new Refuse(id, settings.maxRetryAfterMs()) : new Fail(id));
         end(o);
     }
 
@@ -891,7 +890,7 @@
      */
     private boolean risky(Attempt a, RequestClass c) {
         double served = 1 - (a.source == null ? 0 : Math.max(a.source.sourceGate.lateShare, fills.lateShare));
-        return a.source == a.target || served < c.staleWorth();
+        return !a.fill && a.source == a.target || served < c.staleWorth();
     }
 
     /** The oldest copy that will do: while older ones may still be about, none from before the purge. */
--- a/decision/src/main/java/barleyspur/decision/Gate.java
+++ b/decision/src/main/java/barleyspur/decision/Gate.java
@@ -4,7 +4,16 @@
 final class Gate {
 
     int inside;
-    double limit = 1e9;
+    double limit;
     double lateShare;
     double cutAt = Double.NEGATIVE_INFINITY;
+
+    /** Lets all in until answers come late. */
+    Gate() {
+        this(1e9);
+    }
+
+    Gate(double limit) {
+        this.limit = limit;
+    }
 }
--- a/decision/src/main/java/barleyspur/decision/Part.java
+++ b/decision/src/main/java/barleyspur/decision/Part.java
@@ -6,6 +6,10 @@
  */
 record Part(long object, int part) {
 
+    static Part of(Director.Request r) {
+        return new Part(r.object(), r.part());
+    }
+
     @Override
     public boolean equals(Object other) {
         return other instanceof Part p && p.object == object && p.part == part;
--- a/decision/src/main/java/barleyspur/decision/Server.java
+++ b/decision/src/main/java/barleyspur/decision/Server.java
@@ -9,6 +9,8 @@
     double weight = 1;
     double forgetBefore = Double.NEGATIVE_INFINITY;
     int serving;
+    /** Share of what it should have held that came late. */
+    double hitLate;
     final Gate gate = new Gate();
     final Gate sourceGate = new Gate();
     /** How busy it reported to be, and when it last answered anything. */
