--- /dev/null
+++ b/doorman/src/test/java/barleyspur/depot/DepotClientTest.java
@@ -0,0 +1,110 @@
+package barleyspur.depot;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.decision.Director;
+import barleyspur.decision.Director.Result;
+import barleyspur.doorman.Ask;
+import barleyspur.doorman.Clock;
+import barleyspur.doorman.Depots;
+import barleyspur.doorman.Listing;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Which connection a call goes out on while the list changes under it: six in ten boxes may be replaced in 7 s. */
+class DepotClientTest {
+
+    private static final InetSocketAddress HERE = new InetSocketAddress("127.0.0.1", 7_001);
+    private static final InetSocketAddress THERE = new InetSocketAddress("127.0.0.1", 7_002);
+
+    private final List<EmbeddedChannel> channels = new ArrayList<>();
+    private final List<InetSocketAddress> connects = new ArrayList<>();
+    private final List<Result> ends = new ArrayList<>();
+    private final List<Runnable> soon = new ArrayList<>();
+    private final Clock clock = new Clock() {
+        @Override
+        public double nowMs() {
+            return 1_000;
+        }
+
+        @Override
+        public Timer after(double delayMs, Runnable task) {
+            if (delayMs == 0) {
+                soon.add(task);
+            }
+            return () -> { };
+        }
+    };
+    private final DepotClient client = new DepotClient((address, handlers) -> {
+        EmbeddedChannel channel = new EmbeddedChannel(handlers);
+        channels.add(channel);
+        connects.add(address);
+        return channel.newSucceededFuture();
+    }, clock, new DepotClient.Limits(32, 15_000, 100), List.of());
+
+    private static Listing box(int number, InetSocketAddress address, double bootMs) {
+        return new Listing("s-" + number, address, 0, 0, 0, Director.State.READY, 1, bootMs);
+    }
+
+    private void send(long node, String id) {
+        Ask ask = new Ask(id, 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 0, 1_000, 0, null, Unpooled.EMPTY_BUFFER);
+        client.send(node, new Depots.Order(ask, 500, null, 0, 0, false, false, false, false),
+            answer -> ends.add(answer.result()));
+        channels.forEach(EmbeddedChannel::runPendingTasks);
+    }
+
+    /**
+     * A new box at the address of one that has gone gets connections of its own. Guards against its first calls going
+     * out on a connection to the process before, where they would be reset.
+     */
+    @Test
+    void aBoxAtAnAddressTakenOverGetsItsOwnConnections() {
+        client.list(1, box(1, HERE, 0));
+        send(1, "a1");
+        client.list(2, box(2, HERE, 900));
+        client.retire(1);
+        send(2, "b1");
+        assertEquals(List.of(HERE, HERE), connects);
+        assertTrue(channels.get(0).isOpen(), "its call is still out");
+        channels.get(0).writeInbound(Resp.message(channels.get(0).alloc(), "a1", "LACK", "-", ""));
+        channels.get(0).runPendingTasks();
+        assertFalse(channels.get(0).isOpen());
+        assertEquals(List.of(Result.MISS), ends);
+    }
+
+    /** A box that the list moves or restarts is reached anew; the same listing twice changes nothing. */
+    @Test
+    void aBoxThatMovesOrRestartsIsReachedAnewAndTheSameListingTwiceChangesNothing() {
+        client.list(1, box(1, HERE, 0));
+        send(1, "a1");
+        channels.get(0).writeInbound(Resp.message(channels.get(0).alloc(), "a1", "LACK", "-", ""));
+        client.list(1, box(1, HERE, 0));
+        send(1, "a2");
+        assertEquals(List.of(HERE), connects);
+        client.list(1, box(1, HERE, 900));
+        send(1, "a3");
+        assertEquals(List.of(HERE, HERE), connects);
+        client.list(1, box(1, THERE, 900));
+        send(1, "a4");
+        assertEquals(List.of(HERE, HERE, THERE), connects);
+    }
+
+    /** What was never listed, or has gone twice, is no box: a call there ends as one that never ran. */
+    @Test
+    void aCallToABoxThatIsNotListedNeverRan() {
+        client.retire(9);
+        client.retire(9);
+        client.hangUp(9);
+        send(9, "a1");
+        assertEquals(List.of(), ends, "never from within the call");
+        soon.forEach(Runnable::run);
+        assertEquals(List.of(Result.CONNECT_FAILED), ends);
+        assertEquals(List.of(), connects);
+    }
+}
--- a/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
+++ b/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
@@ -272,6 +272,23 @@
             events.stream().map(e -> ((Director.Members) e).kind()).toList());
     }
 
+    /**
+     * The list may say a thing twice, speak of boxes that were never listed, and take up one again that had gone. Guards
+     * against losing the doorman, or the other boxes of the same event, by any of these.
+     */
+    @Test
+    void listEventsThatComeTwiceOrForUnknownBoxesHarmNothing() {
+        for (Director.State state : List.of(Director.State.GONE, Director.State.DRAINING, Director.State.DRAINING,
+            Director.State.GONE, Director.State.GONE, Director.State.READY, Director.State.READY)) {
+            Listing changed = new Listing("s-2", NODE.address(), 0, 0, 0, state, 1, 0);
+            events.clear();
+            doorman.listed(false, List.of(changed, NODE));
+            assertEquals(List.of(state, Director.State.READY), ((Director.Members) events.get(0)).nodes().stream()
+                .map(Director.Node::state).toList());
+        }
+        assertEquals(List.of(2L, 2L, 2L), retired);
+    }
+
     /** Two nodes under one number would get each other's requests. */
     @Test
     void aNumberStandsForOneNode() {
