Ask an attempt whether it fetches in one place, and share the silent depots of two tests

Cause, found on reading the change again: the condition "a fill of its own with a source" stood three times in Decide (learnLateness, overdue, reaches); leastBusy had become a stream, which Lists says a start should not have to load; the first width of the way past the caches stood outside the tuned values; LimitsTest repeated its own lateFills; two front tests held the same 16 lines of depots that answer nothing.

Change: Attempt.fetches and Attempt.reaches; leastBusy is the loop it was; PAST_FIRST among the tuned values; the test calls lateFills; SilentDepots serves both front tests; AdminServer.listen returns what it binds.

Measured: nothing is decided otherwise: the checksums of SameActionsTest are unchanged, all tests pass in 2 minutes.

--- a/decision/src/main/java/barleyspur/decision/Attempt.java
+++ b/decision/src/main/java/barleyspur/decision/Attempt.java
@@ -17,4 +17,14 @@
     double sentAt;
     double work;
     int rank;
+
+    /** Whether it asks for bytes from its source on its own account: a fill, or what goes past the caches. */
+    boolean fetches() {
+        return fill && !joined && source != null;
+    }
+
+    /** Whether it is expected to reach its source by way of a cache, as a fill of its own. */
+    boolean reaches() {
+        return fetches() && source != target;
+    }
 }
--- a/decision/src/main/java/barleyspur/decision/Decide.java
+++ b/decision/src/main/java/barleyspur/decision/Decide.java
@@ -57,6 +57,8 @@
     private static final double CUT_TO = 0.85;
     private static final double CUT_EVERY_MS = 500;
     private static final double LEAST_INSIDE = 0.1;
+    /** How many are let past the caches until answers that came that way in time let in more. */
+    private static final double PAST_FIRST = 2;
     /** How busy a cache may report to be for a backup: the report is written by the whole fleet. */
     private static final String BUSY_FIELD = "load_share";
     private static final double BUSY = 0.85;
@@ -98,7 +100,7 @@
     private double backupTokens;
     private final Gate fills = new Gate();
     /** What goes past the caches, straight to a parent or the origin: not tried yet, it opens by answers. */
-    private final Gate past = new Gate(2);
+    private final Gate past = new Gate(PAST_FIRST);
     private boolean watching;
     private double worthAsked;
     private double workAsked;
@@ -253,7 +255,7 @@
         // A cache whose hits are late too is crowded itself: there a late fill tells nothing of its way.
         boolean crowded = a.target.hitLate > LATE_SHARE;
         learn(a.target.gate, late, byTarget || crowded);
-        if (a.fill && !a.joined && a.source != null) {
+        if (a.fetches()) {
             learn(a.source.sourceGate, late, bySource);
         }
         if (a.fill && !a.joined && !(late && (bySource || crowded))) {
@@ -269,8 +271,7 @@
     private void overdue(Attempt a) {
         if (!a.back) {
             learnLateness(a, true, a.surelyHeld || lateTarget(a), lateSource(a));
-            boolean fetches = a.fill && !a.joined && a.source != null;
-            if (fetches && ++a.source.silent >= SILENT && !a.source.isOut && lateSource(a)) {
+            if (a.fetches() && ++a.source.silent >= SILENT && !a.source.isOut && lateSource(a)) {
                 leaveOut(a.source, "serves nothing in time");
             }
         }
@@ -360,15 +361,15 @@
         });
     }
 
-
     /** A holder is free while ours in flight to it stay under one more than our mean to a cache here. */
     private boolean free(Server s) {
         return !shut(s.gate) && s.serving < 1 + (double) fleet.serving / fleet.caches.size();
     }
 
     private Server leastBusy(List<Server> from) {
-        int least = from.stream().mapToInt(s -> s.serving).min().orElse(0);
-        return pick(Lists.where(from, s -> s.serving == least));
+        int[] least = {Integer.MAX_VALUE};
+        from.forEach(s -> least[0] = Math.min(least[0], s.serving));
+        return pick(Lists.where(from, s -> s.serving == least[0]));
     }
 
     private Server pick(List<Server> from) {
@@ -487,7 +488,7 @@
         out.accept(new WakeAt(now + aim(o), o.request.id() + o.attempts.size() * ATTEMPT_TOKEN));
         enter(o.request, a, 1);
         target.coldTokens -= a.work;
-        if (reaches(a)) {
+        if (a.reaches()) {
             source.coldTokens -= a.work;
         }
         RequestClass c = settings.classes().get(o.request.category());
@@ -502,11 +503,6 @@
         return settings.joins() && c != null && c.fillsOpen > 0 && c.fillAt == target.id();
     }
 
-    /** Whether an attempt is expected to reach its source, as a fill of its own. */
-    private static boolean reaches(Attempt a) {
-        return a.fill && !a.joined && a.source != null && a.source != a.target;
-    }
-
     /** Counts an attempt in, or with {@code change} -1 out. */
     private void enter(Request r, Attempt a, int change) {
         a.target.gate.inside += change;
@@ -714,11 +710,11 @@
         if (a.sourceTrial) {
             a.source.onTrial = false;
         }
-        boolean sourced = reaches(a) && e.note() != Note.HIT && e.note() != Note.JOINED;
+        boolean sourced = a.reaches() && e.note() != Note.HIT && e.note() != Note.JOINED;
         if (e.result() == Result.OK || e.result() == Result.MISS || e.result() == Result.ERROR) {
             a.target.turnedAway = 0;
         }
-        if (reaches(a) && !sourced) {
+        if (a.reaches() && !sourced) {
             a.source.coldTokens += a.work;
         }
         switch (e.result()) {
--- a/decision/src/test/java/barleyspur/decision/LimitsTest.java
+++ b/decision/src/test/java/barleyspur/decision/LimitsTest.java
@@ -350,12 +350,7 @@
         bench = new Bench(Bench.settings(List.of(Bench.staleClass()))).list(4);
         Get before = bench.get(1);
         assertEquals(8_000, before.maxAgeMs());
-        for (int i = 0; i < 30; i++) {
-            List<Get> sent = Bench.all(bench.request(0, 10_000 + i, 4_000), Get.class);
-            bench.now += 600;
-            sent.forEach(get -> pastLook(get).forEach(last ->
-                bench.outcome(last, last == get ? 0 : 1, Result.OK, Note.FILLED, LATE_MS)));
-        }
+        lateFills(30, LATE_MS);
         assertEquals(28_000, bench.get(2).maxAgeMs());
     }
 
--- a/doorman/src/main/java/barleyspur/admin/AdminServer.java
+++ b/doorman/src/main/java/barleyspur/admin/AdminServer.java
@@ -44,13 +44,12 @@
 
     /** Starts to listen. */
     public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(acceptor())
             .bind(address);
-        return bound;
     }
 
     /** Makes a newly accepted channel a caller's. */
--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -9,9 +9,8 @@
 import barleyspur.decision.Director;
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
-import barleyspur.doorman.Depots;
 import barleyspur.doorman.Doorman;
-import barleyspur.doorman.Listing;
+import barleyspur.doorman.SilentDepots;
 import barleyspur.duty.Duty;
 import barleyspur.retune.ClassTable;
 import io.netty.buffer.ByteBuf;
@@ -27,7 +26,7 @@
 import org.slf4j.LoggerFactory;
 
 /** One client connection before a core whose director does as each test says. */
-class FrontConnectionTest implements Depots, Clock {
+class FrontConnectionTest implements Clock {
 
     static final Director.Settings SETTINGS = SettingsReader.read(SettingsReader.lines("""
         groupSize=1\nmyNumber=0\nmyZone=0\nresolutionMs=2\ngrades.count=1\ngrades.0.promiseMs=400
@@ -43,7 +42,7 @@
     private final Doorman doorman = new Doorman(SETTINGS, 9, (now, event, sink) -> {
         events.add(event);
         out = sink;
-    }, this, this);
+    }, this, new SilentDepots());
     private final Crowd<FrontConnection> crowd = new Crowd<>();
     private final Duty duty = new Duty();
     private final List<Runnable> timers = new ArrayList<>();
@@ -79,23 +78,6 @@
         channel.runPendingTasks();
     }
 
-    @Override
-    public void list(long node, Listing listing) { }
-
-    @Override
-    public void retire(long node) { }
-
-    @Override
-    public Call send(long node, Order order, End end) {
-        return () -> { };
-    }
-
-    @Override
-    public void probe(long node, double timeoutMs, End end) { }
-
-    @Override
-    public void hangUp(long node) { }
-
     private void dispatch(int seqid, String className) {
         dispatch(seqid, className, "9b1f03aa5c7e2d4" + seqid);
     }
--- a/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
@@ -3,10 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import barleyspur.doorman.Depots;
 import barleyspur.doorman.Doorman;
-import barleyspur.doorman.Listing;
 import barleyspur.doorman.LoopClock;
+import barleyspur.doorman.SilentDepots;
 import barleyspur.duty.Duty;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -21,7 +20,7 @@
 import org.junit.jupiter.api.Test;
 
 /** An upgrade's two fronts on one port, on loopback: the shell's part of the hand-off. */
-class SharedPortTest implements Depots {
+class SharedPortTest {
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final LoopClock clock = new LoopClock(group.next());
@@ -31,27 +30,10 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
-    @Override
-    public void list(long node, Listing listing) { }
-
-    @Override
-    public void retire(long node) { }
-
-    @Override
-    public Call send(long node, Order order, End end) {
-        return () -> { };
-    }
-
-    @Override
-    public void probe(long node, double timeoutMs, End end) { }
-
-    @Override
-    public void hangUp(long node) { }
-
     private ThriftFront front(boolean share) {
         Duty duty = new Duty();
         duty.serving(0);
-        Doorman doorman = new Doorman(FrontConnectionTest.SETTINGS, 9, (now, event, sink) -> { }, clock, this);
+        Doorman doorman = new Doorman(FrontConnectionTest.SETTINGS, 9, (now, event, sink) -> { }, clock, new SilentDepots());
         return new ThriftFront(group, doorman, clock, FrontConnectionTest.CLASSES, 16, 1 << 20, full -> { }, duty,
             share);
     }
