Call a parent late only by the measure of another one that is in use

Cause: Decide.lateSource compared a parent with all listed peers.

Change: a source is late only while another of its peers is in use. Test LossesTest.theLastParentInUse... fails before it.

--- a/decision/src/main/java/barleyspur/decision/Decide.java
+++ b/decision/src/main/java/barleyspur/decision/Decide.java
@@ -281,8 +281,10 @@
         return worse(a.target, s -> s.gate.lateShare);
     }
 
+    /** A source is late by the measure of others in use: one that is out is never late, and shows none. */
     private boolean lateSource(Attempt a) {
-        return a.source != null && worse(a.source, s -> s.sourceGate.lateShare);
+        return a.source != null && worse(a.source, s -> s.sourceGate.lateShare)
+            && !Lists.where(fleet.peers(a.source), p -> p != a.source && !p.isOut).isEmpty();
     }
 
     private void learnOutcome(Open o, Attempt a, Outcome e) {
--- a/decision/src/test/java/barleyspur/decision/LossesTest.java
+++ b/decision/src/test/java/barleyspur/decision/LossesTest.java
@@ -56,6 +56,26 @@
         assertEquals(Set.of(12L), sources(10, get -> get.source() == 11));
     }
 
+    /**
+     * With its only peer out, a parent whose fills are late stays in use: late or not, it is the best there is. Guards
+     * against measuring it by the one that is out, which serves nothing and so is never late: with both out,
+     * all fills went to the origin and were refused.
+     */
+    @Test
+    void theLastParentInUseIsNotLeftOutForLateness() {
+        sources(20, get -> get.source() == 11);
+        List<Get> slow = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            slow.add(bench.get(++object));
+        }
+        assertTrue(slow.stream().filter(get -> get.source() == 12).count() >= 6);
+        bench.now += 450;
+        slow.forEach(get -> bench.tell(new Director.Alarm(get.request() + (1L << 32))));
+        slow.forEach(get -> bench.outcome(get, 0, Result.OK, Note.FILLED, 450));
+        Set<Long> named = sources(10, get -> get.source() == 11);
+        assertTrue(named.contains(12L) && !named.contains(20L), "named " + named);
+    }
+
     private void loseAllCaches() {
         Set<Long> gone = new HashSet<>();
         for (int i = 0; i < 40 && gone.size() < 4; i++) {
