Fleet view: doormans know one another by datagrams, off in run; schedules of faults in virtual time

Change: barleyspur.fleet decides (SWIM's probes, Lifeguard's local health, suspicion and buddy messages, digests of 64 buckets for anti-entropy, lives and nonces against old ones); barleyspur.fleet.net carries it: CBOR with an HMAC tag over Netty datagrams, GET /admin/fleet and /admin/metrics, log events; settings block fleet; barleyspur fleet status|watch|why. lab.fleet plays schedules of faults in virtual time.

--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -6,6 +6,7 @@
 import barleyspur.channel.CommandChannel;
 import barleyspur.channel.CommandReader;
 import barleyspur.config.Configuration;
+import barleyspur.config.OwnSettings;
 import barleyspur.decision.Decide;
 import barleyspur.decision.Director;
 import barleyspur.depot.DepotClient;
@@ -13,6 +14,7 @@
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.LoopClock;
 import barleyspur.duty.Duty;
+import barleyspur.fleet.net.FleetPort;
 import barleyspur.front.thrift.ThriftFront;
 import barleyspur.log.LogEvent;
 import barleyspur.retune.ClassTable;
@@ -76,8 +78,11 @@
     private final AdminServer admin;
     /** Where an upgrade's processes say which of them listens last; null without a second address. */
     private final HandOffNote handOff;
+    /** The view of the other doormans; null where the settings have no block for it. */
+    private final Subsystem fleet;
 
-    public Node(Configuration configuration) {
+    /** A doorman with what its own settings switch on; without any it is the platform's. */
+    public Node(Configuration configuration, OwnSettings own) {
         this.configuration = configuration;
         Configuration.Limits limits = configuration.limits();
         Director.Settings settings = configuration.settings();
@@ -94,17 +99,35 @@
         front = new ThriftFront(group, doorman, clock, classes,
             Math.max(limits.sockets() / SHARES + 1, limits.sockets() - limits.sockets() / SHARES - OWN_SOCKETS),
             limits.memoryMb() * MEGABYTE / UNREAD_SHARE, depots::pauseReading, duty, configuration.mgmt() != null);
+        fleet = own.fleet() == null ? null : new FleetPort(group, clock, own.fleet(), duty, configuration.name(),
+            configuration.names().zones().get(settings.zone()), version(), configuration.digest(),
+            System.currentTimeMillis(), configuration.seed());
         if (configuration.mgmt() == null) {
             admin = null;
             handOff = null;
         } else {
             // Only a platform that gives a second address upgrades a doorman beside itself.
-            admin = new AdminServer(group, clock, new DutyCalls(duty, clock, front::closeIdle)
-                .addTo(Routes.builder()).build());
+            Routes.Builder routes = new DutyCalls(duty, clock, this::dutyChanged).addTo(Routes.builder());
+            if (fleet != null) {
+                fleet.addTo(routes);
+            }
+            admin = new AdminServer(group, clock, routes.build());
             handOff = new HandOffNote(configuration.scratch(), configuration.listen());
         }
     }
 
+    private static String version() {
+        String version = Node.class.getPackage().getImplementationVersion();
+        return version == null ? "" : version;
+    }
+
+    private void dutyChanged() {
+        front.closeIdle();
+        if (fleet != null) {
+            fleet.refresh();
+        }
+    }
+
     /** Rehearses, learns what is known, then listens; throws where the address can't be had. */
     public void start() throws IOException, InterruptedException, ExecutionException {
         long answered = group.submit(() -> new Rehearsal(group, configuration).play(REHEARSED)).get();
@@ -114,7 +137,12 @@
             channel.start();
         }).sync();
         listen(front.listen(configuration.listen()), configuration.listen());
-        group.submit(() -> duty.serving(clock.nowMs())).sync();
+        group.submit(() -> {
+            duty.serving(clock.nowMs());
+            if (fleet != null) {
+                fleet.start();
+            }
+        }).sync();
         if (admin != null) {
             listen(admin.listen(configuration.mgmt()), configuration.mgmt());
             handOff.announce(ProcessHandle.current().pid());
@@ -183,13 +211,24 @@
                 front.stopListening();
                 front.closeIdle();
             }
+            if (fleet != null) {
+                fleet.refresh();
+            }
             doorman.drain(duty.listening() ? DRAIN_MS : 0, () -> front.close(() -> {
                 channel.close();
-                group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> ended.countDown());
+                if (fleet == null) {
+                    end();
+                } else {
+                    fleet.leave(this::end);
+                }
             }));
         });
     }
 
+    private void end() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> ended.countDown());
+    }
+
     private double longestDeadlineMs() {
         return classes.classes().stream().mapToDouble(Director.RequestClass::deadlineMs).max().orElse(0);
     }
--- a/doorman/src/main/java/barleyspur/cli/Cli.java
+++ b/doorman/src/main/java/barleyspur/cli/Cli.java
@@ -29,6 +29,7 @@
           check     read and check the configuration that RELAY_CONFIG names
           expect    check routing expectations against a configuration, without traffic
           explain   replay a counterexample that expect has written
+          fleet     show a running doorman's view of the others
           rehearse  start and end a doorman that plays made-up requests to itself; the build records its classes
           simhost   run the decisions on the simulator's wire, on standard input and output
           version   print the version
@@ -53,6 +54,7 @@
                 Cli::check);
             case "expect" -> ExpectCommand.expect();
             case "explain" -> ExpectCommand.explain();
+            case "fleet" -> FleetCommand.fleet();
             case "rehearse" -> Command.of(name, "Start and end a doorman on loopback.", line -> rehearse());
             case "simhost" -> Command.of(name, "Run the decisions on the simulator's wire, on standard input and "
                 + "output.", line -> Adapter.run(new FileInputStream(FileDescriptor.in),
@@ -119,7 +121,7 @@
 
     private static int rehearse() throws Command.Unusable, IOException {
         try {
-            Node node = new Node(Configuration.example());
+            Node node = new Node(Configuration.example(), OwnSettings.none());
             node.start();
             node.drain();
             node.awaitEnd();
@@ -146,7 +148,7 @@
     private static int serve(CommandLine line) throws Command.Unusable, IOException {
         OwnSettings settings = settings(line);
         try {
-            Node node = new Node(configuration());
+            Node node = new Node(configuration(), settings);
             // Before the start: unhandled, the signal would end the JVM.
             Signals.on("HUP", () -> node.reload(() -> reread(settings)));
             node.start();
--- a/doorman/src/main/java/barleyspur/config/Configuration.java
+++ b/doorman/src/main/java/barleyspur/config/Configuration.java
@@ -13,6 +13,7 @@
 import java.util.Objects;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import net.openhft.hashing.LongHashFunction;
 import org.json.JSONArray;
 import org.json.JSONException;
 import org.json.JSONObject;
@@ -158,6 +159,12 @@
         return same.entrySet().stream().filter(e -> !e.getValue()).map(Map.Entry::getKey).toList();
     }
 
+    /** A digest of the settings, by which operators see whether two doormans run by the same ones. */
+    public long digest() {
+        return LongHashFunction.xx3().hashChars(settings.retuned(settings.classes(), settings.maxAttempts()).toString()
+            .replaceFirst("me=[0-9]+", "me"));
+    }
+
     private static JSONObject object(JSONObject json, String key) throws Invalid {
         JSONObject value = json.optJSONObject(key);
         if (value == null) {
--- a/doorman/src/main/java/barleyspur/config/OwnSettings.java
+++ b/doorman/src/main/java/barleyspur/config/OwnSettings.java
@@ -11,8 +11,9 @@
  * subsystem, read, checked and defaulted here. A subsystem whose block is missing is off.
  *
  * @param expectations what a configuration must keep to before a reload takes it, or null
+ * @param fleet        where the other doormans are, or null
  */
-public record OwnSettings(Expectations expectations) {
+public record OwnSettings(Expectations expectations, FleetSettings fleet) {
 
     /**
      * @param files     files of routing expectations, as paths from the settings' folder
@@ -25,7 +26,7 @@
 
     /** With nothing switched on. */
     public static OwnSettings none() {
-        return new OwnSettings(null);
+        return new OwnSettings(null, null);
     }
 
     public static OwnSettings load(Path file) throws Hcl.Invalid {
@@ -40,7 +41,7 @@
 
     static OwnSettings read(Path file, String text) throws Hcl.Invalid {
         Hcl.Block root = Hcl.read(file.toString(), text);
-        root.close(List.of("expectations"));
+        root.close(List.of("expectations", "fleet"));
         Expectations expectations = null;
         for (Hcl.Block b : root.blocks("expectations")) {
             if (expectations != null) {
@@ -48,7 +49,14 @@
             }
             expectations = expectations(file, b);
         }
-        return new OwnSettings(expectations);
+        FleetSettings fleet = null;
+        for (Hcl.Block b : root.blocks("fleet")) {
+            if (fleet != null) {
+                throw b.invalid("stands twice: a doorman has one fleet");
+            }
+            fleet = FleetSettings.read(file, b);
+        }
+        return new OwnSettings(expectations, fleet);
     }
 
     private static Expectations expectations(Path file, Hcl.Block b) throws Hcl.Invalid {
@@ -66,7 +74,7 @@
         return new Expectations(List.copyOf(paths), scenarios, seed);
     }
 
-    private static double number(Hcl.Block b, String key, double otherwise, double least, double most)
+    static double number(Hcl.Block b, String key, double otherwise, double least, double most)
         throws Hcl.Invalid {
         Hcl.Value v = b.value(key);
         double number = v == null ? otherwise : v.number();
--- /dev/null
+++ b/doorman/src/main/java/barleyspur/fleet/View.java
@@ -0,0 +1,29 @@
+package barleyspur.fleet;
+
+import java.util.List;
+
+/**
+ * What a doorman knows of its fleet at one moment.
+ *
+ * @param version of the view: rises by one with each {@link Change}
+ * @param digest  the same in two views exactly where their members, incarnations and standings are (by 64 bits)
+ * @param inDoubt the process has just started, or stood still: others may have given it up meanwhile
+ * @param nameGivenUp a newer process goes by this name
+ * @param members in the order of their names, this one among them
+ */
+public record View(long version, long digest, boolean inDoubt, boolean nameGivenUp, Saying self, List<Member> members) {
+
+    /**
+     * One member, or one that was.
+     *
+     * @param sinceMs when it came to this standing here, on this process's own clock
+     * @param heardMs when it was last heard of by a datagram of its own, or negative infinity
+     * @param from    who told
+     */
+    public record Member(Saying saying, boolean listed, double sinceMs, double heardMs, Why why, String from) { }
+
+    /** How many are members. */
+    public long size() {
+        return members.stream().filter(Member::listed).count();
+    }
+}
--- /dev/null
+++ b/doorman/src/main/java/barleyspur/fleet/net/FleetMetrics.java
@@ -0,0 +1,49 @@
+package barleyspur.fleet.net;
+
+import barleyspur.doorman.Clock;
+import barleyspur.fleet.Change;
+import barleyspur.fleet.Membership;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/** The fleet view's figures, by Micrometer, in the text form that Prometheus reads. */
+final class FleetMetrics {
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Counter sent = registry.counter("fleet.datagrams", "way", "sent");
+    private final Counter sentBytes = registry.counter("fleet.bytes", "way", "sent");
+    private final Counter received = registry.counter("fleet.datagrams", "way", "received");
+    private final Counter receivedBytes = registry.counter("fleet.bytes", "way", "received");
+
+    void watch(Membership m, Clock clock) {
+        Gauge.builder("fleet.members", m, Membership::members).register(registry);
+        Gauge.builder("fleet.in.doubt", m, v -> v.inDoubt(clock.nowMs()) ? 1 : 0).register(registry);
+        Gauge.builder("fleet.stood.still", m, v -> v.counters()[0]).register(registry);
+        Gauge.builder("fleet.refutations", m, v -> v.counters()[2]).register(registry);
+        Gauge.builder("fleet.own.doubts", m, v -> v.counters()[3]).register(registry);
+    }
+
+    void sent(int bytes) {
+        sent.increment();
+        sentBytes.increment(bytes);
+    }
+
+    void received(int bytes) {
+        received.increment();
+        receivedBytes.increment(bytes);
+    }
+
+    void refused(String cause) {
+        registry.counter("fleet.datagrams.refused", "cause", cause).increment();
+    }
+
+    void changed(Change change) {
+        registry.counter("fleet.changes", "kind", change.getClass().getSimpleName()).increment();
+    }
+
+    String text() {
+        return registry.scrape();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/barleyspur/lab/fleet/Schedule.java
@@ -0,0 +1,149 @@
+package barleyspur.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+
+/**
+ * A fleet and what happens to it.
+ *
+ * @param slots    places for processes
+ * @param started  how many are started at once at the beginning, in the first slots
+ * @param seeds    slots whose addresses all are told
+ * @param periodMs of the view
+ * @param steps    in the order of their times
+ * @param settleMs how long after the last step every component is to have settled
+ * @param seed     of what is drawn
+ */
+public record Schedule(String name, int slots, int started, List<Integer> seeds, double periodMs, List<Step> steps,
+                       double settleMs, long seed) {
+
+    /** A fault and when it strikes, in ms from the start. */
+    public record Step(double atMs, Fault fault) { }
+
+    /** The same with other steps. */
+    Schedule with(List<Step> others) {
+        return new Schedule(name, slots, started, seeds, periodMs, List.copyOf(others), settleMs, seed);
+    }
+
+    /** Another one of the kind. */
+    Schedule with(long otherSeed) {
+        return new Schedule(name, slots, started, seeds, periodMs, steps, settleMs, otherSeed);
+    }
+
+    double lastMs() {
+        return steps.isEmpty() ? 0 : steps.get(steps.size() - 1).atMs();
+    }
+
+    static Set<Integer> range(int from, int to) {
+        Set<Integer> set = new TreeSet<>();
+        for (int i = from; i < to; i++) {
+            set.add(i);
+        }
+        return set;
+    }
+
+    /** A schedule that only its seed tells: so many faults on so many doormans, then all healed and quiet. */
+    static Schedule random(int doormans, int faults, double periodMs, double settleMs, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Step> steps = new ArrayList<>();
+        double at = 4_000;
+        boolean[] down = new boolean[doormans];
+        boolean[] frozen = new boolean[doormans];
+        for (int i = 0; i < faults; i++) {
+            at += random.nextDouble() * 4_000;
+            steps.add(new Step(at, draw(random, doormans, down, frozen)));
+        }
+        at += 500 + random.nextDouble() * 3_000;
+        steps.add(new Step(at, new Fault.Heal()));
+        steps.add(new Step(at, new Fault.Weather(range(0, doormans), range(0, doormans), Fault.Noise.NONE)));
+        Set<Integer> thaw = new TreeSet<>();
+        Set<Integer> start = new TreeSet<>();
+        for (int i = 0; i < doormans; i++) {
+            if (frozen[i]) {
+                thaw.add(i);
+            } else if (down[i] && (i < 2 || random.nextBoolean())) {
+                // The seeds in any case: newcomers that know nobody else could not find each other.
+                start.add(i);
+            }
+        }
+        if (!thaw.isEmpty()) {
+            steps.add(new Step(at, new Fault.Thaw(thaw)));
+        }
+        if (!start.isEmpty()) {
+            steps.add(new Step(at + 1, new Fault.Start(start, "", 0, 2)));
+        }
+        steps.sort(Comparator.comparingDouble(Step::atMs));
+        return new Schedule("random", doormans, doormans, List.of(0, 1), periodMs, List.copyOf(steps), settleMs, seed);
+    }
+
+    private static Set<Integer> some(SplittableRandom random, int doormans, int most) {
+        Set<Integer> some = new TreeSet<>();
+        for (int i = random.nextInt(1, most + 1); i > 0; i--) {
+            some.add(random.nextInt(doormans));
+        }
+        return some;
+    }
+
+    private static Fault draw(SplittableRandom random, int doormans, boolean[] down, boolean[] frozen) {
+        Set<Integer> some = some(random, doormans, Math.max(1, doormans / 3));
+        Set<Integer> all = range(0, doormans);
+        switch (random.nextInt(11)) {
+            case 0, 1 -> {
+                some.forEach(s -> down[s] = true);
+                some.forEach(s -> frozen[s] = false);
+                return new Fault.Kill(some);
+            }
+            case 2 -> {
+                some.removeIf(s -> down[s]);
+                some.forEach(s -> frozen[s] = true);
+                return new Fault.Freeze(some);
+            }
+            case 3 -> {
+                for (int s = 0; s < doormans; s++) {
+                    frozen[s] = false;
+                }
+                return new Fault.Thaw(all);
+            }
+            case 4, 5 -> {
+                Set<Integer> back = new TreeSet<>();
+                for (int s = 0; s < doormans; s++) {
+                    if (down[s] && random.nextInt(3) > 0) {
+                        back.add(s);
+                        down[s] = false;
+                    }
+                }
+                return new Fault.Start(back, "", random.nextInt(4) == 0 ? -3_600_000 : 0, random.nextInt(1, 3));
+            }
+            case 6 -> {
+                some.removeIf(s -> frozen[s]);
+                some.forEach(s -> down[s] = true);
+                return new Fault.Term(some);
+            }
+            case 7 -> {
+                List<Set<Integer>> groups = new ArrayList<>();
+                int parts = random.nextInt(2, 4);
+                for (int g = 0; g < parts; g++) {
+                    groups.add(new TreeSet<>());
+                }
+                for (int s = 0; s < doormans; s++) {
+                    groups.get(random.nextInt(parts)).add(s);
+                }
+                return new Fault.Split(groups);
+            }
+            case 8 -> {
+                return new Fault.Cut(some, some(random, doormans, doormans), false);
+            }
+            case 9 -> {
+                return new Fault.Heal();
+            }
+            default -> {
+                return new Fault.Weather(all, all, new Fault.Noise(random.nextDouble() * 0.3, random.nextDouble() * 100,
+                    random.nextDouble() * 0.2, random.nextDouble() * 0.1));
+            }
+        }
+    }
+}
