--- a/doorman/src/main/java/barleyspur/config/FleetSettings.java
+++ b/doorman/src/main/java/barleyspur/config/FleetSettings.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermission;
 import java.util.List;
-import java.util.Map;
 
 /**
  * A doorman's place in its fleet: the block {@code fleet "NAME"}.
@@ -113,9 +112,9 @@
     private static double time(Hcl.Block b, String key, double otherwise, double least, double most)
         throws Hcl.Invalid {
         Hcl.Value v = b.value(key);
-        double ms = v == null ? otherwise : new Quantity(Map.of()).of(v);
+        double ms = v == null ? otherwise : Hcl.millis(v.text());
         if (!(ms >= least && ms <= most)) {
-            throw v.invalid("is out of range: " + ms + " ms is not from " + least + " to " + most + " ms");
+            throw v.invalid("is no time from " + least + " to " + most + " ms, as \"500ms\" or \"2s\": " + v.value());
         }
         return ms;
     }
--- a/doorman/src/main/java/barleyspur/config/Hcl.java
+++ b/doorman/src/main/java/barleyspur/config/Hcl.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.apache.commons.text.similarity.LevenshteinDistance;
 
@@ -156,6 +158,22 @@
         }
     }
 
+    private static final Pattern TIME = Pattern.compile("(-?[0-9]+(?:\\.[0-9]+)?)(ms|s|min|h)");
+
+    /** A time such as {@code 500ms}, {@code 2s} or {@code 10min}, in ms; not a number where the text is none. */
+    public static double millis(String text) {
+        Matcher m = TIME.matcher(text.strip());
+        if (!m.matches()) {
+            return Double.NaN;
+        }
+        return Double.parseDouble(m.group(1)) * switch (m.group(2)) {
+            case "ms" -> 1;
+            case "s" -> 1_000;
+            case "min" -> 60_000;
+            default -> 3_600_000;
+        };
+    }
+
     /** What a wrong name may have been meant for, as the end of a message. */
     public static String near(String name, Collection<String> known) {
         LevenshteinDistance distance = new LevenshteinDistance(Math.max(2, name.length() / 3));
--- a/doorman/src/main/java/barleyspur/fleet/net/FleetPort.java
+++ b/doorman/src/main/java/barleyspur/fleet/net/FleetPort.java
@@ -232,15 +232,15 @@
         double mono = System.nanoTime() / NANOS_PER_MS;
         if (change instanceof Change.Joined c) {
             LogEvent.log(LOG.atInfo(), "member joined", "mono", mono, "version", c.version(), "member",
-                c.member().name(), "life", c.member().life(), "incarnation", c.member().incarnation(), "why", c.why(),
+                c.member().name(), "life", c.member().life(), "nonce", c.member().nonce(), "incarnation", c.member().incarnation(), "why", c.why(),
                 "from", c.from());
         } else if (change instanceof Change.Lost c) {
             LogEvent.log(LOG.atInfo(), "member lost", "mono", mono, "version", c.version(), "member",
-                c.member().name(), "life", c.member().life(), "incarnation", c.member().incarnation(), "standing",
+                c.member().name(), "life", c.member().life(), "nonce", c.member().nonce(), "incarnation", c.member().incarnation(), "standing",
                 c.member().standing(), "by", c.member().by(), "why", c.why(), "from", c.from());
         } else if (change instanceof Change.Updated c) {
             LogEvent.log(LOG.atDebug(), "member updated", "mono", mono, "version", c.version(), "member",
-                c.member().name(), "life", c.member().life(), "incarnation", c.member().incarnation(), "standing",
+                c.member().name(), "life", c.member().life(), "nonce", c.member().nonce(), "incarnation", c.member().incarnation(), "standing",
                 c.member().standing(), "phase", c.member().about().phase(), "by", c.member().by(), "why", c.why(),
                 "from", c.from());
         } else if (change instanceof Change.Doubt c) {
--- a/lab/src/main/java/barleyspur/lab/Lab.java
+++ b/lab/src/main/java/barleyspur/lab/Lab.java
@@ -1,6 +1,9 @@
 package barleyspur.lab;
 
+import barleyspur.config.Hcl;
+import barleyspur.lab.fleet.FleetLab;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -31,6 +34,7 @@
     private static final String HELP = """
         usage: barleyspur-lab COMMAND [OPTIONS]
           scale        measure the decision module at 12, 1,000 and 10,000 boxes, with a plot
+          fleet run    play a schedule of faults on several doormans: real processes, or in virtual time
           tier-replay  replay generated days through policies for the disk tier, against Belady's bound, with a plot
         barleyspur-lab COMMAND --help tells the options of each.
         """;
@@ -51,6 +55,11 @@
             .addOption(value("plot", "FILE.png", "write a plot there"))
             .addOption(Option.builder("h").longOpt("help").desc("print this").get());
         switch (name) {
+            case "fleet" -> options = new Options().addOption(Option.builder("h").longOpt("help").desc("print this").get())
+                .addOption(Option.builder().longOpt("virtual").desc("in virtual time").get())
+                .addOption(value("seeds", "N", "in virtual time: so many seeds, from the file's on; 1"))
+                .addOption(value("jar", "FILE", "the doorman; doorman/target/barleyspur.jar"))
+                .addOption(value("folder", "DIR", "for logs and the report; found/fleet"));
             case "scale" -> options.addOption(value("seconds", "N", "for each figure, 2"))
                 .addOption(Option.builder().longOpt("c1").desc("with the first compiler only, as the doorman runs")
                     .get());
@@ -69,11 +78,17 @@
         try {
             CommandLine line = new DefaultParser().parse(options, Arrays.copyOfRange(args, 1, args.length));
             if (line.hasOption("help")) {
-                HelpFormatter.builder().setShowSince(false).get().printHelp("barleyspur-lab " + name + " [OPTIONS]",
-                    name.equals("scale") ? "Measure the decision module by the size of the fleet."
-                        : "Replay generated days through policies for the disk tier.", options, "", false);
+                HelpFormatter.builder().setShowSince(false).get().printHelp("barleyspur-lab " + name
+                    + (name.equals("fleet") ? " run SCENARIO.hcl" : "") + " [OPTIONS]", switch (name) {
+                        case "scale" -> "Measure the decision module by the size of the fleet.";
+                        case "fleet" -> "Play a schedule of faults on several doormans; docs/FLEET.md has the language.";
+                        default -> "Replay generated days through policies for the disk tier.";
+                    }, options, "", false);
                 return OK;
             }
+            if (name.equals("fleet")) {
+                return fleet(line);
+            }
             return name.equals("scale") ? scale(number(line, "seconds", 2, 1), line.getOptionValue("plot"),
                 line.hasOption("c1")) : replay(line);
         } catch (ParseException | IllegalArgumentException e) {
@@ -102,6 +117,27 @@
         throw new IllegalArgumentException("--" + option + " is not a whole number from " + least + " on: " + text);
     }
 
+    private static int fleet(CommandLine line) throws IOException {
+        List<String> words = line.getArgList();
+        if (words.size() != 2 || !words.get(0).equals("run")) {
+            throw new IllegalArgumentException("run SCENARIO.hcl was wanted, not " + String.join(" ", words));
+        }
+        Path scenario = Path.of(words.get(1));
+        Path folder = Path.of(line.getOptionValue("folder", "found/fleet"));
+        Path jar = Path.of(line.getOptionValue("jar", "doorman/target/barleyspur.jar"));
+        int seeds = number(line, "seeds", 1, 1);
+        if (!line.hasOption("virtual") && !Files.isReadable(jar)) {
+            throw new IllegalArgumentException("there is no " + jar + ": build it, or name it with --jar");
+        }
+        try {
+            return (line.hasOption("virtual") ? FleetLab.virtual(scenario, seeds, folder)
+                : FleetLab.real(scenario, jar, folder)) ? OK : FAILED;
+        } catch (Hcl.Invalid e) {
+            System.err.println("barleyspur-lab: " + e.getMessage());
+            return USAGE;
+        }
+    }
+
     private static int replay(CommandLine line) throws IOException {
         List<Integer> sizes = new ArrayList<>();
         for (String mb : line.getOptionValue("mb", "500,1000,2000,4000,8000").split(",")) {
--- a/lab/src/main/java/barleyspur/lab/fleet/Schedule.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/Schedule.java
@@ -1,7 +1,6 @@
 package barleyspur.lab.fleet;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -14,15 +13,24 @@
  * @param started  how many are started at once at the beginning, in the first slots
  * @param seeds    slots whose addresses all are told
  * @param periodMs of the view
- * @param steps    in the order of their times
+ * @param steps    one after another
  * @param settleMs how long after the last step every component is to have settled
  * @param seed     of what is drawn
  */
 public record Schedule(String name, int slots, int started, List<Integer> seeds, double periodMs, List<Step> steps,
                        double settleMs, long seed) {
 
-    /** A fault and when it strikes, in ms from the start. */
-    public record Step(double atMs, Fault fault) { }
+    /**
+     * A fault and when it strikes.
+     *
+     * @param settled whether every component has to have settled on itself first
+     * @param afterMs so long after that, or after the step before
+     */
+    public record Step(boolean settled, double afterMs, Fault fault) {
+        Step(double afterMs, Fault fault) {
+            this(false, afterMs, fault);
+        }
+    }
 
     /** The same with other steps. */
     Schedule with(List<Step> others) {
@@ -34,10 +42,6 @@
         return new Schedule(name, slots, started, seeds, periodMs, steps, settleMs, otherSeed);
     }
 
-    double lastMs() {
-        return steps.isEmpty() ? 0 : steps.get(steps.size() - 1).atMs();
-    }
-
     static Set<Integer> range(int from, int to) {
         Set<Integer> set = new TreeSet<>();
         for (int i = from; i < to; i++) {
@@ -50,16 +54,15 @@
     static Schedule random(int doormans, int faults, double periodMs, double settleMs, long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         List<Step> steps = new ArrayList<>();
-        double at = 4_000;
+        double after = 4_000;
         boolean[] down = new boolean[doormans];
         boolean[] frozen = new boolean[doormans];
         for (int i = 0; i < faults; i++) {
-            at += random.nextDouble() * 4_000;
-            steps.add(new Step(at, draw(random, doormans, down, frozen)));
+            steps.add(new Step(after + random.nextDouble() * 4_000, draw(random, doormans, down, frozen)));
+            after = 0;
         }
-        at += 500 + random.nextDouble() * 3_000;
-        steps.add(new Step(at, new Fault.Heal()));
-        steps.add(new Step(at, new Fault.Weather(range(0, doormans), range(0, doormans), Fault.Noise.NONE)));
+        steps.add(new Step(500 + random.nextDouble() * 3_000, new Fault.Heal()));
+        steps.add(new Step(0, new Fault.Weather(range(0, doormans), range(0, doormans), Fault.Noise.NONE)));
         Set<Integer> thaw = new TreeSet<>();
         Set<Integer> start = new TreeSet<>();
         for (int i = 0; i < doormans; i++) {
@@ -71,12 +74,11 @@
             }
         }
         if (!thaw.isEmpty()) {
-            steps.add(new Step(at, new Fault.Thaw(thaw)));
+            steps.add(new Step(0, new Fault.Thaw(thaw)));
         }
         if (!start.isEmpty()) {
-            steps.add(new Step(at + 1, new Fault.Start(start, "", 0, 2)));
+            steps.add(new Step(1, new Fault.Start(start, "", 0, 2)));
         }
-        steps.sort(Comparator.comparingDouble(Step::atMs));
         return new Schedule("random", doormans, doormans, List.of(0, 1), periodMs, List.copyOf(steps), settleMs, seed);
     }
 
--- /dev/null
+++ b/lab/src/main/java/barleyspur/lab/fleet/Shrinker.java
@@ -0,0 +1,33 @@
+package barleyspur.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Makes a schedule that breaks a promise smaller: leaves out steps for as long as what is left still breaks one. */
+final class Shrinker {
+
+    private Shrinker() { }
+
+    /** What a schedule breaks when it is played in virtual time. */
+    static List<String> broken(Schedule schedule) {
+        Watch watch = new Watch(false);
+        new VirtualFleet(schedule, watch, schedule.slots() <= FleetLab.MOST_ENCODED).play();
+        return watch.broken();
+    }
+
+    static Schedule shrink(Schedule schedule) {
+        List<Schedule.Step> steps = new ArrayList<>(schedule.steps());
+        for (int size = Math.max(1, steps.size() / 2); size >= 1; size /= 2) {
+            for (int from = 0; from + size <= steps.size();) {
+                List<Schedule.Step> fewer = new ArrayList<>(steps);
+                fewer.subList(from, from + size).clear();
+                if (broken(schedule.with(fewer)).isEmpty()) {
+                    from++;
+                } else {
+                    steps = fewer;
+                }
+            }
+        }
+        return schedule.with(steps);
+    }
+}
--- a/lab/src/main/java/barleyspur/lab/fleet/VirtualFleet.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/VirtualFleet.java
@@ -31,6 +31,7 @@
     private static final int SOCKET_BUFFER = 2_000;
     private static final double WALL_MS = 1.8e12;
     private static final double FAREWELL_MS = 300;
+    private static final double SETTLE_LOOK_MS = 50;
 
     /** A process. */
     final class Process {
@@ -130,13 +131,12 @@
         events.add(new Event(atMs, order++, what));
     }
 
-    /** Starts what the schedule starts, and puts its steps in their places. */
+    /** Starts what the schedule starts. */
     void begin() {
         for (int i = 0; i < schedule.started(); i++) {
             int slot = i;
             at(random.nextDouble() * 100, () -> start(slot, "", 0, 2));
         }
-        schedule.steps().forEach(s -> at(s.atMs(), () -> apply(s.fault())));
     }
 
     /** Plays until then. */
@@ -149,22 +149,32 @@
         nowMs = Math.max(nowMs, untilMs);
     }
 
-    /** Plays the whole schedule, then until every component has settled; the time that took, or infinity. */
-    double play() {
+    /** Plays the whole schedule; the times in ms that it took to settle where it says so, and at the end. */
+    List<Double> play() {
+        List<Double> times = new ArrayList<>();
         begin();
-        playTo(schedule.lastMs());
-        double from = nowMs;
-        while (nowMs < from + schedule.settleMs()) {
-            if (settled() == null) {
-                return nowMs - from;
+        for (Schedule.Step step : schedule.steps()) {
+            if (step.settled()) {
+                times.add(settle());
             }
-            playTo(nowMs + 50);
+            playTo(nowMs + step.afterMs());
+            apply(step.fault());
         }
-        String why = settled();
-        if (why != null) {
-            watch.broken("settles: " + why + " " + Math.round(nowMs - from) + " ms after the last step");
+        times.add(settle());
+        return times;
+    }
+
+    /** Plays until every component has settled on itself, and gives the time that took, or infinity. */
+    private double settle() {
+        double from = nowMs;
+        for (String why = settled(); why != null; why = settled()) {
+            if (nowMs >= from + schedule.settleMs()) {
+                watch.broken("settles: " + why + " " + Math.round(nowMs - from) + " ms after the last step");
+                return Double.POSITIVE_INFINITY;
+            }
+            playTo(nowMs + SETTLE_LOOK_MS);
         }
-        return Double.POSITIVE_INFINITY;
+        return nowMs - from;
     }
 
     private void start(int slot, String name, double clockMs, int format) {
