--- a/lab/src/main/java/barleyspur/lab/fleet/FleetMeasure.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/FleetMeasure.java
@@ -41,6 +41,7 @@
             Watch watch = new Watch(true);
             VirtualFleet fleet = start(n, watch);
             double join = untilSettled(fleet, 120_000);
+            fleet.playTo(fleet.nowMs + CALM_MS);
             long before = sent(fleet);
             long nanos = System.nanoTime();
             double from = fleet.nowMs;
