--- a/doorman/src/main/java/barleyspur/depot/RespDecoder.java
+++ b/doorman/src/main/java/barleyspur/depot/RespDecoder.java
@@ -9,10 +9,10 @@
 import java.util.List;
 
 /** Reads RESP arrays of bulk strings; a body is a slice of what was read. */
-final class RespDecoder extends ByteToMessageDecoder {
+public final class RespDecoder extends ByteToMessageDecoder {
 
     /** A message: its words, and its last bulk string as a body where there are four or more. */
-    record Message(List<String> words, ByteBuf body) { }
+    public record Message(List<String> words, ByteBuf body) { }
 
     private static final int MOST_ITEMS = 8;
     private static final int BODY_AT = 3;
--- a/lab/src/main/java/barleyspur/lab/Lab.java
+++ b/lab/src/main/java/barleyspur/lab/Lab.java
@@ -1,6 +1,7 @@
 package barleyspur.lab;
 
 import barleyspur.config.Hcl;
+import barleyspur.lab.fleet.FleetDemo;
 import barleyspur.lab.fleet.FleetLab;
 import barleyspur.lab.fleet.FleetMeasure;
 import java.io.IOException;
@@ -36,6 +37,7 @@
         usage: barleyspur-lab COMMAND [OPTIONS]
           scale        measure the decision module at 12, 1,000 and 10,000 boxes, with a plot
           fleet run    play a schedule of faults on several doormans: real processes, or in virtual time
+          fleet demo   a station of stand-ins and five doormans, some of them killed and cut off, for a minute
           fleet measure  what the fleet view costs and how soon it knows, by size, in virtual time
           tier-replay  replay generated days through policies for the disk tier, against Belady's bound, with a plot
         barleyspur-lab COMMAND --help tells the options of each.
@@ -83,7 +85,7 @@
             CommandLine line = new DefaultParser().parse(options, Arrays.copyOfRange(args, 1, args.length));
             if (line.hasOption("help")) {
                 HelpFormatter.builder().setShowSince(false).get().printHelp("barleyspur-lab " + name
-                    + (name.equals("fleet") ? " run SCENARIO.hcl|measure" : "") + " [OPTIONS]", switch (name) {
+                    + (name.equals("fleet") ? " run SCENARIO.hcl|demo|measure" : "") + " [OPTIONS]", switch (name) {
                         case "scale" -> "Measure the decision module by the size of the fleet.";
                         case "fleet" -> "Play a schedule of faults on several doormans; docs/FLEET.md has the language.";
                         default -> "Replay generated days through policies for the disk tier.";
@@ -132,25 +134,37 @@
             FleetMeasure.printVerdicts(14, number(line, "minutes", 60, 1));
             return OK;
         }
+        if (words.equals(List.of("demo"))) {
+            try {
+                return FleetDemo.run(jar(line), Path.of(line.getOptionValue("folder", "found/demo"))) ? OK : FAILED;
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return FAILED;
+            }
+        }
         if (words.size() != 2 || !words.get(0).equals("run")) {
-            throw new IllegalArgumentException("run SCENARIO.hcl or measure was wanted, not " + String.join(" ", words));
+            throw new IllegalArgumentException("run SCENARIO.hcl, demo or measure was wanted, not " + String.join(" ", words));
         }
         Path scenario = Path.of(words.get(1));
         Path folder = Path.of(line.getOptionValue("folder", "found/fleet"));
-        Path jar = Path.of(line.getOptionValue("jar", "doorman/target/barleyspur.jar"));
         int seeds = number(line, "seeds", 1, 1);
-        if (!line.hasOption("virtual") && !Files.isReadable(jar)) {
-            throw new IllegalArgumentException("there is no " + jar + ": build it, or name it with --jar");
-        }
         try {
             return (line.hasOption("virtual") ? FleetLab.virtual(scenario, seeds, folder)
-                : FleetLab.real(scenario, jar, folder)) ? OK : FAILED;
+                : FleetLab.real(scenario, jar(line), folder)) ? OK : FAILED;
         } catch (Hcl.Invalid e) {
             System.err.println("barleyspur-lab: " + e.getMessage());
             return USAGE;
         }
     }
 
+    private static Path jar(CommandLine line) {
+        Path jar = Path.of(line.getOptionValue("jar", "doorman/target/barleyspur.jar"));
+        if (!Files.isReadable(jar)) {
+            throw new IllegalArgumentException("there is no " + jar + ": build it, or name it with --jar");
+        }
+        return jar;
+    }
+
     private static int replay(CommandLine line) throws IOException {
         List<Integer> sizes = new ArrayList<>();
         for (String mb : line.getOptionValue("mb", "500,1000,2000,4000,8000").split(",")) {
--- a/lab/src/main/java/barleyspur/lab/fleet/FleetLab.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/FleetLab.java
@@ -40,7 +40,7 @@
         return judge(watch.broken());
     }
 
-    private static boolean judge(List<String> broken) {
+    static boolean judge(List<String> broken) {
         broken.forEach(b -> System.out.println("BROKEN " + b));
         System.out.println(broken.isEmpty() ? "all promises kept" : broken.size() + " times a promise was broken");
         return broken.isEmpty();
--- a/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.json.JSONException;
 import org.json.JSONObject;
 import org.json.JSONTokener;
@@ -77,6 +78,10 @@
     private final Doorman[] running;
     private final List<Doorman> all = new ArrayList<>();
     private final long startNanos = System.nanoTime();
+    private UnaryOperator<JSONObject> configure = json -> json;
+    private Runnable every;
+    private double everyMs;
+    private double everyDoneMs;
     private final Thread hook = new Thread(this::end, "end children");
 
     RealFleet(Schedule schedule, Watch watch, Path jar, Path folder, Consumer<String> progress)
@@ -111,6 +116,33 @@
         return (System.nanoTime() - startNanos) / NANOS_PER_MS;
     }
 
+    /** Changes what each process is configured with. */
+    void configure(UnaryOperator<JSONObject> how) {
+        configure = how;
+    }
+
+    /** Where clients find the doorman of a slot. */
+    InetSocketAddress front(int slot) {
+        return new InetSocketAddress(host(slot), CLIENTS);
+    }
+
+    /** Does this by and by while the schedule is played. */
+    void every(long ms, Runnable what) {
+        everyMs = ms;
+        every = what;
+    }
+
+    /** How many members each doorman's view has, by slot; - where none answers. */
+    List<String> sizes() {
+        List<String> sizes = new ArrayList<>();
+        Map<Doorman, JSONObject> views = views();
+        for (Doorman d : running) {
+            JSONObject view = d == null ? null : views.get(d);
+            sizes.add(view == null ? "-" : String.valueOf(view.getLong("size")));
+        }
+        return sizes;
+    }
+
     /** Plays the whole schedule; the times in ms that it took to settle where it says so, and at the end. */
     List<Double> play() throws IOException, InterruptedException {
         List<Double> times = new ArrayList<>();
@@ -186,10 +218,11 @@
     }
 
     private JSONObject configuration(int slot, String name, int number) {
+        // The channel of this one is a port that nobody has.
         JSONObject json = new JSONObject(new JSONTokener(RealFleet.class.getResourceAsStream(
             "/barleyspur/rehearsal.json")));
-        return json.put("name", name).put("listen", host(slot) + ":" + CLIENTS).put("mgmt", host(slot) + ":" + SECOND)
-            .put("seed", Long.toHexString(schedule.seed() * 1_000 + number)).put("channel", "127.0.0.1:9");
+        return configure.apply(json).put("name", name).put("listen", host(slot) + ":" + CLIENTS).put("mgmt", host(slot) + ":" + SECOND)
+            .put("seed", Long.toHexString(schedule.seed() * 1_000 + number));
     }
 
     private String settings(int slot, double clockMs, int format) {
@@ -288,6 +321,10 @@
     // ---- what they tell --------------------------------------------------------------------------------
 
     private void read() throws IOException {
+        if (every != null && nowMs() - everyDoneMs >= everyMs) {
+            everyDoneMs = nowMs();
+            every.run();
+        }
         for (Doorman d : all) {
             try (RandomAccessFile file = new RandomAccessFile(d.log.toFile(), "r")) {
                 if (file.length() > d.read) {
--- /dev/null
+++ b/lab/src/main/java/barleyspur/lab/stand/StandBoxes.java
@@ -0,0 +1,142 @@
+package barleyspur.lab.stand;
+
+import barleyspur.depot.RespDecoder;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Boxes that keep parts, parents and the head office (RESP): a hit takes 3 ms, a fill 30 ms more, the head office 40 ms.
+ * What runs at the head office is counted by id, so that one that ran twice is seen.
+ */
+public final class StandBoxes {
+
+    /** What a box is, as the settings' flavors are numbered. */
+    public enum Kind { CACHE, PARENT, ORIGIN }
+
+    private static final int BODY = 2_000;
+    private static final int KEEPS = 5_000;
+    private static final int HIT_MS = 3;
+    private static final int FILL_MS = 30;
+    private static final int ORIGIN_MS = 40;
+
+    private final EventLoopGroup group;
+    private final String onceClass;
+    private final Map<String, Integer> runs = new HashMap<>();
+    private long attempts;
+
+    /** @param onceClass the class whose requests must not run twice */
+    public StandBoxes(EventLoopGroup group, String onceClass) {
+        this.group = group;
+        this.onceClass = onceClass;
+    }
+
+    /** Listens as one box. */
+    public void listen(InetSocketAddress address, Kind kind) throws InterruptedException {
+        Map<String, Boolean> kept = new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+                return size() > KEEPS;
+            }
+        };
+        new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new RespDecoder(), new Box(kind, kept));
+                }
+            }).bind(address).sync();
+    }
+
+    private final class Box extends SimpleChannelInboundHandler<RespDecoder.Message> {
+        private final Kind kind;
+        private final Map<String, Boolean> kept;
+        private final Set<String> cancelled = new HashSet<>();
+
+        Box(Kind kind, Map<String, Boolean> kept) {
+            this.kind = kind;
+            this.kept = kept;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, RespDecoder.Message message) {
+            message.body().release();
+            String word = message.words().get(0);
+            if (word.equals("cancel")) {
+                cancelled.add(message.words().get(1));
+            } else if (word.equals("serve")) {
+                serve(ctx, message.words().get(1), message.words().get(2));
+            }
+        }
+
+        private void serve(ChannelHandlerContext ctx, String id, String fields) {
+            Map<String, String> f = new HashMap<>();
+            for (String field : fields.split(",")) {
+                int at = field.indexOf('=');
+                f.put(field.substring(0, Math.max(0, at)), field.substring(at + 1));
+            }
+            attempts++;
+            boolean once = onceClass.equals(f.get("class"));
+            String part = f.get("key") + "/" + f.get("part");
+            boolean held = kind != Kind.ORIGIN && !once && kept.get(part) != null;
+            if (kind == Kind.CACHE && !held && f.get("parent") == null) {
+                answer(ctx, id, "LACK", "-", 0, HIT_MS);
+                return;
+            }
+            if (once) {
+                runs.merge(id, 1, Integer::sum);
+            } else if (kind != Kind.ORIGIN) {
+                kept.put(part, true);
+            }
+            answer(ctx, id, "DONE", "how=" + (held ? "h" : "f") + ",digest=4be0c1927d55a6f3,dated="
+                + System.currentTimeMillis(), BODY, held ? HIT_MS : kind == Kind.ORIGIN || once ? ORIGIN_MS
+                : HIT_MS + FILL_MS);
+        }
+
+        private void answer(ChannelHandlerContext ctx, String id, String word, String fields, int body, int afterMs) {
+            ctx.executor().schedule(() -> {
+                if (!cancelled.remove(id) && ctx.channel().isActive()) {
+                    ByteBuf out = ctx.alloc().buffer();
+                    ByteBufUtil.writeAscii(out, "*4\r\n$" + id.length() + "\r\n" + id + "\r\n$" + word.length() + "\r\n" + word
+                        + "\r\n$" + fields.length() + "\r\n" + fields + "\r\n$" + body + "\r\n");
+                    ctx.writeAndFlush(out.writeZero(body).writeByte('\r').writeByte('\n'));
+                }
+            }, afterMs, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // A doorman that was killed resets its connections; anything else is a fault of these stand-ins.
+            if (!(cause instanceof IOException)) {
+                cause.printStackTrace();
+            }
+            ctx.close();
+        }
+    }
+
+    /** Requests that must not run twice, and how many did. */
+    public String runsTwice() {
+        return runs.values().stream().filter(n -> n > 1).count() + " of " + runs.size();
+    }
+
+    /** Attempts that came to all boxes. */
+    public long attempts() {
+        return attempts;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/barleyspur/lab/stand/StandClients.java
@@ -0,0 +1,234 @@
+package barleyspur.lab.stand;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Clients of a few doormans (Thrift): requests come at a rate whatever becomes of earlier ones, each to a doorman that
+ * has answered lately, and what became of it is counted by class. On one event loop.
+ */
+public final class StandClients {
+
+    /** What became of requests. */
+    public static final class Counts {
+        long asked;
+        long served;
+        long late;
+        long refused;
+        long failed;
+        long lost;
+
+        /** As a row. */
+        public String row() {
+            return String.format("%6d asked %6d in time %5d late %5d refused %5d failed %5d lost", asked, served, late,
+                refused, failed, lost);
+        }
+    }
+
+    /** A class of requests: its share of all, when it is wanted and when it is given up. */
+    public record Class(String name, double share, double aimMs, double deadlineMs) { }
+
+    private static final int REPLY = 2;
+    private static final int STRUCT = 12;
+    private static final int MAX_FRAME = 1 << 20;
+    private static final double NANOS_PER_MS = 1e6;
+    private static final int OBJECTS = 300;
+
+    private record Open(Class c, long sentNanos) { }
+
+    private final class Doorman extends SimpleChannelInboundHandler<ByteBuf> {
+        private final InetSocketAddress address;
+        private final Map<Integer, Open> open = new HashMap<>();
+        private Channel channel;
+        private boolean taken;
+        private int next = 1;
+
+        Doorman(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        void connect() {
+            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 500)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline().addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, 4, 0, 4), shared());
+                    }
+                }).connect(address).addListener(done -> {
+                    if (!done.isSuccess()) {
+                        loop.schedule(this::connect, 300, TimeUnit.MILLISECONDS);
+                    }
+                });
+        }
+
+        private Doorman shared() {
+            return this;
+        }
+
+        @Override
+        public boolean isSharable() {
+            return true;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            channel = ctx.channel();
+            open.clear();
+            next = 1;
+            ByteBuf frame = call("alive", next);
+            ctx.writeAndFlush(close(frame.writeByte(0)));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            taken = false;
+            open.values().forEach(o -> counts(o.c).lost++);
+            open.clear();
+            loop.schedule(this::connect, 300, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf in) {
+            int type = in.readInt() & 0xFF;
+            String method = in.readCharSequence(in.readInt(), StandardCharsets.US_ASCII).toString();
+            int number = in.readInt();
+            if (method.equals("alive")) {
+                taken = true;
+                return;
+            }
+            Open o = open.remove(number);
+            if (o == null) {
+                return;
+            }
+            Counts counts = counts(o.c);
+            int outcome = type == REPLY && in.readByte() == STRUCT ? in.readShort() : 2;
+            if (outcome == 1) {
+                counts.refused++;
+            } else if (outcome == 2) {
+                counts.failed++;
+            } else if ((System.nanoTime() - o.sentNanos) / NANOS_PER_MS <= o.c.aimMs) {
+                counts.served++;
+            } else {
+                counts.late++;
+            }
+        }
+
+        void ask(Class c) {
+            int number = ++next;
+            open.put(number, new Open(c, System.nanoTime()));
+            Map<String, String> fields = Map.of("c", c.name, "i", hex(random.nextLong()), "d",
+                Integer.toString((int) c.deadlineMs), "o", hex((long) (OBJECTS * Math.pow(random.nextDouble(), 3)) + 1),
+                "seg", Integer.toString(random.nextInt(8)), "bucket", "1", "m", "100.5");
+            ByteBuf frame = call("dispatch", number);
+            frame.writeByte(13).writeShort(1).writeByte(11).writeByte(11).writeInt(fields.size());
+            fields.forEach((name, value) -> text(text(frame, name), value));
+            text(frame.writeByte(11).writeShort(2), "").writeByte(0);
+            channel.writeAndFlush(close(frame));
+            loop.schedule(() -> {
+                if (open.remove(number) != null) {
+                    counts(c).lost++;
+                }
+            }, (long) c.deadlineMs + 500, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    private final EventLoop loop;
+    private final SplittableRandom random;
+    private final List<Class> classes;
+    private final List<Doorman> doormans = new ArrayList<>();
+    private final Map<String, Counts> byClass = new HashMap<>();
+    private long unasked;
+
+    public StandClients(EventLoopGroup group, List<Class> classes, List<InetSocketAddress> addresses, long seed) {
+        this.loop = group.next();
+        this.random = new SplittableRandom(seed);
+        this.classes = classes;
+        addresses.forEach(a -> doormans.add(new Doorman(a)));
+    }
+
+    /** Begins to ask, so many times a second. */
+    public void start(double perSecond) {
+        loop.execute(() -> doormans.forEach(Doorman::connect));
+        long every = (long) (1e9 / perSecond);
+        loop.scheduleAtFixedRate(this::ask, every, every, TimeUnit.NANOSECONDS);
+    }
+
+    private void ask() {
+        List<Doorman> up = doormans.stream().filter(d -> d.taken).toList();
+        if (up.isEmpty()) {
+            unasked++;
+            return;
+        }
+        double draw = random.nextDouble();
+        Class c = classes.get(0);
+        for (Class k : classes) {
+            if (draw < k.share) {
+                c = k;
+                break;
+            }
+            draw -= k.share;
+        }
+        counts(c).asked++;
+        up.get(random.nextInt(up.size())).ask(c);
+    }
+
+    private Counts counts(Class c) {
+        return byClass.computeIfAbsent(c.name, n -> new Counts());
+    }
+
+    /** A row for each class of what was counted since the last call. */
+    public List<String> rows() {
+        return loop.submit(() -> {
+            List<String> rows = new ArrayList<>();
+            for (Class c : classes) {
+                rows.add(String.format("%-8s %s", c.name, counts(c).row()));
+            }
+            byClass.clear();
+            if (unasked > 0) {
+                rows.add(unasked + " not asked: no doorman was there");
+                unasked = 0;
+            }
+            return rows;
+        }).syncUninterruptibly().getNow();
+    }
+
+    private static String hex(long number) {
+        return String.format("%016x", number);
+    }
+
+    private static ByteBuf call(String method, int number) {
+        return text(Unpooled.buffer().writeInt(0).writeInt(0x80010001), method).writeInt(number);
+    }
+
+    private static ByteBuf close(ByteBuf frame) {
+        return frame.setInt(0, frame.readableBytes() - Integer.BYTES);
+    }
+
+    private static ByteBuf text(ByteBuf out, String text) {
+        return out.writeInt(text.length()).writeBytes(text.getBytes(StandardCharsets.US_ASCII));
+    }
+}
