--- a/examples/fleet/noise.hcl
+++ b/examples/fleet/noise.hcl
@@ -1,4 +1,4 @@
-# One that hears all and is heard by none is given up; then a third of all datagrams is lost, and some are changed.
+# One that hears all and is heard by none is given up; then a third of all datagrams is lost for a minute, and some are changed.
 scenario "heard by none, a third lost" {
   doormans = 9
   settle   = "30s"
@@ -17,7 +17,7 @@
       garbage = 0.05
     }
   }
-  step "15s" {
+  step "60s" {
     weather {
       loss = 0
     }
--- a/lab/src/main/java/barleyspur/lab/fleet/FleetLab.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/FleetLab.java
@@ -26,14 +26,13 @@
         Schedule schedule = ScenarioFile.load(scenario);
         Watch watch = new Watch(true);
         System.out.printf("%s: %d doormans, logs below %s%n", schedule.name(), schedule.started(), folder);
-        long start = System.nanoTime();
         try (RealFleet fleet = new RealFleet(schedule, watch, jar, folder, System.out::println)) {
             List<Double> times = fleet.play();
-            double seconds = (System.nanoTime() - start) / 1e9;
-            long[] sent = fleet.sent();
-            System.out.printf(Locale.ROOT, "a member sent %.0f bytes and %.1f datagrams a second%n",
-                sent[0] / seconds / schedule.started(), sent[1] / seconds / schedule.started());
-            FleetReport.write(folder, schedule, watch, times);
+            List<double[]> traffic = fleet.traffic();
+            System.out.printf(Locale.ROOT, "%s; a member sent %.0f bytes a second in the last second, %.0f at most%n",
+                fleet.costs(), traffic.isEmpty() ? 0 : traffic.get(traffic.size() - 1)[1],
+                traffic.stream().mapToDouble(t -> t[1]).max().orElse(0));
+            FleetReport.write(folder, schedule, watch, times, traffic);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -74,7 +73,7 @@
                 return judge(watch.broken());
             }
             if (seeds == 1) {
-                FleetReport.write(folder, played, watch, settled);
+                FleetReport.write(folder, played, watch, settled, List.of());
             }
         }
         times.sort(null);
--- a/lab/src/main/java/barleyspur/lab/fleet/FleetReport.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/FleetReport.java
@@ -23,9 +23,18 @@
 
     private FleetReport() { }
 
-    static void write(Path folder, Schedule schedule, Watch watch, List<Double> times) throws IOException {
+    static void write(Path folder, Schedule schedule, Watch watch, List<Double> times, List<double[]> traffic)
+        throws IOException {
         Files.createDirectories(folder);
         plot(folder.resolve("views.png"), schedule, watch);
+        if (!traffic.isEmpty()) {
+            XYChart chart = new XYChartBuilder().width(1_000).height(300).title("traffic").xAxisTitle("seconds")
+                .yAxisTitle("bytes a second and member").build();
+            chart.getStyler().setLegendVisible(false);
+            chart.addSeries("bytes", traffic.stream().mapToDouble(t -> t[0]).toArray(), traffic.stream()
+                .mapToDouble(t -> t[1]).toArray()).setMarker(SeriesMarkers.NONE);
+            BitmapEncoder.saveBitmap(chart, folder.resolve("traffic.png").toString(), BitmapEncoder.BitmapFormat.PNG);
+        }
         JSONArray settled = new JSONArray();
         StringBuilder rows = new StringBuilder();
         int at = 0;
@@ -48,7 +57,7 @@
             + escaped(schedule.name()) + "</title><h1>" + escaped(schedule.name()) + "</h1><p>" + schedule.started()
             + " doormans, period " + schedule.periodMs() + " ms, seed " + schedule.seed() + "</p><p>"
             + (watch.broken().isEmpty() ? "All promises kept." : "Broken promises:<ul>" + broken + "</ul>")
-            + "</p><h2>Members in each view</h2><img src=views.png><h2>Time to settle</h2><table border=1>"
+            + "</p><h2>Members in each view</h2><img src=views.png>" + (traffic.isEmpty() ? "" : "<h2>Traffic</h2><img src=traffic.png>") + "<h2>Time to settle</h2><table border=1>"
             + "<tr><th>after<th>seconds" + rows + "</table><h2>The scenario</h2><pre>"
             + escaped(ScenarioFile.write(schedule)) + "</pre>\n");
         System.out.println("report: " + folder.resolve("report.html"));
--- a/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
@@ -1,5 +1,6 @@
 package barleyspur.lab.fleet;
 
+import barleyspur.lab.stand.StandChannel;
 import java.io.IOException;
 import java.io.RandomAccessFile;
 import java.io.UncheckedIOException;
@@ -23,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import org.json.JSONException;
@@ -39,11 +41,15 @@
     private static final int FLEET = 7101;
     private static final int SECOND = 7201;
     private static final int RELAY = 7301;
+    private static final int CHANNEL = 7401;
     private static final int HOSTS = 250;
     private static final double NANOS_PER_MS = 1e6;
     private static final long LOOK_MS = 100;
     private static final Duration PATIENCE = Duration.ofSeconds(2);
     private static final double READY_MS = 60_000;
+    private static final double SAMPLE_MS = 1_000;
+    /** So that two fleets of this process have addresses of their own. */
+    private static final AtomicInteger FLEETS = new AtomicInteger();
 
     /** A process that was started. */
     private static final class Doorman {
@@ -74,11 +80,18 @@
     private final Consumer<String> progress;
     private final String network;
     private final Relays relays;
+    private final InetSocketAddress channel;
     private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).build();
     private final Doorman[] running;
     private final List<Doorman> all = new ArrayList<>();
     private final long startNanos = System.nanoTime();
     private UnaryOperator<JSONObject> configure = json -> json;
+    /** Seconds from the start, and bytes a second that a member sent since the sample before. */
+    private final List<double[]> traffic = new ArrayList<>();
+    private double sampledMs;
+    private long sampledBytes;
+    private double calmFromMs;
+    private double calmCpu;
     private Runnable every;
     private double everyMs;
     private double everyDoneMs;
@@ -91,7 +104,7 @@
         this.jar = jar.toAbsolutePath();
         this.folder = folder.toAbsolutePath();
         this.progress = progress;
-        this.network = "127." + (20 + ProcessHandle.current().pid() % 200) + ".";
+        this.network = "127." + (20 + (ProcessHandle.current().pid() + FLEETS.getAndIncrement()) % 200) + ".";
         this.running = new Doorman[schedule.slots()];
         Files.createDirectories(folder);
         Path key = folder.resolve("fleet.key");
@@ -106,6 +119,8 @@
         // Also when this process is ended by a signal, its children are.
         Runtime.getRuntime().addShutdownHook(hook);
         relays = new Relays(new Links(schedule.slots(), schedule.seed() + 1), fronts, behind);
+        channel = new InetSocketAddress(network + "251.1", CHANNEL);
+        StandChannel.listen(relays.group(), channel, 0);
     }
 
     private String host(int slot) {
@@ -153,6 +168,10 @@
             if (step.settled()) {
                 times.add(settle());
             }
+            if (calmFromMs == 0) {
+                calmFromMs = nowMs();
+                calmCpu = cpuSeconds();
+            }
             pause(step.afterMs());
             progress.accept(String.format("%7.1f s  %s", nowMs() / 1e3, step.fault()));
             apply(step.fault());
@@ -218,9 +237,8 @@
     }
 
     private JSONObject configuration(int slot, String name, int number) {
-        // The channel of this one is a port that nobody has.
         JSONObject json = new JSONObject(new JSONTokener(RealFleet.class.getResourceAsStream(
-            "/barleyspur/rehearsal.json")));
+            "/barleyspur/rehearsal.json"))).put("channel", channel.getHostString() + ":" + CHANNEL);
         return configure.apply(json).put("name", name).put("listen", host(slot) + ":" + CLIENTS).put("mgmt", host(slot) + ":" + SECOND)
             .put("seed", Long.toHexString(schedule.seed() * 1_000 + number));
     }
@@ -321,6 +339,13 @@
     // ---- what they tell --------------------------------------------------------------------------------
 
     private void read() throws IOException {
+        if (nowMs() - sampledMs >= SAMPLE_MS) {
+            long[] sent = relays.sent();
+            double seconds = (nowMs() - sampledMs) / 1e3;
+            traffic.add(new double[] {nowMs() / 1e3, (sent[0] - sampledBytes) / seconds / schedule.started()});
+            sampledMs = nowMs();
+            sampledBytes = sent[0];
+        }
         if (every != null && nowMs() - everyDoneMs >= everyMs) {
             everyDoneMs = nowMs();
             every.run();
@@ -462,9 +487,35 @@
         return holders.keySet().equals(names) ? null : "of " + names + " only " + holders.keySet() + " hold their names";
     }
 
-    /** Bytes and datagrams that the relays have been sent. */
-    long[] sent() {
-        return relays.sent();
+    List<double[]> traffic() {
+        return traffic;
+    }
+
+    private double cpuSeconds() {
+        double sum = 0;
+        for (Doorman d : running) {
+            sum += d == null ? 0 : d.process.info().totalCpuDuration().orElse(Duration.ZERO).toMillis() / 1e3;
+        }
+        return sum;
+    }
+
+    /** What the processes that run take: percent of a core since the first settling, and MB of memory, each. */
+    String costs() throws IOException {
+        int count = 0;
+        double kilobytes = 0;
+        for (Doorman d : running) {
+            if (d != null && d.process.isAlive()) {
+                count++;
+                for (String line : Files.readAllLines(Path.of("/proc/" + d.process.pid() + "/status"))) {
+                    if (line.startsWith("VmRSS:")) {
+                        kilobytes += Double.parseDouble(line.replaceAll("[^0-9]", ""));
+                    }
+                }
+            }
+        }
+        return String.format(java.util.Locale.ROOT, "%d processes, each %.2f%% of a core over %.0f s and %.1f MB", count,
+            100 * (cpuSeconds() - calmCpu) / ((nowMs() - calmFromMs) / 1e3) / Math.max(1, count),
+            (nowMs() - calmFromMs) / 1e3, kilobytes / 1024 / Math.max(1, count));
     }
 
     private synchronized void end() {
--- a/lab/src/main/java/barleyspur/lab/fleet/Relays.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/Relays.java
@@ -90,6 +90,11 @@
             channels[from].voidPromise());
     }
 
+    /** The loop's group, for what else stands in for others. */
+    EventLoopGroup group() {
+        return group;
+    }
+
     void apply(Fault fault) {
         loop.submit(() -> links.apply(fault)).syncUninterruptibly();
     }
@@ -98,7 +103,7 @@
         return loop.submit(() -> links.components(up)).get();
     }
 
-    /** Bytes and datagrams that all have sent up to now. */
+    /** Bytes and datagrams that all members have sent up to now. */
     long[] sent() {
         return loop.submit(() -> new long[] {java.util.Arrays.stream(bytes).sum(),
             java.util.Arrays.stream(datagrams).sum()}).syncUninterruptibly().getNow();
--- a/lab/src/test/java/barleyspur/lab/fleet/ProcessesTest.java
+++ b/lab/src/test/java/barleyspur/lab/fleet/ProcessesTest.java
@@ -9,11 +9,14 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 
 /**
  * Several real processes of the built jar under faults between them. What must never be is checked on every change that
  * each process told; that views settle is waited for, for as long as half a minute a step, and no speed is judged.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class ProcessesTest {
 
     private static final Path JAR = Path.of("..", "doorman", "target", "barleyspur.jar");
@@ -71,6 +74,13 @@
         assertTrue(phases.contains("Name"), "a second process of a name is noticed: " + phases);
     }
 
+    /** Guards: all are replaced one by one, older formats beside newer, and each is seen to leave and not to die. */
+    @Test
+    void aRollingRestartOfMixedFormatsSettles() throws Exception {
+        Watch watch = play("rolling.hcl");
+        assertEquals(Set.of("LEFT"), Set.copyOf(verdicts(watch).stream().map(Watch.Told::standing).toList()));
+    }
+
     /** Guards: all that start at once with one dead seed find each other when it comes, and again after a power cut. */
     @Test
     void aStartStormSettles() throws Exception {
