--- a/doorman/src/main/java/barleyspur/fleet/Membership.java
+++ b/doorman/src/main/java/barleyspur/fleet/Membership.java
@@ -26,9 +26,10 @@
     private static final int FAREWELLS = 32;
     /** Periods of doubt after a start or a standstill, if nobody answers or views stay different. */
     private static final double DOUBT_PERIODS = 4;
-    /** News beyond which more than one datagram a round goes to each. */
-    private static final int BURST = 8;
-    private static final int BURST_DATAGRAMS = 4;
+    /**
+     * Members that get news in a round, one datagram each: 36 KB a second at most, whatever happens, so that news about
+     * late answers can't make answers later. What a burst leaves over is made up for by comparisons.
+     */
     private static final int FANOUT = 3;
     private static final double FORGET_EVERY_PERIODS = 20;
 
@@ -580,10 +581,7 @@
             return;
         }
         for (Entry e : w.roster.some(FANOUT, null)) {
-            int datagrams = Math.min(BURST_DATAGRAMS, 1 + w.news.size() / BURST);
-            for (int i = 0; i < datagrams && !w.news.isEmpty(); i++) {
-                w.send(e, new Message.News());
-            }
+            w.send(e, new Message.News());
         }
     }
 
--- a/doorman/src/main/java/barleyspur/fleet/NewsQueue.java
+++ b/doorman/src/main/java/barleyspur/fleet/NewsQueue.java
@@ -35,10 +35,6 @@
         return items.isEmpty();
     }
 
-    int size() {
-        return items.size();
-    }
-
     /** What is said of a member now: replaces what was to be told of it. */
     void add(Saying saying) {
         Item item = new Item(saying, order++);
