--- a/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
@@ -64,6 +64,12 @@
         long read;
         String rest = "";
         Process starver;
+        /** The processor time it had taken when the fleet first settled: 0 where it was started later. */
+        double calmCpu;
+
+        double cpuSeconds() {
+            return process.info().totalCpuDuration().orElse(Duration.ZERO).toMillis() / 1e3;
+        }
 
         Doorman(int number, int slot, String name, Process process, Path log) {
             this.number = number;
@@ -92,7 +98,6 @@
     private double sampledMs;
     private long sampledBytes;
     private double calmFromMs;
-    private double calmCpu;
     private Runnable every;
     private double everyMs;
     private double everyDoneMs;
@@ -171,7 +176,9 @@
             }
             if (calmFromMs == 0) {
                 calmFromMs = nowMs();
-                calmCpu = cpuSeconds();
+                for (Doorman d : all) {
+                    d.calmCpu = d.cpuSeconds();
+                }
             }
             pause(step.afterMs());
             progress.accept(String.format("%7.1f s  %s", nowMs() / 1e3, step.fault()));
@@ -493,21 +500,15 @@
         return traffic;
     }
 
-    private double cpuSeconds() {
-        double sum = 0;
-        for (Doorman d : running) {
-            sum += d == null ? 0 : d.process.info().totalCpuDuration().orElse(Duration.ZERO).toMillis() / 1e3;
-        }
-        return sum;
-    }
-
     /** What the processes that run take: percent of a core since the first settling, and MB of memory, each. */
     String costs() throws IOException {
         int count = 0;
         double kilobytes = 0;
+        double cpu = 0;
         for (Doorman d : running) {
             if (d != null && d.process.isAlive()) {
                 count++;
+                cpu += d.cpuSeconds() - d.calmCpu;
                 for (String line : Files.readAllLines(Path.of("/proc/" + d.process.pid() + "/status"))) {
                     if (line.startsWith("VmRSS:")) {
                         kilobytes += Double.parseDouble(line.replaceAll("[^0-9]", ""));
@@ -516,7 +517,7 @@
             }
         }
         return String.format(java.util.Locale.ROOT, "%d processes, each %.2f%% of a core over %.0f s and %.1f MB", count,
-            100 * (cpuSeconds() - calmCpu) / ((nowMs() - calmFromMs) / 1e3) / Math.max(1, count),
+            100 * cpu / ((nowMs() - calmFromMs) / 1e3) / Math.max(1, count),
             (nowMs() - calmFromMs) / 1e3, kilobytes / 1024 / Math.max(1, count));
     }
 
