--- a/lab/src/main/java/barleyspur/lab/fleet/FleetLab.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/FleetLab.java
@@ -55,9 +55,7 @@
         long start = System.nanoTime();
         double bytes = 0;
         for (int i = 0; i < seeds; i++) {
-            Schedule played = schedule.name().equals("random") ? Schedule.random(schedule.started(),
-                schedule.steps().size(), schedule.periodMs(), schedule.settleMs(), schedule.seed() + i)
-                : schedule.with(schedule.seed() + i);
+            Schedule played = schedule.with(schedule.seed() + i);
             Watch watch = new Watch(seeds == 1);
             VirtualFleet fleet = new VirtualFleet(played, watch, played.slots() <= MOST_ENCODED);
             List<Double> settled = fleet.play();
--- a/lab/src/main/java/barleyspur/lab/fleet/Schedule.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/Schedule.java
@@ -16,9 +16,15 @@
  * @param steps    one after another
  * @param settleMs how long after the last step every component is to have settled
  * @param seed     of what is drawn
+ * @param drawn    how many faults were drawn from the seed; 0 where the steps are written out
  */
 public record Schedule(String name, int slots, int started, List<Integer> seeds, double periodMs, List<Step> steps,
-                       double settleMs, long seed) {
+                       double settleMs, long seed, int drawn) {
+
+    Schedule(String name, int slots, int started, List<Integer> seeds, double periodMs, List<Step> steps,
+             double settleMs, long seed) {
+        this(name, slots, started, seeds, periodMs, steps, settleMs, seed, 0);
+    }
 
     /**
      * A fault and when it strikes.
@@ -32,14 +38,14 @@
         }
     }
 
-    /** The same with other steps. */
+    /** The same with other steps, written out. */
     Schedule with(List<Step> others) {
         return new Schedule(name, slots, started, seeds, periodMs, List.copyOf(others), settleMs, seed);
     }
 
-    /** Another one of the kind. */
+    /** Another one of the kind: other faults where they were drawn, else the same steps. */
     Schedule with(long otherSeed) {
-        return new Schedule(name, slots, started, seeds, periodMs, steps, settleMs, otherSeed);
+        return drawn > 0 ? random(started, drawn, periodMs, settleMs, otherSeed) : new Schedule(name, slots, started, seeds, periodMs, steps, settleMs, otherSeed);
     }
 
     static Set<Integer> range(int from, int to) {
@@ -79,7 +85,8 @@
         if (!start.isEmpty()) {
             steps.add(new Step(1, new Fault.Start(start, "", 0, 2)));
         }
-        return new Schedule("random", doormans, doormans, List.of(0, 1), periodMs, List.copyOf(steps), settleMs, seed);
+        return new Schedule("random", doormans, doormans, List.of(0, 1), periodMs, List.copyOf(steps), settleMs, seed,
+            faults);
     }
 
     private static Set<Integer> some(SplittableRandom random, int doormans, int most) {
--- a/lab/src/test/java/barleyspur/lab/fleet/VirtualFleetTest.java
+++ b/lab/src/test/java/barleyspur/lab/fleet/VirtualFleetTest.java
@@ -44,6 +44,10 @@
         Schedule again = ScenarioFile.read("x.hcl", ScenarioFile.write(s));
         assertEquals(ScenarioFile.write(s), ScenarioFile.write(again));
         assertEquals(s.steps().size(), again.steps().size());
+        // Also when it was drawn: other seeds draw others, but what is written out is played as it stands.
+        Schedule shrunk = s.with(s.steps().subList(0, 3));
+        assertEquals(3, ScenarioFile.read("x.hcl", ScenarioFile.write(shrunk)).with(9).steps().size());
+        assertEquals(Schedule.random(5, 10, 500, SETTLE_MS, 9).steps(), s.with(9).steps());
     }
 
     /** Guards: 900 that join a fleet of 100 within a second are all known to all, and nobody is given up meanwhile. */
