Say once what the fleet view said twice: settings' bounds, swaps, farewells, member log lines

Need: a read-through of the change found the same piece written again in several places, and code that nothing calls.

Change: Hcl.Block.number serves settings and scenarios; Duty.Phase.word serves health and the view; the roster's order is kept by one swap; Change.OfMember names what three changes share; farewells, what is said against a member, and the member log lines have one place each; take reads what held before from the entry. FleetPort keeps no copy of what was told and encodes counters only when they change. Gone: Membership.version, About.LEAVING, the relays' datagram counts, a second figure for the newest format.

--- a/doorman/src/main/java/barleyspur/admin/DutyCalls.java
+++ b/doorman/src/main/java/barleyspur/admin/DutyCalls.java
@@ -4,7 +4,6 @@
 import barleyspur.doorman.Clock;
 import barleyspur.duty.Duty;
 import barleyspur.log.LogEvent;
-import java.util.Locale;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -60,6 +59,6 @@
 
     private HttpAnswer state(int status) {
         return HttpAnswer.json(status, "{\"ready\":" + duty.ready() + ",\"phase\":\""
-            + duty.phase().name().toLowerCase(Locale.ROOT).replace('_', '-') + "\"}");
+            + duty.phase().word() + "\"}");
     }
 }
--- a/doorman/src/main/java/barleyspur/config/FleetSettings.java
+++ b/doorman/src/main/java/barleyspur/config/FleetSettings.java
@@ -1,8 +1,10 @@
 package barleyspur.config;
 
+import barleyspur.fleet.About;
 import barleyspur.fleet.Sizes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermission;
@@ -26,7 +28,6 @@
 
     private static final int LEAST_KEY = 32;
     private static final int LEAST_DIFFERENT = 8;
-    private static final int NEWEST_FORMAT = 2;
     private static final double SECOND = 1_000;
 
     static FleetSettings read(Path file, Hcl.Block b) throws Hcl.Invalid {
@@ -43,7 +44,7 @@
         byte[] key = key(file, required(b, "key_file"));
         double period = time(b, "period", 500, 100, 10 * SECOND);
         double remember = time(b, "remember", 600 * SECOND, 10 * SECOND, 86_400 * SECOND);
-        int format = (int) OwnSettings.number(b, "format", NEWEST_FORMAT, 1, NEWEST_FORMAT);
+        int format = (int) b.number("format", About.NEWEST_FORMAT, 1, About.NEWEST_FORMAT);
         double offset = time(b, "clock_offset", 0, -86_400 * SECOND, 86_400 * SECOND);
         b.close(List.of());
         return new FleetSettings(name, at, advertise, seeds, key, period, remember, format, offset);
@@ -106,7 +107,7 @@
             throw v.invalid("names " + file + ", whose key is weak: it has under " + LEAST_KEY + " characters, or under "
                 + LEAST_DIFFERENT + " different ones; head -c 32 /dev/urandom | base64 makes a good one");
         }
-        return key.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        return key.getBytes(StandardCharsets.UTF_8);
     }
 
     private static double time(Hcl.Block b, String key, double otherwise, double least, double most)
--- a/doorman/src/main/java/barleyspur/config/Hcl.java
+++ b/doorman/src/main/java/barleyspur/config/Hcl.java
@@ -126,6 +126,16 @@
             return values.get(key);
         }
 
+        /** A number within bounds, or {@code otherwise} where it is not given. */
+        public double number(String key, double otherwise, double least, double most) throws Invalid {
+            Value v = value(key);
+            double number = v == null ? otherwise : v.number();
+            if (!(number >= least && number <= most)) {
+                throw v.invalid("is out of range: " + number + " is not from " + least + " to " + most);
+            }
+            return number;
+        }
+
         /** All keys with their values, in the order of the file. */
         public Collection<Value> values() {
             asked.addAll(values.keySet());
--- a/doorman/src/main/java/barleyspur/config/OwnSettings.java
+++ b/doorman/src/main/java/barleyspur/config/OwnSettings.java
@@ -68,19 +68,9 @@
         for (String name : files.texts()) {
             paths.add(file.resolveSibling(name));
         }
-        int scenarios = (int) number(b, "scenarios", 60, 1, MOST_SCENARIOS);
-        long seed = (long) number(b, "seed", 1, 0, 1e15);
+        int scenarios = (int) b.number("scenarios", 60, 1, MOST_SCENARIOS);
+        long seed = (long) b.number("seed", 1, 0, 1e15);
         b.close(List.of());
         return new Expectations(List.copyOf(paths), scenarios, seed);
     }
-
-    static double number(Hcl.Block b, String key, double otherwise, double least, double most)
-        throws Hcl.Invalid {
-        Hcl.Value v = b.value(key);
-        double number = v == null ? otherwise : v.number();
-        if (!(number >= least && number <= most)) {
-            throw v.invalid("is out of range: " + number + " is not from " + least + " to " + most);
-        }
-        return number;
-    }
 }
--- a/doorman/src/main/java/barleyspur/duty/Duty.java
+++ b/doorman/src/main/java/barleyspur/duty/Duty.java
@@ -1,5 +1,7 @@
 package barleyspur.duty;
 
+import java.util.Locale;
+
 /**
  * What a doorman owes its operators, decided apart from sockets and clocks: whether it says that it takes work, and
  * what becomes of a client connection that has nothing open. The phases follow the operators' calls and the
@@ -41,7 +43,12 @@
          * SIGTERM came while a successor listens on the same address: new connections go there, so this one stops
          * listening at once, and it ends once what is open is answered.
          */
-        HANDING_OFF
+        HANDING_OFF;
+
+        /** As operators read it: {@code handing-off}. */
+        public String word() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
     }
 
     private Phase phase = Phase.STARTING;
--- a/doorman/src/main/java/barleyspur/fleet/About.java
+++ b/doorman/src/main/java/barleyspur/fleet/About.java
@@ -15,8 +15,8 @@
  */
 public record About(String address, String zone, String phase, String program, long settings, int format, byte[] more) {
 
-    /** The phase of a doorman that has had SIGTERM. */
-    public static final String LEAVING = "leaving";
+    /** The newest format of datagrams that this program reads; 2 adds a member's counters. */
+    public static final int NEWEST_FORMAT = 2;
 
     private static final byte[] NOTHING = {};
 
--- a/doorman/src/main/java/barleyspur/fleet/Change.java
+++ b/doorman/src/main/java/barleyspur/fleet/Change.java
@@ -5,14 +5,26 @@
 
     long version();
 
+    /** What happened to one member. */
+    sealed interface OfMember extends Change {
+
+        Saying member();
+
+        Why why();
+
+        /** Who told. */
+        String from();
+    }
+
     /** A member that was not in the view is: new, back, or restarted under its name. */
-    record Joined(long version, Saying member, Why why, String from) implements Change { }
+    record Joined(long version, Saying member, Why why, String from) implements OfMember { }
 
     /** A member of the view tells something else of itself, is suspected, or no longer is. */
-    record Updated(long version, Saying member, Saying before, Why why, String from) implements Change { }
+    record Updated(long version, Saying member, Saying before, Why why, String from)
+        implements OfMember { }
 
     /** A member is out of the view: it left, was given up, or is in doubt since this process stood still. */
-    record Lost(long version, Saying member, Why why, String from) implements Change { }
+    record Lost(long version, Saying member, Why why, String from) implements OfMember { }
 
     /** What the view says of others is in doubt (a start, a standstill), or no longer is. */
     record Doubt(long version, boolean inDoubt) implements Change { }
--- a/doorman/src/main/java/barleyspur/fleet/Meeting.java
+++ b/doorman/src/main/java/barleyspur/fleet/Meeting.java
@@ -128,11 +128,11 @@
         }
         List<Saying> differ = new ArrayList<>();
         for (Entry e : w.roster.known()) {
-            if (e.why != Why.STOOD_STILL && !e.name.equals(sender.name()) && w.roster.differs(e, theirs.buckets())) {
+            if (e.why != Why.STOOD_STILL && !e.name.equals(sender.name()) && w.roster.differs(e.nameHash, theirs.buckets())) {
                 differ.add(e.saying);
             }
         }
-        if (w.roster.differs(w.self.name(), theirs.buckets())) {
+        if (w.roster.differs(Roster.hash(w.self.name()), theirs.buckets())) {
             differ.add(w.self);
         }
         send(address, differ);
--- a/doorman/src/main/java/barleyspur/fleet/Membership.java
+++ b/doorman/src/main/java/barleyspur/fleet/Membership.java
@@ -131,7 +131,7 @@
     public void receive(double nowMs, Datagram d) {
         enter(nowMs);
         Saying sender = d.sender();
-        if (w.self.standing() == Standing.LEFT) {
+        if (leaving) {
             return;
         }
         if (sender.name().equals(w.self.name())) {
@@ -186,6 +186,10 @@
         leaving = true;
         w.self = w.self.standing(Standing.LEFT, "");
         w.roster.self(w.self.name(), w.self);
+        farewell();
+    }
+
+    private void farewell() {
         for (Entry e : w.roster.some(FAREWELLS, null)) {
             w.exactly(e.saying.about().address(), new Message.News(), List.of());
         }
@@ -218,11 +222,6 @@
         return w.self;
     }
 
-    /** The version of the view. */
-    public long version() {
-        return version;
-    }
-
     /** The digest of the view. */
     public long digest() {
         return w.roster.digest();
@@ -247,10 +246,11 @@
         }
         Entry e = w.roster.get(s.name());
         boolean direct = from.equals(s.name());
+        Why why = direct ? Why.TOLD_ITSELF : Why.PASSED_ON;
         if (e == null) {
             e = w.roster.add(s);
             e.sinceMs = w.now;
-            take(e, s, null, direct ? Why.TOLD_ITSELF : Why.PASSED_ON, from);
+            take(e, s, why, from);
             return;
         }
         int order = s.compareTo(e.saying);
@@ -261,14 +261,14 @@
             }
         } else if (order == 0) {
             if (!e.listed && s.standing().listed()) {
-                take(e, s, e.saying, direct ? Why.TOLD_ITSELF : Why.PASSED_ON, from);
+                take(e, s, why, from);
             } else if (s.standing() == Standing.SUSPECT && e.suspicion != null) {
                 confirm(e, s);
             }
         } else if (accuses(s) && e.listed && s.sameLife(e.saying)) {
             accused(e, s, from);
         } else {
-            take(e, s, e.saying, direct ? Why.TOLD_ITSELF : Why.PASSED_ON, from);
+            take(e, s, why, from);
         }
     }
 
@@ -283,7 +283,7 @@
         }
         boolean newer = s.incarnation() > e.saying.incarnation();
         if (s.standing() == Standing.SUSPECT) {
-            take(e, s, e.saying, Why.PASSED_ON, from);
+            take(e, s, Why.PASSED_ON, from);
             if (w.random.nextDouble() < CHECKERS / w.members()) {
                 prober.soon(e);
             }
@@ -291,7 +291,7 @@
         }
         if (!newer && e.suspicion != null
             && w.now - e.suspicion.sinceMs >= w.times.leastSuspicionMs(w.members())) {
-            take(e, s, e.saying, Why.PASSED_ON, from);
+            take(e, s, Why.PASSED_ON, from);
         } else if (!newer && e.suspicion != null) {
             confirm(e, s);
         } else {
@@ -336,13 +336,14 @@
     }
 
     /** Takes a saying for what holds, and tells of what that changes. */
-    private void take(Entry e, Saying s, Saying before, Why why, String from) {
+    private void take(Entry e, Saying s, Why why, String from) {
+        Saying before = e.saying;
         boolean was = e.listed;
         boolean in = s.standing().listed();
         if (s.standing() == Standing.ALIVE && e.suspicion != null) {
             e.suspicion.accusers.forEach(this::refuted);
         }
-        if (before == null || before.standing() != s.standing() || !before.sameLife(s) || was != in) {
+        if (before.standing() != s.standing() || !before.sameLife(s) || was != in) {
             e.sinceMs = w.now;
         }
         e.saying = s;
@@ -388,17 +389,15 @@
 
     private void refuted(String accuser) {
         Entry a = w.roster.get(accuser);
-        if (a != null) {
-            if (a.refuted++ == 0) {
-                a.refutedSinceMs = w.now;
-            }
+        if (a != null && a.refuted++ == 0) {
+            a.refutedSinceMs = w.now;
         }
     }
 
     /** A probe of ours had no answer. */
     private void silent(Entry e) {
         if (e.saying.standing() == Standing.ALIVE) {
-            take(e, e.saying.standing(Standing.SUSPECT, w.self.name()), e.saying, Why.NO_ANSWER, w.self.name());
+            take(e, e.saying.standing(Standing.SUSPECT, w.self.name()), Why.NO_ANSWER, w.self.name());
         } else if (e.suspicion != null) {
             confirm(e, e.saying.standing(Standing.SUSPECT, w.self.name()));
         }
@@ -413,7 +412,7 @@
                 // Late by our own fault: what refutes it may lie unread.
                 e.suspicion.endsMs = w.now + w.times.roundMs();
             } else {
-                take(e, e.saying.standing(Standing.DEAD, w.self.name()), e.saying, Why.SUSPICION_OVER, w.self.name());
+                take(e, e.saying.standing(Standing.DEAD, w.self.name()), Why.SUSPICION_OVER, w.self.name());
             }
         }
     }
@@ -568,9 +567,7 @@
     private void round() {
         roundMs = w.now + w.times.roundMs();
         if (leaving) {
-            for (Entry e : w.roster.some(FAREWELLS, null)) {
-                w.exactly(e.saying.about().address(), new Message.News(), List.of());
-            }
+            farewell();
             return;
         }
         if (givenWay != null) {
--- a/doorman/src/main/java/barleyspur/fleet/Prober.java
+++ b/doorman/src/main/java/barleyspur/fleet/Prober.java
@@ -186,9 +186,8 @@
             long number = wording.nextNumber();
             favours.put(number, new Favour(sender.about().address(), asked.number(), asked.target(),
                 wording.now + wording.times.directMs()));
-            Entry target = wording.roster.get(asked.target());
             wording.send(asked.address(), new Message.Ping(number, asked.target()),
-                target != null && target.saying.standing() != Standing.ALIVE ? List.of(target.saying) : List.of());
+                Wording.against(wording.roster.get(asked.target())));
         }
     }
 
--- a/doorman/src/main/java/barleyspur/fleet/Roster.java
+++ b/doorman/src/main/java/barleyspur/fleet/Roster.java
@@ -92,28 +92,23 @@
         if (in && !e.listed) {
             // At a random place, so that newcomers are not all probed in the order in which they came.
             int place = random.nextInt(listed.size() + 1);
-            if (place == listed.size()) {
-                put(e, place, true);
-            } else {
-                put(listed.get(place), listed.size(), true);
-                put(e, place, false);
-            }
+            e.place = listed.size();
+            listed.add(e);
+            swap(place, e.place);
         } else if (!in && e.listed) {
-            Entry last = listed.remove(listed.size() - 1);
-            if (last != e) {
-                put(last, e.place, false);
-            }
+            swap(e.place, listed.size() - 1);
+            listed.remove(listed.size() - 1);
         }
         e.listed = in;
     }
 
-    private void put(Entry e, int place, boolean append) {
-        if (append) {
-            listed.add(e);
-        } else {
-            listed.set(place, e);
-        }
-        e.place = place;
+    private void swap(int one, int other) {
+        Entry a = listed.get(one);
+        Entry b = listed.get(other);
+        listed.set(one, b);
+        b.place = one;
+        listed.set(other, a);
+        a.place = other;
     }
 
     /** The next one to probe; null where nobody else is there. */
@@ -124,10 +119,7 @@
         if (next >= listed.size()) {
             next = 0;
             for (int i = listed.size() - 1; i > 0; i--) {
-                int j = random.nextInt(i + 1);
-                Entry a = listed.get(i);
-                put(listed.get(j), i, false);
-                put(a, j, false);
+                swap(i, random.nextInt(i + 1));
             }
         }
         return listed.get(next++);
@@ -155,13 +147,8 @@
     }
 
     /** Whether a name falls into a bucket in which {@code theirs} differ from ours. */
-    boolean differs(Entry e, long[] theirs) {
-        int b = bucket(e.nameHash);
-        return buckets[b] != theirs[b];
-    }
-
-    boolean differs(String name, long[] theirs) {
-        int b = bucket(hash(name));
+    boolean differs(long nameHash, long[] theirs) {
+        int b = bucket(nameHash);
         return buckets[b] != theirs[b];
     }
 }
--- a/doorman/src/main/java/barleyspur/fleet/Wording.java
+++ b/doorman/src/main/java/barleyspur/fleet/Wording.java
@@ -57,11 +57,12 @@
      * otherwise (Lifeguard's buddy messages).
      */
     void send(Entry to, Message message) {
-        List<Saying> first = new ArrayList<>();
-        if (to.saying.standing() != Standing.ALIVE) {
-            first.add(to.saying);
-        }
-        send(to.saying.about().address(), message, first);
+        send(to.saying.about().address(), message, against(to));
+    }
+
+    /** What is said against somebody who is not held alive. */
+    static List<Saying> against(Entry e) {
+        return e != null && e.saying.standing() != Standing.ALIVE ? List.of(e.saying) : List.of();
     }
 
     void send(String address, Message message, List<Saying> first) {
--- a/doorman/src/main/java/barleyspur/fleet/net/Codec.java
+++ b/doorman/src/main/java/barleyspur/fleet/net/Codec.java
@@ -29,8 +29,6 @@
  */
 public final class Codec {
 
-    /** The newest format that this program reads; 2 adds a member's counters. */
-    public static final int NEWEST = 2;
     /** Written into each datagram: a reader of format 1 understands all that is sent so far. */
     private static final int OLDEST_READER = 1;
     private static final int TAG = 16;
@@ -171,7 +169,7 @@
     private Datagram datagram(JsonParser p) throws IOException, Refused {
         start(p.nextToken());
         long format = whole(p);
-        if (format > NEWEST || format < 1) {
+        if (format > About.NEWEST_FORMAT || format < 1) {
             throw new Refused("format");
         }
         if (!fleet.equals(text(p))) {
--- a/doorman/src/main/java/barleyspur/fleet/net/FleetPort.java
+++ b/doorman/src/main/java/barleyspur/fleet/net/FleetPort.java
@@ -11,6 +11,7 @@
 import barleyspur.fleet.Change;
 import barleyspur.fleet.Datagram;
 import barleyspur.fleet.Membership;
+import barleyspur.fleet.Saying;
 import barleyspur.fleet.Sizes;
 import barleyspur.fleet.Times;
 import barleyspur.log.LogEvent;
@@ -26,11 +27,13 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Locale;
+import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /**
  * One doorman's place in its fleet: a datagram channel on the event loop that owns all state, and the timer that the
@@ -55,7 +58,8 @@
     private final CappedLog capped;
     private final FleetMetrics metrics = new FleetMetrics();
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
-    private About about;
+    /** What was last told of itself, besides its phase. */
+    private Counters counters = new Counters(0, 0);
     private Channel channel;
     private Clock.Timer timer;
     private double timerAtMs = Double.POSITIVE_INFINITY;
@@ -76,17 +80,15 @@
         this.duty = duty;
         codec = new Codec(settings.name(), settings.key());
         capped = new CappedLog(LOG, clock);
-        about = new About(settings.advertise(), zone, phase(), program, digest, settings.format(), null);
-        if (settings.format() >= 2) {
-            about = about.with(about.phase(), new Counters(0, 0).encode());
-        }
-        membership = new Membership(name, Math.max(0, wallMs + (long) settings.clockOffsetMs()), about,
+        membership = new Membership(name, Math.max(0, wallMs + (long) settings.clockOffsetMs()), new About(
+            settings.advertise(), zone, duty.phase().word(), program, digest, settings.format(), more()),
             new Times(settings.periodMs(), settings.rememberMs()), settings.seeds(), seed, this::carryOut);
         metrics.watch(membership, clock);
     }
 
-    private String phase() {
-        return duty.phase().name().toLowerCase(Locale.ROOT).replace('_', '-');
+    /** The counters as they ride along; nothing where an older format is spoken. */
+    private byte[] more() {
+        return settings.format() >= Counters.FORMAT ? counters.encode() : null;
     }
 
     @Override
@@ -174,12 +176,13 @@
         if (channel == null) {
             return;
         }
-        int[] counters = membership.counters();
-        byte[] more = settings.format() >= 2 ? new Counters(counters[0], counters[1]).encode() : null;
-        About now = about.with(phase(), more);
-        if (!now.equals(about)) {
-            about = now;
-            membership.about(clock.nowMs(), now);
+        int[] counted = membership.counters();
+        Counters now = new Counters(counted[0], counted[1]);
+        About told = membership.self().about();
+        // Compared before it is encoded: this is looked at with each tick and seldom new.
+        if (!now.equals(counters) || !duty.phase().word().equals(told.phase())) {
+            counters = now;
+            membership.about(clock.nowMs(), told.with(duty.phase().word(), more()));
             schedule();
         }
     }
@@ -231,18 +234,12 @@
         metrics.changed(change);
         double mono = System.nanoTime() / NANOS_PER_MS;
         if (change instanceof Change.Joined c) {
-            LogEvent.log(LOG.atInfo(), "member joined", "mono", mono, "version", c.version(), "member",
-                c.member().name(), "life", c.member().life(), "nonce", c.member().nonce(), "incarnation", c.member().incarnation(), "why", c.why(),
-                "from", c.from());
+            log(LOG.atInfo(), "member joined", mono, c);
         } else if (change instanceof Change.Lost c) {
-            LogEvent.log(LOG.atInfo(), "member lost", "mono", mono, "version", c.version(), "member",
-                c.member().name(), "life", c.member().life(), "nonce", c.member().nonce(), "incarnation", c.member().incarnation(), "standing",
-                c.member().standing(), "by", c.member().by(), "why", c.why(), "from", c.from());
+            log(LOG.atInfo(), "member lost", mono, c, "standing", c.member().standing(), "by", c.member().by());
         } else if (change instanceof Change.Updated c) {
-            LogEvent.log(LOG.atDebug(), "member updated", "mono", mono, "version", c.version(), "member",
-                c.member().name(), "life", c.member().life(), "nonce", c.member().nonce(), "incarnation", c.member().incarnation(), "standing",
-                c.member().standing(), "phase", c.member().about().phase(), "by", c.member().by(), "why", c.why(),
-                "from", c.from());
+            log(LOG.atDebug(), "member updated", mono, c, "standing", c.member().standing(), "phase",
+                c.member().about().phase(), "by", c.member().by());
         } else if (change instanceof Change.Doubt c) {
             LogEvent.log(LOG.atInfo(), c.inDoubt() ? "view in doubt" : "view settled", "mono", mono, "version",
                 c.version(), "members", membership.members());
@@ -251,4 +248,13 @@
                 c.version(), "life", c.other().life());
         }
     }
+
+    private static void log(LoggingEventBuilder at, String event, double mono, Change.OfMember c, Object... more) {
+        Saying m = c.member();
+        List<Object> keys = new ArrayList<>(List.of("mono", mono, "version", c.version(), "member", m.name(), "life",
+            m.life(), "nonce", m.nonce(), "incarnation", m.incarnation()));
+        keys.addAll(List.of(more));
+        keys.addAll(List.of("why", c.why(), "from", c.from()));
+        LogEvent.log(at, event, keys.toArray());
+    }
 }
--- a/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
@@ -349,11 +349,11 @@
 
     private void read() throws IOException {
         if (nowMs() - sampledMs >= SAMPLE_MS) {
-            long[] sent = relays.sent();
+            long sent = relays.sent();
             double seconds = (nowMs() - sampledMs) / 1e3;
-            traffic.add(new double[] {nowMs() / 1e3, (sent[0] - sampledBytes) / seconds / schedule.started()});
+            traffic.add(new double[] {nowMs() / 1e3, (sent - sampledBytes) / seconds / schedule.started()});
             sampledMs = nowMs();
-            sampledBytes = sent[0];
+            sampledBytes = sent;
         }
         if (every != null && nowMs() - everyDoneMs >= everyMs) {
             everyDoneMs = nowMs();
--- a/lab/src/main/java/barleyspur/lab/fleet/Relays.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/Relays.java
@@ -36,15 +36,12 @@
     private final Channel[] channels;
     private final InetSocketAddress[] doormans;
     private final Map<InetSocketAddress, Integer> senders = new HashMap<>();
-    private final long[] bytes;
-    private final long[] datagrams;
+    private long bytes;
 
     Relays(Links links, List<InetSocketAddress> relays, List<InetSocketAddress> doormans) throws InterruptedException {
         this.links = links;
         this.doormans = doormans.toArray(InetSocketAddress[]::new);
         channels = new Channel[relays.size()];
-        bytes = new long[relays.size()];
-        datagrams = new long[relays.size()];
         for (int i = 0; i < channels.length; i++) {
             int slot = i;
             senders.put(doormans.get(i), i);
@@ -60,7 +57,6 @@
                     @Override
                     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                         // The doorman behind it is down: that is what the schedule wants.
-                        ctx.channel().isOpen();
                     }
                 }).bind(relays.get(i)).sync().channel();
         }
@@ -73,8 +69,7 @@
         }
         byte[] whole = new byte[packet.content().readableBytes()];
         packet.content().readBytes(whole);
-        bytes[from] += whole.length;
-        datagrams[from]++;
+        bytes += whole.length;
         for (double delay : links.pass(from, to)) {
             byte[] arrives = links.spoilt(from, to, whole);
             if (delay < 1) {
@@ -103,10 +98,9 @@
         return loop.submit(() -> links.components(up)).get();
     }
 
-    /** Bytes and datagrams that all members have sent up to now. */
-    long[] sent() {
-        return loop.submit(() -> new long[] {java.util.Arrays.stream(bytes).sum(),
-            java.util.Arrays.stream(datagrams).sum()}).syncUninterruptibly().getNow();
+    /** Bytes that all members have sent up to now. */
+    long sent() {
+        return loop.submit(() -> bytes).syncUninterruptibly().getNow();
     }
 
     @Override
--- a/lab/src/main/java/barleyspur/lab/fleet/ScenarioFile.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/ScenarioFile.java
@@ -45,12 +45,12 @@
         }
         Hcl.Block b = root.blocks().get(0);
         String name = b.label();
-        int doormans = (int) number(b, "doormans", 3, 1, MOST);
-        int slots = (int) number(b, "slots", doormans, doormans, MOST);
+        int doormans = (int) b.number("doormans", 3, 1, MOST);
+        int slots = (int) b.number("slots", doormans, doormans, MOST);
         ScenarioFile reader = new ScenarioFile(slots);
         double period = time(b, "period", 500, 100, 10_000);
         double settle = time(b, "settle", 20_000, 100, MOST_MS);
-        long seed = (long) number(b, "seed", 1, 0, 1e15);
+        long seed = (long) b.number("seed", 1, 0, 1e15);
         Hcl.Value seeds = b.value("seeds");
         List<Integer> at = seeds == null ? List.of(0, Math.min(1, slots - 1)) : List.copyOf(reader.slots(seeds));
         b.close(List.of("step", "random"));
@@ -60,7 +60,7 @@
                 if (b.blocks().size() > 1) {
                     throw step.invalid("stands beside other steps");
                 }
-                int faults = (int) number(step, "faults", 10, 1, 1_000);
+                int faults = (int) step.number("faults", 10, 1, 1_000);
                 step.close(List.of());
                 return Schedule.random(doormans, faults, period, settle, seed);
             }
@@ -94,7 +94,7 @@
         if (Double.isNaN(offset)) {
             throw clock.invalid("is no time: " + clock.value());
         }
-        int format = (int) number(b, "format", 2, 1, 2);
+        int format = (int) b.number("format", 2, 1, 2);
         add(found, b.value("start"), s -> new Fault.Start(s, as == null ? "" : String.valueOf(as.value()), offset, format));
         Hcl.Value heal = b.value("heal");
         if (heal != null && heal.flag()) {
@@ -105,9 +105,9 @@
                 case "cut", "mend" -> found.add(new Fault.Cut(slots(f, "from"), slots(f, "to"), f.type().equals("mend")));
                 case "split" -> found.add(split(f));
                 case "weather" -> found.add(new Fault.Weather(slots(f, "from"), slots(f, "to"), new Fault.Noise(
-                    number(f, "loss", 0, 0, 1), time(f, "delay", 0, 0, 10_000), number(f, "twice", 0, 0, 1),
-                    number(f, "garbage", 0, 0, 1))));
-                case "starve" -> found.add(new Fault.Starve(slots(f, "who"), number(f, "share", 0.1, 0.01, 1)));
+                    f.number("loss", 0, 0, 1), time(f, "delay", 0, 0, 10_000), f.number("twice", 0, 0, 1),
+                    f.number("garbage", 0, 0, 1))));
+                case "starve" -> found.add(new Fault.Starve(slots(f, "who"), f.number("share", 0.1, 0.01, 1)));
                 default -> { }
             }
             f.close(List.of());
@@ -169,16 +169,6 @@
         return set;
     }
 
-    private static double number(Hcl.Block b, String key, double otherwise, double least, double most)
-        throws Hcl.Invalid {
-        Hcl.Value v = b.value(key);
-        double number = v == null ? otherwise : v.number();
-        if (!(number >= least && number <= most)) {
-            throw v.invalid("is out of range: " + number + " is not from " + least + " to " + most);
-        }
-        return number;
-    }
-
     private static double time(Hcl.Block b, String key, double otherwise, double least, double most)
         throws Hcl.Invalid {
         Hcl.Value v = b.value(key);
--- a/lab/src/main/java/barleyspur/lab/fleet/VirtualFleet.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/VirtualFleet.java
@@ -275,10 +275,8 @@
     }
 
     private void tell(Process p, Change change) {
-        Saying s = change instanceof Change.Joined c ? c.member() : change instanceof Change.Updated c ? c.member()
-            : change instanceof Change.Lost c ? c.member() : null;
-        String why = change instanceof Change.Joined c ? c.why().name() : change instanceof Change.Updated c
-            ? c.why().name() : change instanceof Change.Lost c ? c.why().name() : "";
+        Saying s = change instanceof Change.OfMember c ? c.member() : null;
+        String why = change instanceof Change.OfMember c ? c.why().name() : "";
         watch.told(new Watch.Told(nowMs, p.number, p.slot, change.getClass().getSimpleName(), change.version(),
             s == null ? null : s.name(), s == null ? 0 : s.life(), s == null ? 0 : s.nonce(),
             s == null ? 0 : s.incarnation(), s == null ? "" : s.standing().name(), why));
