--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -35,6 +35,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -59,6 +60,8 @@
     private static final int REHEARSED = 200;
     /** New requests may come for 0.6 s after SIGTERM, and must still be answered. */
     private static final double DRAIN_MS = 750;
+    /** How long clients have to read their last answers and close, before the process ends, where SIGKILL leaves that. */
+    private static final double LAST_READ_MS = 1_000;
 
     /** Reads a configuration. */
     public interface Source {
@@ -183,7 +186,7 @@
     private void listen(ChannelFuture future, InetSocketAddress address) throws IOException, InterruptedException {
         ChannelFuture bound = future.await();
         if (!bound.isSuccess()) {
-            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            end();
             throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage());
         }
     }
@@ -197,10 +200,10 @@
             try {
                 OwnSettings nextOwn = ownSource.read();
                 Configuration next = source.read();
-                if (!group.isShuttingDown()) {
-                    group.execute(() -> apply(next));
-                    group.execute(() -> apply(nextOwn));
-                }
+                group.execute(() -> apply(next));
+                group.execute(() -> apply(nextOwn));
+            } catch (RejectedExecutionException e) {
+                // It has ended meanwhile: nothing is to be changed any more.
             } catch (Configuration.Invalid e) {
                 LogEvent.log(LOG.atError(), "reload: the configuration before stays", "cause", e.getMessage());
             }
@@ -246,27 +249,48 @@
      */
     public void drain() {
         long successor = handOff == null ? -1 : handOff.successorOf(ProcessHandle.current().pid());
-        group.execute(() -> {
-            duty.leave(clock.nowMs(), successor >= 0, Duty.killAfterMs(longestDeadlineMs()));
-            LogEvent.log(LOG.atInfo(), "leaving", "successor", successor);
-            if (!duty.listening()) {
-                front.stopListening();
+        try {
+            group.execute(() -> leave(successor));
+        } catch (RejectedExecutionException e) {
+            // It has ended already, or never started.
+        }
+    }
+
+    private void leave(long successor) {
+        boolean served = duty.phase() != Duty.Phase.STARTING;
+        if (!duty.leave(clock.nowMs(), successor >= 0, Duty.killAfterMs(longestDeadlineMs()))) {
+            return;
+        }
+        LogEvent.log(LOG.atInfo(), "leaving", "successor", successor);
+        if (served && !duty.listening()) {
+            front.stopListening();
+            front.closeIdle();
+        }
+        if (fleet != null) {
+            fleet.refresh();
+        }
+        double graceMs = served && duty.listening() ? DRAIN_MS : 0;
+        if (duty.listening()) {
+            clock.after(graceMs, () -> {
+                duty.graceOver();
                 front.closeIdle();
-            }
-            if (fleet != null) {
-                fleet.refresh();
-            }
-            doorman.drain(duty.listening() ? DRAIN_MS : 0, () -> front.close(() -> {
-                channel.close();
-                if (fleet == null) {
-                    end();
-                } else {
-                    fleet.leave(this::end);
-                }
-            }));
+            });
+        }
+        doorman.drain(graceMs, duty.answeredByMs() - clock.nowMs(), () -> {
+            duty.graceOver();
+            front.close(Math.max(LAST_READ_MS, duty.answeredByMs() - clock.nowMs()), this::left);
         });
     }
 
+    private void left() {
+        channel.close();
+        if (fleet == null) {
+            end();
+        } else {
+            fleet.leave(this::end);
+        }
+    }
+
     private void end() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> ended.countDown());
     }
--- a/doorman/src/main/java/barleyspur/admin/AdminConnection.java
+++ b/doorman/src/main/java/barleyspur/admin/AdminConnection.java
@@ -5,11 +5,10 @@
 import barleyspur.admin.http.HttpRequest;
 import barleyspur.doorman.Clock;
 import barleyspur.log.LogEvent;
+import barleyspur.transport.LingeringClose;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,6 +29,7 @@
     private final Routes routes;
     private final Clock clock;
     private Channel channel;
+    private LingeringClose closing;
     private Clock.Timer late;
     private boolean answered;
 
@@ -42,6 +42,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        closing = new LingeringClose(channel, clock);
         late = clock.after(CALL_MS, () -> answer(HttpAnswer.problem(408, "no whole call within " + (long) CALL_MS
             + " ms")));
         ctx.fireChannelActive();
@@ -74,18 +75,15 @@
         answered = true;
         late.cancel();
         server.called(channel);
-        channel.writeAndFlush(answer.encode(channel.alloc())).addListener((ChannelFutureListener) written -> {
-            if (channel instanceof DuplexChannel duplex && channel.isActive()) {
-                duplex.shutdownOutput();
-            }
-        });
-        clock.after(LAST_READ_MS, channel::close);
+        channel.write(answer.encode(channel.alloc()));
+        closing.begin(LAST_READ_MS);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         if (late != null) {
             late.cancel();
+            closing.closed();
         }
         server.called(ctx.channel());
         ctx.fireChannelInactive();
--- a/doorman/src/main/java/barleyspur/budget/net/GuardedDepots.java
+++ b/doorman/src/main/java/barleyspur/budget/net/GuardedDepots.java
@@ -57,7 +57,11 @@
         }
 
         @Override
-        public boolean goes() {
+        public Result admit() {
+            Result admitted = end.admit();
+            if (admitted != Result.OK) {
+                return admitted;
+            }
             takenMs = clock.nowMs();
             for (Terms.Budget b : budgets) {
                 if (guarded.get(b.name()) != listing.kind()) {
@@ -74,18 +78,19 @@
                 Share share = port.share(subject);
                 if (share == null || !port.take(share)) {
                     giveBack();
-                    return false;
+                    return Result.FULL;
                 }
                 shares.add(share);
                 if (b.kind() == Kind.PLACES) {
                     places.add(share);
                 }
             }
-            return true;
+            return Result.OK;
         }
 
         @Override
         public void sent() {
+            end.sent();
             double now = clock.nowMs();
             shares.forEach(s -> s.sent(takenMs, now));
             if (!places.isEmpty()) {
--- a/doorman/src/main/java/barleyspur/channel/CommandChannel.java
+++ b/doorman/src/main/java/barleyspur/channel/CommandChannel.java
@@ -74,7 +74,9 @@
 
     public void close() {
         closed = true;
-        current.drop();
+        if (current != null) {
+            current.drop();
+        }
     }
 
     private void again(Connection lost, String why) {
@@ -117,11 +119,16 @@
             if (this != current || closed) {
                 return;
             }
-            silence.cancel();
-            silence = clock.after(SILENCE_MS, this::silent);
-            if (!reader.line(line)) {
-                log.warn("gap: resuming", "after", reader.cursor());
-                ctx.close();
+            switch (reader.line(line)) {
+                case CURRENT -> {
+                    silence.cancel();
+                    silence = clock.after(SILENCE_MS, this::silent);
+                }
+                case BEHIND -> { }
+                case GAP -> {
+                    log.warn("gap: resuming", "after", reader.cursor());
+                    ctx.close();
+                }
             }
         }
 
--- a/doorman/src/main/java/barleyspur/channel/CommandReader.java
+++ b/doorman/src/main/java/barleyspur/channel/CommandReader.java
@@ -44,29 +44,38 @@
         cursor = known.getLong("cursor");
     }
 
-    /** Reads one line; false where it shows that a command was missed or can't be read at all. */
-    boolean line(String line) {
+    /** What a line shows of the channel that brought it. */
+    enum Sign {
+        /** It has told all that there is up to now. */
+        CURRENT,
+        /** It says nothing that we have not, such as a number from before: no sign that the channel would tell more. */
+        BEHIND,
+        /** A command was missed, or the line can't be read at all. */
+        GAP
+    }
+
+    /** Reads one line. */
+    Sign line(String line) {
         String text = line.strip();
         if (text.isEmpty()) {
-            return true;
+            return Sign.BEHIND;
         }
         try {
-            if (text.charAt(0) != '{') {
-                return Long.parseLong(text) <= cursor;
-            }
-            JSONObject command = new JSONObject(text);
-            long number = command.getLong("cursor");
-            if (number > cursor + 1) {
-                return false;
+            boolean heartbeat = text.charAt(0) != '{';
+            JSONObject command = heartbeat ? null : new JSONObject(text);
+            long number = heartbeat ? Long.parseLong(text) : command.getLong("cursor");
+            long next = heartbeat ? cursor : cursor + 1;
+            if (number != next) {
+                return number > next ? Sign.GAP : Sign.BEHIND;
             }
-            if (number == cursor + 1) {
-                cursor = number;
+            cursor = number;
+            if (!heartbeat) {
                 command(command);
             }
-            return true;
+            return Sign.CURRENT;
         } catch (JSONException | NumberFormatException e) {
             LogEvent.log(LOG.atWarn(), "bad line", "cause", e.getMessage());
-            return false;
+            return Sign.GAP;
         }
     }
 
--- a/doorman/src/main/java/barleyspur/cli/Cli.java
+++ b/doorman/src/main/java/barleyspur/cli/Cli.java
@@ -14,8 +14,11 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The sub-commands. */
 final class Cli {
@@ -37,6 +40,8 @@
         barleyspur COMMAND --help tells the options of each.
         """;
 
+    private static final Logger LOG = LoggerFactory.getLogger("cli");
+
     private Cli() { }
 
     static int run(String[] args) {
@@ -176,9 +181,11 @@
         try {
             Node node = new Node(configuration, settings);
             // Before the start: unhandled, the signal would end the JVM.
-            Signals.on("HUP", () -> node.reload(() -> reread(settings), () -> rereadOwn(line, settings)));
-            node.start();
-            // On SIGTERM the process stays until its hooks have ended, so the hook waits for the drain.
+            if (!Signals.on("HUP", () -> node.reload(() -> reread(settings), () -> rereadOwn(line, settings)))) {
+                LOG.warn("SIGHUP is ignored by who started this process: the configuration is never read anew");
+            }
+            // On SIGTERM the process stays until its hooks have ended, so the hook waits for the drain. Before the start,
+            // so that there is no moment with clients and without it.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 node.drain();
                 try {
@@ -187,7 +194,11 @@
                     Thread.currentThread().interrupt();
                 }
             }, "drain"));
+            node.start();
             return RUNNING;
+        } catch (RejectedExecutionException e) {
+            // SIGTERM came while it started: the hook has ended it.
+            return Command.FAILED;
         } catch (ExecutionException e) {
             throw new IOException(e.getMessage(), e);
         } catch (InterruptedException e) {
--- a/doorman/src/main/java/barleyspur/cli/Signals.java
+++ b/doorman/src/main/java/barleyspur/cli/Signals.java
@@ -10,8 +10,11 @@
 
     private Signals() { }
 
-    /** Runs {@code task}, on a thread of the JVM's, each time the signal comes. */
-    static void on(String name, Runnable task) {
+    /**
+     * Runs {@code task}, on a thread of the JVM's, each time the signal comes; false where it never will, since whoever
+     * started this process has it ignored, which the JVM leaves so.
+     */
+    static boolean on(String name, Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -22,8 +25,9 @@
                     }
                     return null;
                 });
-            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class)
+            Object before = signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class)
                 .newInstance(name), run);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("this JVM can't handle SIG" + name, e);
         }
--- a/doorman/src/main/java/barleyspur/depot/DepotClient.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotClient.java
@@ -23,7 +23,7 @@
     private static final int SPREAD = 8;
     /** The part of all connections up to which some are opened for that; the rest is for depots that have none. */
     private static final double SPARE_SHARE = 0.75;
-    /** Ours close this much sooner than the depots', so that no request crosses their close. */
+    /** Ours close this much sooner than the depots', so that no request crosses their close; but never by over half. */
     private static final int IDLE_MARGIN_MS = 2_000;
 
     /** What connections are held to. */
@@ -157,7 +157,8 @@
             return never(end);
         }
         ByteBufAllocator alloc = c.channel().alloc();
-        return c.open(order.ask().id(), Resp.serveHead(alloc, order, order.ask().body().readableBytes()),
+        int bodyBytes = order.ask().body().readableBytes();
+        return c.open(order.ask().id(), waitedMs -> Resp.serveHead(alloc, order, bodyBytes, waitedMs),
             order.ask().body().retainedDuplicate(), end);
     }
 
@@ -175,7 +176,7 @@
             made[0].giveUp();
             end.ended(Answer.of(Result.TIMEOUT));
         });
-        made[0] = c.open(tag, Resp.message(c.channel().alloc(), "gauges", tag), null, answer -> {
+        made[0] = c.open(tag, waitedMs -> Resp.message(c.channel().alloc(), "gauges", tag), null, answer -> {
             timeout.cancel();
             end.ended(answer);
         });
@@ -197,7 +198,7 @@
     private void sweepLater() {
         clock.after(SWEEP_MS, () -> {
             for (Depot depot : depots.values()) {
-                depot.closeIdle(Math.max(1, limits.idleMs() - IDLE_MARGIN_MS));
+                depot.closeIdle(Math.max(limits.idleMs() / 2, limits.idleMs() - IDLE_MARGIN_MS));
                 new ArrayList<>(depot.pool).forEach(DepotConnection::checkStalled);
             }
             sweepLater();
--- a/doorman/src/main/java/barleyspur/depot/DepotConnection.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotConnection.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.DoubleFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -79,16 +80,28 @@
         return client.clock().nowMs();
     }
 
-    /** One attempt or probe on this connection. */
+    /** One attempt or probe on this connection. It ends once: by its answer, by its connection's end, or given up. */
     final class Call implements Depots.Call {
+
+        private enum State {
+            /** For the connection to come up: no byte has gone out, so it never ran. */
+            WAITING,
+            /** Written; owed: its answer, or a word that it is given up. */
+            SENT,
+            /** Not admitted: owed is its end, which comes with the loop's next turn. */
+            DENIED,
+            /** Nothing is owed any more. */
+            OVER
+        }
+
         private final String id;
+        private final DoubleFunction<ByteBuf> head;
         private final Depots.End end;
-        private ByteBuf head;
+        private final double openedAt = now();
         private ByteBuf body;
-        /** It may not go, and its end is to come. */
-        private boolean held;
+        private State state = State.WAITING;
 
-        private Call(String id, ByteBuf head, ByteBuf body, Depots.End end) {
+        private Call(String id, DoubleFunction<ByteBuf> head, ByteBuf body, Depots.End end) {
             this.id = id;
             this.head = head;
             this.body = body;
@@ -97,55 +110,67 @@
 
         @Override
         public void cancel() {
-            held = false;
-            if (!open.remove(id, this)) {
-                return;
-            }
-            if (up) {
+            if (state == State.SENT && up) {
                 channel.writeAndFlush(Resp.message(channel.alloc(), "cancel", id), channel.voidPromise());
-            } else {
-                drop();
             }
-            idleFromNow();
+            giveUp();
         }
 
         /** Forgets the call; its answer, should one come, has nobody waiting for it. */
         void giveUp() {
-            if (open.remove(id, this)) {
-                drop();
-                idleFromNow();
+            if (state != State.OVER) {
+                state = State.OVER;
+                leave();
             }
         }
 
-        /** Sends it, unless it may no longer go: then its end comes with the loop's next turn. */
+        private void leave() {
+            open.remove(id, this);
+            drop();
+            idleFromNow();
+        }
+
+        /** Sends it, unless it may no longer go. */
         private void write() {
-            if (!end.goes()) {
-                giveUp();
-                held = true;
-                client.clock().after(0, () -> {
-                    if (held) {
-                        end.ended(Answer.of(Result.FULL));
-                    }
-                });
+            if (state != State.WAITING) {
+                return;
+            }
+            Result admitted = end.admit();
+            if (admitted != Result.OK) {
+                state = State.DENIED;
+                leave();
+                client.clock().after(0, () -> ended(Answer.of(admitted)));
                 return;
             }
-            channel.write(head, channel.voidPromise());
+            state = State.SENT;
+            channel.write(head.apply(now() - openedAt), channel.voidPromise());
             if (body != null) {
                 channel.write(body, channel.voidPromise());
                 channel.write(Unpooled.wrappedBuffer(Resp.END), channel.voidPromise());
+                body = null;
             }
             channel.flush();
-            head = null;
-            body = null;
             end.sent();
         }
 
-        private void drop() {
-            if (head != null) {
-                head.release();
+        /** Whether this was its end, and not one that crossed another. */
+        private boolean ended(Answer answer) {
+            if (state == State.OVER) {
+                if (answer.body() != null) {
+                    answer.body().release();
+                }
+                return false;
             }
+            state = State.OVER;
+            drop();
+            end.ended(answer);
+            return true;
+        }
+
+        private void drop() {
             if (body != null) {
                 body.release();
+                body = null;
             }
         }
     }
@@ -166,8 +191,11 @@
         });
     }
 
-    /** Opens a call; {@code body} null: a message of words alone. Both buffers belong to the call from now on. */
-    Call open(String id, ByteBuf head, ByteBuf body, Depots.End end) {
+    /**
+     * Opens a call. {@code head} makes what is sent first, once it is, from how long it has waited for that, in ms;
+     * {@code body} null: a message of words alone; else it belongs to the call from now on.
+     */
+    Call open(String id, DoubleFunction<ByteBuf> head, ByteBuf body, Depots.End end) {
         Call call = new Call(id, head, body, end);
         if (open.isEmpty()) {
             waitingSince = now();
@@ -274,10 +302,12 @@
             if (call != null) {
                 Answer answer = answer(words.get(1), words.size() > 2 ? words.get(2) : "-", body);
                 idleFromNow();
-                call.end.ended(answer);
+                call.ended(answer);
             }
         } finally {
-            body.release();
+            if (body != null) {
+                body.release();
+            }
         }
     }
 
@@ -293,7 +323,11 @@
                 yield Result.ERROR;
             }
         };
-        ByteBuf kept = word.equals("DONE") ? body.retain() : null;
+        ByteBuf kept = word.equals("DONE") && body != null ? body.retain() : null;
+        if (word.equals("DONE") && kept == null) {
+            client.log().warn("an answer without its bytes", "depot", uid);
+            return Answer.of(Result.ERROR);
+        }
         return new Answer(result, Resp.note(Resp.field(fields, "how")),
             Resp.load(Resp.field(fields, "stats"), client.reportFields()), kept, Resp.field(fields, "digest"));
     }
@@ -311,10 +345,11 @@
         open.clear();
         Result next = result;
         for (Call call : left) {
-            call.drop();
-            call.end.ended(Answer.of(next));
-            // One fault of the node's, however many were open: the others only went down with the connection.
-            next = result == Result.RESET ? Result.CANCELLED : result;
+            // One that an earlier one's outcome has given up has no end any more.
+            if (call.ended(Answer.of(next)) && result == Result.RESET) {
+                // One fault of the node's, however many were open: the others only went down with the connection.
+                next = Result.CANCELLED;
+            }
         }
     }
 
--- a/doorman/src/main/java/barleyspur/depot/Resp.java
+++ b/doorman/src/main/java/barleyspur/depot/Resp.java
@@ -18,10 +18,13 @@
 
     private Resp() { }
 
-    /** A {@code serve} up to its body, which follows with {@link #END}. */
-    static ByteBuf serveHead(ByteBufAllocator alloc, Order order, int bodyBytes) {
+    /**
+     * A {@code serve} up to its body, which follows with {@link #END}. It goes out {@code waitedMs} after it was ordered,
+     * and what the order allows it to take counts from then.
+     */
+    static ByteBuf serveHead(ByteBufAllocator alloc, Order order, int bodyBytes, double waitedMs) {
         ByteBuf out = alloc.buffer(HEAD);
-        words(out, 4, "serve", order.ask().id(), fields(order));
+        words(out, 4, "serve", order.ask().id(), fields(order, waitedMs));
         return line(out, '$', bodyBytes);
     }
 
@@ -50,11 +53,11 @@
     }
 
     /** A request's fields. Ages are cut to whole milliseconds, so that no copy older than allowed will do. */
-    private static String fields(Order order) {
+    private static String fields(Order order, double waitedMs) {
         Ask ask = order.ask();
         StringJoiner fields = new StringJoiner(",");
         fields.add("class=" + ask.className()).add("key=" + ask.key()).add("part=" + ask.partWord())
-            .add("wait=" + Math.max(1, (long) order.waitMs()));
+            .add("wait=" + Math.max(1, (long) (order.waitMs() - waitedMs)));
         if (order.source() != null) {
             fields.add("parent=" + order.source());
         }
@@ -68,6 +71,9 @@
         if (!hints.isEmpty()) {
             fields.add("hints=" + hints);
         }
+        if (ask.repeatKey() != null) {
+            fields.add("once=" + ask.repeatKey());
+        }
         if (ask.tag() != null) {
             fields.add("got=" + ask.tag());
         }
--- a/doorman/src/main/java/barleyspur/depot/RespDecoder.java
+++ b/doorman/src/main/java/barleyspur/depot/RespDecoder.java
@@ -11,7 +11,7 @@
 /** Reads RESP arrays of bulk strings; a body is a slice of what was read. */
 public final class RespDecoder extends ByteToMessageDecoder {
 
-    /** A message: its words, and its last bulk string as a body where there are four or more. */
+    /** A message: its words, and the fourth bulk string as its body; null where there are fewer. */
     public record Message(List<String> words, ByteBuf body) { }
 
     private static final int MOST_ITEMS = 8;
@@ -74,7 +74,7 @@
             }
             at += length + Resp.END.length;
         }
-        out.add(new Message(words, items > BODY_AT ? in.retainedSlice(bodyAt, bodyBytes) : in.retainedSlice(at, 0)));
+        out.add(new Message(words, items > BODY_AT ? in.retainedSlice(bodyAt, bodyBytes) : null));
         in.readerIndex(at);
     }
 
--- a/doorman/src/main/java/barleyspur/doorman/Depots.java
+++ b/doorman/src/main/java/barleyspur/doorman/Depots.java
@@ -39,9 +39,12 @@
     interface End {
         void ended(Answer answer);
 
-        /** Asked last before the first byte goes out: false, and it doesn't, and the attempt ends as one that never ran. */
-        default boolean goes() {
-            return true;
+        /**
+         * The admission check, last before the first byte goes out: OK, and it goes; else it doesn't, and the attempt ends
+         * with this result, one that proves that it never ran.
+         */
+        default Director.Result admit() {
+            return Director.Result.OK;
         }
 
         /** It is on its way. */
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -7,10 +7,13 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,8 +45,8 @@
             return size() > MOST_TAKEN;
         }
     });
-    /** The listed nodes' ids, by node. */
-    private final Map<Long, String> uids = new HashMap<>();
+    /** What was last listed of each node that is there. */
+    private final Map<Long, Listing> listed = new HashMap<>();
     private final ArrayDeque<Director.Event> events = new ArrayDeque<>();
     private final ArrayDeque<Director.Action> actions = new ArrayDeque<>();
     private boolean telling;
@@ -86,7 +89,7 @@
         Trail.taken(ask);
         owed++;
         // Guards rule 1 against a director that leaves a request unanswered: half the slack is left by then.
-        x.guard = clock.after(ask.remainingMs() + settings.answerSlackMs() / 2, () -> overdue(x));
+        x.guard = clock.after(ask.remainingMs() + settings.answerSlackMs() / 2, () -> abandon(x, "left unanswered"));
         boolean write = settings.classes().get(ask.category()).write();
         tell(new Director.Request(x.id, ask.category(), 0, ask.object(), ask.part(), ask.group(),
             ask.remainingMs(), ask.sizeKb(), false, write));
@@ -107,12 +110,16 @@
         return takenIds.contains(id);
     }
 
-    /** Goes on for {@code graceMs}, finishes what is open, then calls {@code then}, once. */
-    public void drain(double graceMs, Runnable then) {
+    /**
+     * Goes on for {@code graceMs}, finishes what is open, then calls {@code then}, once. What is still open after
+     * {@code mostMs} is failed: the process may be killed right after, which would leave it without any answer.
+     */
+    public void drain(double graceMs, double mostMs, Runnable then) {
         if (draining) {
             return;
         }
         draining = true;
+        clock.after(mostMs, () -> List.copyOf(exchanges.values()).forEach(x -> abandon(x, "the process ends")));
         LogEvent.log(LOG.atInfo(), "drain: asked to stop", "open", owed);
         clock.after(graceMs, () -> {
             drained = then;
@@ -137,16 +144,29 @@
         }
     }
 
-    private void overdue(Exchange x) {
+    /** Fails a request without the director, and gives up all that is out for it. */
+    private void abandon(Exchange x, String why) {
         if (!x.over) {
-            LogEvent.log(LOG.atError(), "left unanswered by the director: failed", "request", x.ask.id());
+            LogEvent.log(LOG.atError(), "failed without the director", "request", x.ask.id(), "cause", why);
             close(x, "failed");
             x.caller.failed();
             tell(new Director.Gone(x.id));
+            for (int i = 0; i < x.attempts.size(); i++) {
+                giveUp(x, i, Result.CANCELLED);
+            }
             forgetIfDone(x);
         }
     }
 
+    /** Ends an attempt that is out, from here. */
+    private void giveUp(Exchange x, int number, Result result) {
+        Exchange.Attempt attempt = x.attempts.get(number);
+        if (!attempt.ended) {
+            attempt.call.cancel();
+            end(x, number, Depots.Answer.of(result));
+        }
+    }
+
     /** The request is over: nothing further is sent for it. */
     private void close(Exchange x, String how) {
         x.over = true;
@@ -170,20 +190,25 @@
     @Override
     public void listed(boolean whole, List<Listing> listings) {
         List<Director.Node> nodes = new ArrayList<>(listings.size());
+        Set<Long> changed = new HashSet<>();
         if (whole) {
             // A node that a whole list leaves out has gone.
-            List<Long> left = new ArrayList<>(uids.keySet());
+            List<Long> left = new ArrayList<>(listed.keySet());
             listings.forEach(l -> left.remove(l.node()));
             left.forEach(this::retire);
+            changed.addAll(left);
         }
         for (Listing l : listings) {
             long node = l.node();
-            String known = uids.get(node);
-            if (known != null && !known.equals(l.uid())) {
+            Listing known = listed.get(node);
+            if (known != null && !known.uid().equals(l.uid())) {
                 LogEvent.log(LOG.atError(), "node passed over: its number is another's", "uid", l.uid(), "node", node, "other",
-                    known);
+                    known.uid());
                 continue;
             }
+            if (l.state() != Director.State.READY || known != null && !known.sameProcess(l)) {
+                changed.add(node);
+            }
             if (l.state() == Director.State.GONE) {
                 LogEvent.log(LOG.atInfo(), "node is gone", "node", node);
                 retire(node);
@@ -195,7 +220,7 @@
                 if (l.state() == Director.State.DRAINING) {
                     LogEvent.log(LOG.atInfo(), "node drains", "node", node);
                 }
-                uids.put(node, l.uid());
+                listed.put(node, l);
                 depots.list(node, l);
             }
             nodes.add(new Director.Node(node, l.zone(), l.kind(), l.cell(), l.state(), l.size(), l.bootMs()));
@@ -203,21 +228,41 @@
         Director.ListKind full = listedOnce ? Director.ListKind.FULL : Director.ListKind.CACHED;
         listedOnce = true;
         tell(new Director.Members(whole ? full : Director.ListKind.DELTA, nodes));
+        if (!changed.isEmpty()) {
+            overtake((x, attempt) -> changed.contains(attempt.node) || changed.contains(attempt.source));
+        }
+    }
+
+    /**
+     * What has just been told overtakes attempts of which no byte has gone out yet, for they wait for a connection: they
+     * were decided before it. They end as never sent, and the director, told first, decides anew.
+     */
+    private void overtake(BiPredicate<Exchange, Exchange.Attempt> concerns) {
+        for (Exchange x : List.copyOf(exchanges.values())) {
+            for (int i = 0; i < x.attempts.size(); i++) {
+                Exchange.Attempt attempt = x.attempts.get(i);
+                if (!attempt.ended && !attempt.written && concerns.test(x, attempt)) {
+                    giveUp(x, i, Result.MOOT);
+                }
+            }
+        }
     }
 
     private void retire(long node) {
-        uids.remove(node);
+        listed.remove(node);
         depots.retire(node);
     }
 
     @Override
     public void purgedObject(long object, double whenMs) {
         tell(new Director.Purged(0, object, clock.nowMs() - whenMs));
+        overtake((x, attempt) -> x.ask.object() == object);
     }
 
     @Override
     public void purgedGroup(int group, double whenMs) {
         tell(new Director.Purged(group, 0, clock.nowMs() - whenMs));
+        overtake((x, attempt) -> x.ask.group() == group);
     }
 
     // ---- the director ----------------------------------------------------------------------------------
@@ -238,12 +283,17 @@
         }
     }
 
-    /** A fault in the decisions costs the request it struck, which the guard then fails, not the process. */
+    /** A fault in the decisions costs the request it struck, which is failed at once, not the process. */
     private void handle(Director.Event event) {
         try {
             director.handle(clock.nowMs(), event, actions::add);
         } catch (RuntimeException e) {
             LogEvent.log(LOG.atError().setCause(e), "director failed", "event", event.getClass().getSimpleName());
+            Exchange struck = event instanceof Director.Request r ? exchanges.get(r.id())
+                : event instanceof Director.Outcome o ? exchanges.get(o.request()) : null;
+            if (struck != null) {
+                abandon(struck, "the director failed");
+            }
         }
         for (Director.Action a = actions.poll(); a != null; a = actions.poll()) {
             carryOut(a);
@@ -299,7 +349,7 @@
             return;
         }
         double now = clock.nowMs();
-        Exchange.Attempt attempt = new Exchange.Attempt(node, now);
+        Exchange.Attempt attempt = new Exchange.Attempt(node, get == null ? node : get.source(), now);
         int number = x.attempts.size();
         x.attempts.add(attempt);
         x.out++;
@@ -310,18 +360,46 @@
             end(x, number, Depots.Answer.of(Result.MOOT));
             return;
         }
-        attempt.call = depots.send(node, order(x, node, wait, get), answer -> end(x, number, answer));
-        attempt.timeout = clock.after(wait, () -> {
-            attempt.call.cancel();
-            end(x, number, Depots.Answer.of(Result.TIMEOUT));
+        attempt.call = depots.send(node, order(x, node, wait, get), new Depots.End() {
+            @Override
+            public Result admit() {
+                return x.over || attempt.ended || pastKeyWindow(x, attempt) ? Result.MOOT : Result.OK;
+            }
+
+            @Override
+            public void sent() {
+                attempt.written = true;
+                attempt.writtenAt = clock.nowMs();
+            }
+
+            @Override
+            public void ended(Depots.Answer answer) {
+                end(x, number, answer);
+            }
         });
+        attempt.timeout = clock.after(wait, () -> giveUp(x, number, Result.TIMEOUT));
+    }
+
+    /**
+     * Whether a repeat of a keyed request would go out later than its repeats are known to be dropped, counted from the
+     * first attempt that may have run: it was decided in time, but had to wait for a connection.
+     */
+    private boolean pastKeyWindow(Exchange x, Exchange.Attempt next) {
+        Director.RequestClass c = settings.classes().get(x.ask.category());
+        if (c.effect() != Director.Effect.KEYED) {
+            return false;
+        }
+        double now = clock.nowMs();
+        return x.attempts.stream().anyMatch(a -> a != next && (a.mayHaveRun || a.written && !a.ended)
+            && now - a.writtenAt >= c.keyWindowMs() - settings.tickMs());
     }
 
     private Depots.Order order(Exchange x, long node, double wait, Director.Get get) {
         if (get == null) {
             return new Depots.Order(x.ask, wait, null, 0, 0, false, false, false, false);
         }
-        String source = get.source() == node ? null : uids.get(get.source());
+        Listing from = get.source() == node ? null : listed.get(get.source());
+        String source = from == null ? null : from.uid();
         return new Depots.Order(x.ask, wait, source, get.rank(), get.maxAgeMs(), get.join(), get.onlyHeld(),
             get.parentKeepsNone(), get.renew());
     }
@@ -331,17 +409,30 @@
         if (x == null || a.attempt() >= x.attempts.size()) {
             return;
         }
-        Exchange.Attempt attempt = x.attempts.get(a.attempt());
-        if (!attempt.ended) {
-            attempt.call.cancel();
-            end(x, a.attempt(), Depots.Answer.of(Result.CANCELLED));
-        }
+        giveUp(x, a.attempt(), Result.CANCELLED);
     }
 
-    /** An attempt is back; the first OK is the request's answer. */
-    private void end(Exchange x, int number, Depots.Answer answer) {
+    /**
+     * An attempt is back; the first OK is the request's answer. It ends once, whichever of two ends that cross comes
+     * first.
+     */
+    private void end(Exchange x, int number, Depots.Answer told) {
         Exchange.Attempt attempt = x.attempts.get(number);
+        if (attempt.ended) {
+            if (told.body() != null) {
+                told.body().release();
+            }
+            return;
+        }
+        Depots.Answer answer = told;
+        if (told.result() == Result.OK && told.body() == null && !Objects.equals(x.ask.tag(), told.tag())) {
+            // Only a copy that the depot has named may be called current.
+            LogEvent.log(LOG.atWarn(), "a copy that the client does not hold was called current", "node", attempt.node, "tag",
+                told.tag(), "held", x.ask.tag());
+            answer = Depots.Answer.of(Result.ERROR);
+        }
         attempt.ended = true;
+        attempt.mayHaveRun = attempt.written && answer.result().mayHaveRun();
         x.out--;
         if (attempt.timeout != null) {
             attempt.timeout.cancel();
--- a/doorman/src/main/java/barleyspur/doorman/Exchange.java
+++ b/doorman/src/main/java/barleyspur/doorman/Exchange.java
@@ -9,14 +9,22 @@
     /** One attempt; its number is its place in the list. */
     static final class Attempt {
         final long node;
+        /** Where a miss is filled from; the node itself where it is not. */
+        final long source;
         final double sentAt;
         /** Null where the attempt was never sent. */
         Depots.Call call;
         Clock.Timer timeout;
         boolean ended;
+        /** Its first byte has gone out, and when; until then nothing can have run. */
+        boolean written;
+        double writtenAt;
+        /** It is back, and its end does not prove that it never ran. */
+        boolean mayHaveRun;
 
-        Attempt(long node, double sentAt) {
+        Attempt(long node, long source, double sentAt) {
             this.node = node;
+            this.source = source;
             this.sentAt = sentAt;
         }
     }
--- a/doorman/src/main/java/barleyspur/doorman/Listing.java
+++ b/doorman/src/main/java/barleyspur/doorman/Listing.java
@@ -23,6 +23,11 @@
         return number(uid);
     }
 
+    /** Whether the node still runs as the process that {@code later} lists, at the same address. */
+    boolean sameProcess(Listing later) {
+        return address.equals(later.address) && bootMs == later.bootMs;
+    }
+
     /** The number of a node with this id. */
     public static long number(String uid) {
         Matcher numbered = NUMBERED.matcher(uid);
--- a/doorman/src/main/java/barleyspur/duty/Duty.java
+++ b/doorman/src/main/java/barleyspur/duty/Duty.java
@@ -53,6 +53,8 @@
 
     private Phase phase = Phase.STARTING;
     private double sinceMs;
+    /** Leaving, all clients have been let in that still were to come. */
+    private boolean graceOver;
     /** After SIGTERM, when SIGKILL may come at the soonest. */
     private double killAtMs = Double.POSITIVE_INFINITY;
 
@@ -92,13 +94,25 @@
 
     /**
      * SIGTERM came; {@code successor}: another process listens on the clients' address and takes them.
-     * {@code killAfterMs}: how long after SIGTERM SIGKILL may come at the soonest.
+     * {@code killAfterMs}: how long after SIGTERM SIGKILL may come at the soonest. False where that is nothing new.
      */
-    public void leave(double nowMs, boolean successor, double killAfterMs) {
-        if (phase != Phase.LEAVING && phase != Phase.HANDING_OFF) {
-            to(successor ? Phase.HANDING_OFF : Phase.LEAVING, nowMs);
-            killAtMs = nowMs + killAfterMs;
+    public boolean leave(double nowMs, boolean successor, double killAfterMs) {
+        if (phase == Phase.LEAVING || phase == Phase.HANDING_OFF) {
+            return false;
         }
+        to(successor ? Phase.HANDING_OFF : Phase.LEAVING, nowMs);
+        killAtMs = nowMs + killAfterMs;
+        return true;
+    }
+
+    /** Leaving or handing off, nothing more is to come: whatever connection has nothing open is closed from now on. */
+    public void graceOver() {
+        graceOver = true;
+    }
+
+    /** By when, at the latest, everything is to be answered: SIGKILL may come right after. */
+    public double answeredByMs() {
+        return killAtMs - KILL_MARGIN_MS;
     }
 
     /**
@@ -126,16 +140,22 @@
      */
     public boolean takes(double nowMs, double remainingMs) {
         return switch (phase) {
-            case STARTING, SERVING, LEAVING -> true;
+            case STARTING, SERVING -> true;
+            case LEAVING -> !graceOver || nowMs + remainingMs < answeredByMs();
             case QUIESCED -> nowMs - sinceMs < QUIESCED_TAKES_MS;
             case HANDING_OFF -> nowMs - sinceMs < HANDING_OFF_TAKES_MS
-                || nowMs + remainingMs < killAtMs - KILL_MARGIN_MS;
+                || nowMs + remainingMs < answeredByMs();
         };
     }
 
     /** Whether a client connection that has nothing open is to be closed now. */
     public boolean closeWhenIdle() {
-        return phase == Phase.QUIESCED || phase == Phase.HANDING_OFF;
+        return phase == Phase.QUIESCED || phase == Phase.HANDING_OFF || graceOver;
+    }
+
+    /** Whether a connection that has never asked is to be closed too: nothing more is to come. */
+    public boolean closeStrangers() {
+        return graceOver;
     }
 
     private void to(Phase next, double nowMs) {
--- a/doorman/src/main/java/barleyspur/front/thrift/Crowd.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/Crowd.java
@@ -7,16 +7,17 @@
 import java.util.Set;
 
 /**
- * Who makes room when the clients' connections are all in use: first those that are being closed, then those that
- * have never asked for anything, the oldest first, then those that asked once and have nothing open, the longest idle first. Guards newcomers against
- * crowds that connect and say nothing, and against clients that keep a connection which they use no more.
+ * Who makes room when the clients' connections are all in use: first those that have never asked for anything, the
+ * oldest first, then those that asked once and have nothing open, the longest idle first. Guards newcomers against
+ * crowds that connect and say nothing, and against clients that keep a connection which they use no more. Those that are
+ * closing are counted apart: they keep a place of their own for the moment in which their client reads the last answer.
  */
 final class Crowd<C> {
 
     /** A client that has only just connected may be about to ask: until then it goes last. */
     static final double NEW_MS = 250;
 
-    /** Told why they are closed, with a little time left to read it. */
+    /** Closing, the longest first. */
     private final Set<C> leaving = new LinkedHashSet<>();
     /** Never asked, by when they came. */
     private final Map<C, Double> strangers = new LinkedHashMap<>();
@@ -30,38 +31,48 @@
 
     /** It has something open now, and must stay. */
     void busy(C connection) {
-        strangers.remove(connection);
-        idle.remove(connection);
+        left(connection);
     }
 
     /** Nothing is open on it any more. */
     void idle(C connection, double now) {
-        strangers.remove(connection);
-        idle.remove(connection);
+        left(connection);
         idle.put(connection, now);
     }
 
     /** It is being closed. */
     void leaving(C connection) {
-        busy(connection);
-        leaving.add(connection);
+        if (!leaving.contains(connection)) {
+            left(connection);
+            leaving.add(connection);
+        }
     }
 
     void left(C connection) {
-        busy(connection);
+        strangers.remove(connection);
+        idle.remove(connection);
         leaving.remove(connection);
     }
 
-    /** Takes out the one that has to go for a newcomer; null: all are in use. */
+    /** How many are being closed. */
+    int leaving() {
+        return leaving.size();
+    }
+
+    /** The one that has been closing for longest; null: none is. */
+    C closingLongest() {
+        return leaving.isEmpty() ? null : leaving.iterator().next();
+    }
+
+    /** The one that has to go for a newcomer, which is closing from here on; null: all are in use. */
     C makeRoom(double now) {
         boolean known = !strangers.isEmpty() && now - strangers.values().iterator().next() >= NEW_MS;
-        Set<C> asked = known || idle.isEmpty() ? strangers.keySet() : idle.keySet();
-        Iterator<C> from = (leaving.isEmpty() ? asked : leaving).iterator();
+        Iterator<C> from = (known || idle.isEmpty() ? strangers : idle).keySet().iterator();
         if (!from.hasNext()) {
             return null;
         }
         C first = from.next();
-        from.remove();
+        leaving(first);
         return first;
     }
 }
--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -8,23 +8,34 @@
 import barleyspur.duty.Duty;
 import barleyspur.log.LogEvent;
 import barleyspur.retune.ClassTable;
+import barleyspur.transport.LingeringClose;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One client connection: its open requests by sequence number. */
+/**
+ * One client connection: its open requests by sequence number.
+ *
+ * <p>It is always read, also while its client does not read: a client that has closed or cancelled is gone, and nothing
+ * may be begun for it any more. What is read is taken only once the turn of the event loop has read all that there was,
+ * so that an end or a cancel that came with a request is seen before it. Who asks for more than may be open without
+ * reading the answers is let go.
+ *
+ * <p>It ends by one way, {@link LingeringClose}, but for a client that is gone or does not read: those are closed outright.
+ */
 final class FrontConnection extends SimpleChannelInboundHandler<ByteBuf> {
 
     private static final Logger LOG = LoggerFactory.getLogger("front");
@@ -33,9 +44,10 @@
     static final double STUCK_MS = 10_000;
     /** How long a client may take over its first whole request, or over the rest of one that it began. */
     static final int HALF_SENT_MS = 2_000;
-    /** How long a client has to read a last error before its connection is closed. */
-    static final double LAST_WORD_MS = 500;
-    private static final long MOST_DISCARDED = 256 * 1024;
+    /** How long a client has to read what was last written, and to close its side, before its connection is closed. */
+    static final double LINGER_MS = 500;
+    /** Answers that a client leaves unread, in times of what may be open, after which it is let go. */
+    private static final int MOST_UNREAD = 2;
     /** How long a client that is sent away for a drain or an upgrade is told to stay away: its connection closes. */
     static final long AWAY_MS = 50;
     /** Requests that can't be used, after which a connection with nothing open is closed. */
@@ -51,11 +63,15 @@
     private final CappedLog log;
     private final ThriftFrameDecoder decoder;
     private final Map<Integer, Pending> open = new HashMap<>();
+    /** Requests read in this turn of the loop, in their order; each holds its body. */
+    private final ArrayDeque<ThriftCall.Dispatch> arrived = new ArrayDeque<>();
     private Channel channel;
+    private LingeringClose closing;
     private Clock.Timer stuck;
     private Clock.Timer halfSent;
     private boolean useful;
-    private boolean leaving;
+    /** Since when nothing that was written has gone out, where something waits. */
+    private double stuckSince;
     private int bad;
     /** Answers and errors written and not yet out. */
     private int unwritten;
@@ -71,24 +87,22 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        closing = new LingeringClose(channel, front.clock());
         front.crowd().came(this, front.clock().nowMs());
         watch();
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws ThriftCall.Malformed {
-        if (leaving) {
+        if (closing.begun()) {
             return;
         }
         ThriftCall call = ThriftCall.read(frame);
         if (call instanceof ThriftCall.Dispatch c) {
-            dispatch(c);
+            c.body().retain();
+            arrived.add(c);
         } else if (call instanceof ThriftCall.CancelRequest c) {
-            Pending cancelled = open.remove(c.cancelled());
-            if (cancelled != null) {
-                cancelled.leave();
-                idleIfDone();
-            }
+            cancel(c.cancelled());
         } else if (call instanceof ThriftCall.Alive c) {
             used();
             answer("alive", c.seqid(), Unpooled.EMPTY_BUFFER, Map.of(), front.duty().ready());
@@ -98,34 +112,70 @@
         }
     }
 
+    /** No answer is owed to what is cancelled, whether it was taken or has only just come. */
+    private void cancel(int seqid) {
+        for (Iterator<ThriftCall.Dispatch> it = arrived.iterator(); it.hasNext();) {
+            ThriftCall.Dispatch call = it.next();
+            if (call.seqid() == seqid) {
+                it.remove();
+                call.body().release();
+                used();
+            }
+        }
+        Pending cancelled = open.remove(seqid);
+        if (cancelled != null) {
+            cancelled.leave();
+            idleIfDone();
+        }
+    }
+
     /** Watches for what never becomes whole: a first request, or later one of which only a part has come. */
     private void watch() {
         halfSent = front.clock().after(HALF_SENT_MS, () -> {
             if (!useful) {
                 log.warn("connection closed: no request came", "client", channel.remoteAddress(), "ms", HALF_SENT_MS);
-                lastWord(Thrift.PROTOCOL_ERROR, "no request came");
+                dismiss(Thrift.PROTOCOL_ERROR, "no request came");
             }
         });
     }
 
+    /** What was read is taken behind all that this turn of the loop reads: by then an end of the connection shows. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (leaving && decoder.discarded() > MOST_DISCARDED) {
-            channel.config().setAutoRead(false);
-        } else if (useful && !leaving) {
+        channel.eventLoop().execute(this::takeArrived);
+        ctx.fireChannelReadComplete();
+    }
+
+    private void takeArrived() {
+        for (ThriftCall.Dispatch call = arrived.poll(); call != null; call = arrived.poll()) {
+            try {
+                if (!closing.begun() && channel.isActive()) {
+                    dispatch(call);
+                }
+            } catch (ThriftCall.Malformed e) {
+                malformed(e);
+            } finally {
+                call.body().release();
+            }
+        }
+        if (closing.begun()) {
+            closing.discarded(decoder.discarded());
+        } else if (unwritten >= MOST_UNREAD * front.mostOpen()) {
+            log.warn("connection closed: it asks for more and reads no answers", "client", channel.remoteAddress());
+            dismiss(Thrift.PROTOCOL_ERROR, "answers are not read");
+        } else if (useful) {
             halfSent.cancel();
-            if (decoder.midFrame()) {
+            if (decoder.midFrame() && channel.isActive()) {
                 watchRest(decoder.frames());
             }
         }
-        ctx.fireChannelReadComplete();
     }
 
     private void watchRest(long frames) {
         halfSent = front.clock().after(HALF_SENT_MS, () -> {
             if (decoder.frames() == frames && open.isEmpty()) {
                 log.warn("connection closed: half a request", "client", channel.remoteAddress());
-                lastWord(Thrift.PROTOCOL_ERROR, "half a request came");
+                dismiss(Thrift.PROTOCOL_ERROR, "half a request came");
             } else {
                 watchRest(decoder.frames());
             }
@@ -138,25 +188,38 @@
     }
 
     private void idleIfDone() {
-        if (open.isEmpty() && !leaving && useful) {
+        if (open.isEmpty() && !closing.begun() && useful) {
             front.crowd().idle(this, front.clock().nowMs());
-            if (front.duty().closeWhenIdle()) {
-                // After the answer that made it idle has been written, which comes after this call.
-                channel.eventLoop().execute(this::closeIfQuiet);
-            }
+            closeSoonIfQuiet();
+        }
+    }
+
+    /** Behind all that this turn of the loop reads, and behind the answer that made it idle. */
+    private void closeSoonIfQuiet() {
+        if (front.duty().closeWhenIdle()) {
+            channel.eventLoop().execute(this::closeIfQuiet);
         }
     }
 
     /**
-     * Closes the connection where the duty wants idle ones gone and nothing is open or unwritten on it. One that never
-     * asked is left to the watch on half-sent requests: it may be about to ask.
+     * Closes the connection where the duty wants idle ones gone and nothing is open, unwritten or half read on it. One
+     * that never asked is left to the watch on half-sent requests, for it may be about to ask, until nothing more is to
+     * come at all.
      */
     void closeIfQuiet() {
-        if (open.isEmpty() && unwritten == 0 && useful && !leaving && channel.isActive() && front.duty().closeWhenIdle()) {
+        boolean quiet = open.isEmpty() && arrived.isEmpty() && unwritten == 0 && !decoder.midFrame();
+        if (quiet && front.duty().closeWhenIdle() && (useful || front.duty().closeStrangers())) {
+            close();
+        }
+    }
+
+    /** Begins to close; what still comes is thrown away. */
+    private void close() {
+        if (!closing.begun() && channel.isActive()) {
             front.crowd().leaving(this);
-            leaving = true;
             halfSent.cancel();
-            channel.close();
+            decoder.discard();
+            closing.begin(LINGER_MS);
         }
     }
 
@@ -164,36 +227,30 @@
     private void bad(String method, int seqid, int kind, String message) {
         write(Thrift.exception(channel.alloc(), method, seqid, kind, message));
         if (++bad >= MOST_BAD && open.isEmpty()) {
-            lastWord(kind, message);
+            dismiss(kind, message);
         }
     }
 
     /**
      * Fails what is open, says why, and closes once the client has had time to read that: a close with unread input
-     * resets the connection, which destroys what the client has not read yet. What still comes is thrown away, and
-     * past a bound not even read: a client of endless messages must not have the loop for itself.
+     * resets the connection, which destroys what the client has not read yet.
      */
-    private void lastWord(int kind, String message) {
-        if (leaving) {
+    private void dismiss(int kind, String message) {
+        if (closing.begun()) {
             return;
         }
-        leaving = true;
-        front.crowd().leaving(this);
-        halfSent.cancel();
-        decoder.discard();
         List<Pending> left = new ArrayList<>(open.values());
         open.clear();
         left.forEach(x -> {
             x.leave();
             write(Thrift.failed(channel.alloc(), DISPATCH, x.seqid));
         });
+        for (ThriftCall.Dispatch call = arrived.poll(); call != null; call = arrived.poll()) {
+            write(Thrift.failed(channel.alloc(), DISPATCH, call.seqid()));
+            call.body().release();
+        }
         write(Thrift.exception(channel.alloc(), "", 0, kind, message));
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(out -> {
-            if (channel instanceof DuplexChannel duplex) {
-                duplex.shutdownOutput();
-            }
-        });
-        stuck = front.clock().after(LAST_WORD_MS, channel::close);
+        close();
     }
 
     private void dispatch(ThriftCall.Dispatch call) throws ThriftCall.Malformed {
@@ -220,7 +277,8 @@
             idleIfDone();
             return;
         }
-        if (open.size() >= front.mostOpen() || unread.full()) {
+        // What is not yet out is open to its client: who keeps to the limit is never refused by this.
+        if (open.size() + unwritten >= front.mostOpen() || unread.full()) {
             log.warn("refused: too many requests are open here", "client", channel.remoteAddress(), "open", open.size(),
                 "unread", unread.full());
             write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of()));
@@ -295,15 +353,25 @@
     }
 
     private void written() {
-        if (--unwritten == 0 && open.isEmpty() && front.duty().closeWhenIdle()) {
-            closeIfQuiet();
+        stuckSince = front.clock().nowMs();
+        if (--unwritten == 0 && open.isEmpty()) {
+            closeSoonIfQuiet();
         }
     }
 
     /** Closes the connection for a newcomer's, unless what has just been read is a request on it. */
     void makeRoom() {
         channel.eventLoop().execute(() -> {
-            if (open.isEmpty()) {
+            if (open.isEmpty() && arrived.isEmpty()) {
+                close();
+            }
+        });
+    }
+
+    /** Ends what is closing, without lingering any further: its descriptor is needed. */
+    void endClosing() {
+        channel.eventLoop().execute(() -> {
+            if (closing.begun()) {
                 channel.close();
             }
         });
@@ -314,39 +382,51 @@
         channel.writeAndFlush(message).addListener(out -> written());
     }
 
-    /** Back-pressure: from a client that does not read its answers nothing more is read, and at last it is left. */
+    /** A client to which nothing goes out any more is left at last; it is read meanwhile, to learn when it is gone. */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        boolean writable = channel.isWritable();
-        if (leaving) {
-            return;
-        }
-        channel.config().setAutoRead(writable);
         if (stuck != null) {
             stuck.cancel();
             stuck = null;
         }
-        if (!writable && channel.isActive()) {
-            stuck = front.clock().after(STUCK_MS, () -> {
+        if (!channel.isWritable() && channel.isActive() && !closing.begun()) {
+            stuckSince = front.clock().nowMs();
+            watchStuck(STUCK_MS);
+        }
+    }
+
+    private void watchStuck(double ms) {
+        stuck = front.clock().after(ms, () -> {
+            double left = stuckSince + STUCK_MS - front.clock().nowMs();
+            if (left > 0) {
+                watchStuck(left);
+            } else {
                 log.warn("connection closed: it does not read its answers", "client", channel.remoteAddress());
                 channel.close();
-            });
-        }
+            }
+        });
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        leaving = true;
+        closing.closed();
         front.crowd().left(this);
         halfSent.cancel();
         if (stuck != null) {
             stuck.cancel();
         }
+        arrived.forEach(call -> call.body().release());
+        arrived.clear();
         List<Pending> left = new ArrayList<>(open.values());
         open.clear();
         left.forEach(Pending::leave);
     }
 
+    private void malformed(Exception cause) {
+        log.warn("connection closed", "client", channel.remoteAddress(), "cause", cause.getMessage());
+        dismiss(Thrift.PROTOCOL_ERROR, "not the strict binary protocol");
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
@@ -354,8 +434,7 @@
                 cause.getMessage());
             ctx.close();
         } else if (cause instanceof ThriftCall.Malformed || cause instanceof DecoderException) {
-            log.warn("connection closed", "client", ctx.channel().remoteAddress(), "cause", cause.getMessage());
-            lastWord(Thrift.PROTOCOL_ERROR, "not the strict binary protocol");
+            malformed((Exception) cause);
         } else {
             log.warn("connection closed", "client", ctx.channel().remoteAddress(), "cause", cause);
             ctx.close();
--- a/doorman/src/main/java/barleyspur/front/thrift/RequestFields.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/RequestFields.java
@@ -14,8 +14,8 @@
     /** Only these digits: the number parsers also take signs and other scripts' digits, which depots may not. */
     private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
     private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
-    /** A tag goes on into a depot's list of fields, so it must not be able to end its field and begin another. */
-    private static final Pattern TAG = Pattern.compile("[!-~&&[^,=\"]]{1,256}");
+    /** Goes on into a depot's list of fields, so it must not be able to end its field and begin another. */
+    private static final Pattern BARE = Pattern.compile("[!-~&&[^,=\"]]{1,256}");
     private static final int MOST_PART = 1 << 20;
     private static final int MOST_GROUP = 255;
     /** Far above any object's: one figure out of all measure would spoil what is learned from sizes. */
@@ -45,13 +45,14 @@
         int mostMs = (int) Math.ceil(classes.classes().get(category).deadlineMs());
         return new Ask(id, category, className, key, hex("o", key), word("seg"), whole("seg", MOST_PART),
             whole("bucket", MOST_GROUP), whole("d", mostMs), size == null ? 0 : decimal("m", size),
-            tag(), body);
+            bare("etag"), bare("k"), body);
     }
 
-    private String tag() {
-        String value = fields.get("etag");
-        if (value != null && !TAG.matcher(value).matches()) {
-            throw new IllegalArgumentException("field etag is not a bare tag");
+    /** A word that may be missing; null then. */
+    private String bare(String name) {
+        String value = fields.get(name);
+        if (value != null && !BARE.matcher(value).matches()) {
+            throw new IllegalArgumentException("field " + name + " is not a bare word");
         }
         return value;
     }
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -6,21 +6,18 @@
 import barleyspur.duty.Duty;
 import barleyspur.retune.ClassTable;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.ChannelGroupFuture;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -33,12 +30,19 @@
     private static final int MAX_FRAME = 128 * 1024;
     private static final int MOST_OPEN = 32;
     private static final int BACKLOG = 512;
-    /** How long clients have to read the last answers before the process ends. */
-    private static final long LAST_READ_MS = 1_000;
+    /**
+     * A connection is read until there is no more, but so often at most before others have their turn: an end of the
+     * connection is seen with the last request before it.
+     */
+    private static final int MOST_READS = 16;
+    /** Of the connections one in so many may be closing ones, which linger until their client has read the last answer. */
+    private static final int LINGERING = 16;
 
     private final EventLoopGroup group;
     private final Clock clock;
     private final int mostConnections;
+    /** So many may be in use; the rest are for those that are closing. */
+    private final int mostServed;
     private final ChannelGroup connections;
     private final CappedLog log;
     private final Crowd<FrontConnection> crowd = new Crowd<>();
@@ -57,6 +61,7 @@
         this.group = group;
         this.clock = clock;
         this.mostConnections = mostConnections;
+        this.mostServed = mostConnections - mostConnections / LINGERING;
         this.log = new CappedLog(LOG, clock);
         this.connections = new DefaultChannelGroup(group.next());
         this.classes = classes;
@@ -78,6 +83,8 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
+                .respectMaybeMoreData(false).maxMessagesPerRead(MOST_READS))
             // Finds out clients that have vanished without a word.
             .childOption(ChannelOption.SO_KEEPALIVE, true)
             .childHandler(acceptor())
@@ -97,7 +104,7 @@
     }
 
     private void accept(Channel channel) {
-        if (connections.size() >= mostConnections) {
+        if (connections.size() - crowd.leaving() >= mostServed) {
             // Guards the limit on descriptors: without it a crowd of clients would cut off the depots.
             FrontConnection leaves = crowd.makeRoom(clock.nowMs());
             if (leaves == null) {
@@ -110,6 +117,9 @@
                 connections.size());
             leaves.makeRoom();
         }
+        if (connections.size() >= mostConnections && crowd.leaving() > 0) {
+            crowd.closingLongest().endClosing();
+        }
         connections.add(channel);
         ThriftFrameDecoder decoder = new ThriftFrameDecoder(MAX_FRAME);
         channel.pipeline().addLast(decoder, new FrontConnection(shared, decoder));
@@ -120,29 +130,38 @@
         classes = next;
     }
 
-    /** Closes every connection that has nothing open, as the duty wants it now. */
+    /** Closes every connection that has nothing open, as the duty wants it now, once this turn of the loop has been read. */
     public void closeIdle() {
-        for (Channel c : connections) {
-            FrontConnection connection = c.pipeline().get(FrontConnection.class);
-            if (connection != null) {
-                connection.closeIfQuiet();
+        group.next().execute(() -> {
+            for (Channel c : connections) {
+                FrontConnection connection = c.pipeline().get(FrontConnection.class);
+                if (connection != null) {
+                    connection.closeIfQuiet();
+                }
             }
-        }
+        });
     }
 
-    /** Stops listening: a successor has the address. Connections that are open stay. Done when the future is. */
+    /**
+     * Stops listening: a successor has the address. Connections that are open stay. Done when the future is, but for
+     * the kernel's socket, which is given back when the loop next selects.
+     */
     public ChannelFuture stopListening() {
         return listener.close();
     }
 
-    /** Stops listening and closes every connection once what was written to it is out, or after a while. */
-    public void close(Runnable then) {
-        listener.close();
-        ChannelGroupFuture closed = connections.newCloseFuture();
-        connections.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> connections.close());
-        Future<?> enough = group.next().schedule(() -> connections.close(), LAST_READ_MS, TimeUnit.MILLISECONDS);
-        closed.addListener(all -> {
-            enough.cancel(false);
+    /**
+     * Stops listening and ends every connection as it falls quiet, all of them after {@code mostMs}; then runs
+     * {@code then}. The duty wants idle ones gone from before this call on.
+     */
+    public void close(double mostMs, Runnable then) {
+        if (listener != null) {
+            listener.close();
+        }
+        closeIdle();
+        Clock.Timer enough = clock.after(mostMs, connections::close);
+        connections.newCloseFuture().addListener(all -> {
+            enough.cancel();
             then.run();
         });
     }
--- a/doorman/src/test/java/barleyspur/channel/CommandChannelTest.java
+++ b/doorman/src/test/java/barleyspur/channel/CommandChannelTest.java
@@ -98,6 +98,30 @@
         assertResumes(2, 4);
     }
 
+    /** Guards drains and purges: a channel that only repeats what was told may have lost what came after. */
+    @Test
+    void aChannelThatIsBehindCountsAsSilent() {
+        pass(CommandChannel.SILENCE_MS - 1);
+        say(last(), "3\n{\"cursor\":4,\"drop\":{\"family\":1,\"when\":1764576000480}}\n");
+        assertTrue(last().isOpen());
+        pass(1);
+        assertFalse(last().isOpen(), "older numbers are no heartbeat");
+        pass(CommandChannel.AGAIN_MS);
+        assertResumes(2, 4);
+    }
+
+    /** Guards drains and purges: half a line is no sign of what is to come. */
+    @Test
+    void halfALineIsNoHeartbeat() {
+        say(last(), "{\"cursor\":5,");
+        pass(CommandChannel.SILENCE_MS - 1);
+        say(last(), "\"drop\":{");
+        pass(1);
+        assertFalse(last().isOpen());
+        pass(CommandChannel.AGAIN_MS);
+        assertResumes(2, 4);
+    }
+
     /** The old address tells nothing further, so waiting there for the end would cost the time to be told in. */
     @Test
     void aMoveResumesAtOnceAndDropsTheConnectionBefore() {
--- /dev/null
+++ b/doorman/src/test/java/barleyspur/front/thrift/EndingsTest.java
@@ -0,0 +1,525 @@
+package barleyspur.front.thrift;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.Cuts;
+import barleyspur.Loopback;
+import barleyspur.Loopback.Peer.Request;
+import barleyspur.Loopback.Wire;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.json.JSONArray;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** How things end on real sockets, with every crossing forced: see {@code docs/design/endings.md}. */
+@Timeout(60)
+class EndingsTest {
+
+    private static final String DONE = "how=h,digest=4be0c1927d55a6f3,dated=1000";
+    private static final int SERVED = 0;
+    private static final int REFUSED = 1;
+    private static final int FAILED = 2;
+
+    @TempDir
+    Path folder;
+
+    private Loopback start() throws Exception {
+        Loopback doorman = new Loopback(folder, c -> { });
+        doorman.box.serve();
+        doorman.origin.serve();
+        return doorman;
+    }
+
+    private static byte[] dispatch(int seqid, String className, String id) {
+        return Cuts.take(ThriftPropertiesTest.dispatch(seqid, Map.of("c", className, "i", id, "d", "2500", "o",
+            "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"), new byte[4]));
+    }
+
+    private static byte[] dispatch(int seqid, String id) {
+        return dispatch(seqid, "segment", id);
+    }
+
+    private static String id(int number) {
+        return String.format("%016x", number);
+    }
+
+    private static byte[] alive(int seqid) {
+        ByteBuf out = Unpooled.buffer().writeInt(0).writeInt(Thrift.VERSION | Thrift.CALL).writeInt(5);
+        out.writeCharSequence("alive", StandardCharsets.US_ASCII);
+        out.writeInt(seqid).writeByte(Thrift.STOP);
+        return Cuts.take(out.setInt(0, out.readableBytes() - Integer.BYTES));
+    }
+
+    /** Which of a service's answers came: served, refused, failed, or as an application exception, -1. */
+    private static int answer(Wire client, int seqid) throws IOException {
+        byte[] frame = client.frame();
+        assertNotNull(frame, "the connection has ended without an answer");
+        ByteBuf in = Unpooled.wrappedBuffer(frame);
+        int type = in.readInt() & 0xFF;
+        in.skipBytes(in.readInt());
+        assertEquals(seqid, in.readInt());
+        return type == Thrift.EXCEPTION ? -1 : in.getShort(in.readerIndex() + 1);
+    }
+
+    private static byte[] part(byte[] bytes, int from, int to) {
+        return Arrays.copyOfRange(bytes, from, to);
+    }
+
+    /** A request that must be the next at the box: nothing else has been sent on before it. */
+    private static void assertNextIs(Loopback doorman, String id) throws Exception {
+        Request next = doorman.box.next();
+        assertEquals(List.of("serve", id), next.words().subList(0, 2));
+        next.answer("DONE", DONE, new byte[10]);
+    }
+
+    private static void assertStillServes(Loopback doorman, String id) throws Exception {
+        try (Wire client = doorman.client()) {
+            client.write(dispatch(1, id));
+            assertNextIs(doorman, id);
+            assertEquals(SERVED, answer(client, 1));
+        }
+    }
+
+    // ---- a client that has gone ---------------------------------------------------------------------------
+
+    /** FIN, RST and a cancel that have come by the time in which their requests are read: no first attempt begins. */
+    @Test
+    void noAttemptBeginsForWhoHasGoneInTheSameTurn() throws Exception {
+        try (Loopback doorman = start(); Wire cancels = doorman.client()) {
+            List<Wire> burst = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                Wire client = doorman.client();
+                client.write(alive(1));
+                assertEquals(SERVED, answer(client, 1));
+                burst.add(client);
+            }
+            Runnable release = doorman.hold();
+            for (int i = 0; i < 40; i++) {
+                for (int j = 2; j < 10; j++) {
+                    burst.get(i).write(dispatch(j, id(100 * i + j)));
+                }
+                if (i % 2 == 0) {
+                    burst.get(i).close();
+                } else {
+                    burst.get(i).reset();
+                }
+                doorman.awaitEnded(burst.get(i));
+            }
+            cancels.write(dispatch(1, id(9_001)));
+            cancels.write(Cuts.take(ThriftPropertiesTest.cancelRequest(2, 1)));
+            cancels.write(dispatch(3, id(9_002)));
+            release.run();
+            assertNextIs(doorman, id(9_002));
+            assertEquals(SERVED, answer(cancels, 3));
+            assertStillServes(doorman, id(9_003));
+        }
+    }
+
+    /** The same while the request waits for a connection to the box that comes up late. */
+    @Test
+    void noAttemptBeginsForWhoHasGoneWhileItWaitedForAConnect() throws Exception {
+        try (Loopback doorman = new Loopback(folder, c -> { }, 1); Wire fin = doorman.client(); Wire rst = doorman.client();
+            Wire cancels = doorman.client(); Wire probe = doorman.client()) {
+            // The listener's queue is full, so that the doorman's connects come up only once it is emptied.
+            List<Wire> crowd = doorman.box.fillQueue();
+            fin.write(dispatch(1, id(1)));
+            rst.write(dispatch(1, id(2)));
+            cancels.write(dispatch(1, id(3)));
+            assertAlive(probe, 1);
+            fin.end();
+            rst.reset();
+            cancels.write(Cuts.take(ThriftPropertiesTest.cancelRequest(2, 1)));
+            cancels.write(dispatch(3, id(4)));
+            assertAlive(probe, 2);
+            doorman.box.serve();
+            assertNextIs(doorman, id(4));
+            assertEquals(SERVED, answer(cancels, 3));
+            for (Wire one : crowd) {
+                one.close();
+            }
+        }
+    }
+
+    /** By now the doorman has read all that was written to it before. */
+    private static void assertAlive(Wire probe, int seqid) throws IOException {
+        probe.write(alive(seqid));
+        assertEquals(SERVED, answer(probe, seqid));
+    }
+
+    /** Lets the loop turn often enough to read and write all that it can. */
+    private static void turn(Wire probe) throws IOException {
+        for (int i = 1; i <= 500; i++) {
+            assertAlive(probe, i);
+        }
+    }
+
+    /** A client that takes no answers is heard all the same: its cancel gives up what is out, and nothing is tried again. */
+    @Test
+    void aCancelBehindUnreadAnswersIsHeard() throws Exception {
+        try (Loopback doorman = new Loopback(folder, c -> c.getJSONObject("limits").put("memory_mb", 2_000));
+            Wire client = doorman.narrowClient(); Wire probe = doorman.client()) {
+            doorman.box.serve();
+            client.write(dispatch(1, id(1)));
+            Request waits = doorman.box.next();
+            // More than the sockets hold between them, so that the doorman can't write on.
+            for (int i = 2; i < 32; i++) {
+                client.write(dispatch(i, id(i)));
+                doorman.box.next().answer("DONE", DONE, new byte[240_000]);
+            }
+            turn(probe);
+            client.write(Cuts.take(ThriftPropertiesTest.cancelRequest(40, 1)));
+            assertEquals(List.of("cancel", id(1)), doorman.box.next().words());
+            waits.answer("WAIT", "-", null);
+            assertStillServes(doorman, id(50));
+        }
+    }
+
+    /** A client that shuts its side has gone: the protocol knows no half-closed clients. */
+    @Test
+    void whoShutsItsSideHasGone() throws Exception {
+        try (Loopback doorman = start(); Wire client = doorman.client()) {
+            client.write(dispatch(1, id(1)));
+            Request out = doorman.box.next();
+            client.shutOutput();
+            assertEquals(List.of("cancel", id(1)), doorman.box.next().words());
+            out.answer("WAIT", "-", null);
+            assertNull(client.frame());
+            assertStillServes(doorman, id(2));
+        }
+    }
+
+    // ---- connections that the doorman ends ----------------------------------------------------------------
+
+    /** All places taken by idle clients, discovery down: a newcomer is let in, and the channel and the box are reached. */
+    @Test
+    void idleClientsMakeRoomWhileDiscoveryIsDown() throws Exception {
+        try (Loopback doorman = new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 96))) {
+            doorman.box.serve();
+            doorman.channel.accept().close();
+            List<Wire> idle = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                Wire client = doorman.client();
+                client.write(alive(1));
+                assertEquals(SERVED, answer(client, 1));
+                idle.add(client);
+            }
+            assertNull(idle.get(0).frame(), "the longest idle one has made room, and was not reset");
+            assertStillServes(doorman, id(1));
+            doorman.pass(300);
+            Wire again = doorman.channel.accept();
+            assertEquals("resume 1", again.line());
+            for (Wire client : idle) {
+                client.close();
+            }
+        }
+    }
+
+    /**
+     * Bytes that arrive in the very turn in which an idle connection is shut for a newcomer: half a request is thrown away
+     * and the connection ends without a reset, so that the answer before it survives.
+     */
+    @Test
+    void bytesThatCrossAnEvictionDoNotResetTheConnection() throws Exception {
+        try (Loopback doorman = new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 96))) {
+            doorman.box.serve();
+            List<Wire> idle = new ArrayList<>();
+            Wire oldest = doorman.client();
+            // Its answer is left unread.
+            oldest.write(alive(1));
+            for (int i = 0; i < 30; i++) {
+                Wire client = doorman.client();
+                client.write(alive(1));
+                assertEquals(SERVED, answer(client, 1));
+                idle.add(client);
+            }
+            byte[] request = dispatch(2, id(1));
+            doorman.whenTheTimeIsNextAsked(() -> {
+                try {
+                    oldest.write(part(request, 0, 50));
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            Wire newcomer = doorman.client();
+            newcomer.write(alive(1));
+            assertEquals(SERVED, answer(newcomer, 1));
+            idle.add(newcomer);
+            oldest.write(part(request, 50, request.length));
+            assertEquals(SERVED, answer(oldest, 1));
+            assertNull(oldest.frame(), "shut, and not reset");
+            assertStillServes(doorman, id(2));
+            for (Wire client : idle) {
+                client.close();
+            }
+        }
+    }
+
+    /** A whole request in the very turn in which its idle connection would be shut keeps the connection. */
+    @Test
+    void aRequestInTheTurnOfItsEvictionIsServed() throws Exception {
+        try (Loopback doorman = new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 96))) {
+            doorman.box.serve();
+            List<Wire> idle = new ArrayList<>();
+            for (int i = 0; i < 30; i++) {
+                Wire client = doorman.client();
+                client.write(alive(1));
+                assertEquals(SERVED, answer(client, 1));
+                idle.add(client);
+            }
+            Runnable release = doorman.hold();
+            idle.get(0).write(dispatch(2, id(1)));
+            for (int i = 0; i < 4; i++) {
+                idle.add(doorman.client());
+            }
+            release.run();
+            assertNextIs(doorman, id(1));
+            assertEquals(SERVED, answer(idle.get(0), 2));
+            for (Wire client : idle) {
+                client.close();
+            }
+        }
+    }
+
+    // ---- SIGTERM ------------------------------------------------------------------------------------------
+
+    /** Whatever is between its first and last byte at SIGTERM is served, and idle clients end without a reset. */
+    @Test
+    void aRequestCutBySigtermIsServed() throws Exception {
+        Loopback doorman = start();
+        Wire client = doorman.client();
+        Wire idle = doorman.client();
+        idle.write(alive(1));
+        byte[] request = dispatch(1, id(1));
+        client.write(part(request, 0, 60));
+        assertEquals(SERVED, answer(idle, 1));
+        doorman.node.drain();
+        doorman.node.drain();
+        doorman.pass(700);
+        assertAlive(idle, 2);
+        client.write(part(request, 60, request.length));
+        Request out = doorman.box.next();
+        doorman.pass(1_000);
+        assertNull(idle.frame(), "idle, and nothing more is to come");
+        out.answer("DONE", DONE, new byte[10]);
+        assertEquals(SERVED, answer(client, 1));
+        assertNull(client.frame());
+        doorman.close();
+    }
+
+    /** A depot that hangs past the last moment before SIGKILL: its request is failed while there is time. */
+    @Test
+    void aHungDepotIsHeldNoLongerThanSigkillLeaves() throws Exception {
+        Loopback doorman = new Loopback(folder, c -> ((JSONObject) c.getJSONObject("settings").getJSONArray("grades").get(0))
+            .put("hardLimitMs", 60_000));
+        doorman.box.serve();
+        Wire client = doorman.client();
+        client.write(Cuts.take(ThriftPropertiesTest.dispatch(1, Map.of("c", "segment", "i", id(1), "d", "50000", "o",
+            "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"), new byte[4])));
+        doorman.box.next();
+        doorman.node.drain();
+        doorman.pass(3_499);
+        doorman.pass(2);
+        assertEquals(FAILED, answer(client, 1), "SIGKILL may come after 3.7 s");
+        assertNull(client.frame());
+        doorman.close();
+    }
+
+    /** A client that reads slowly gets its answers whole for as long as SIGKILL can't come. */
+    @Test
+    void aSlowReaderGetsItsAnswersUntilSigkillMayCome() throws Exception {
+        Loopback doorman = new Loopback(folder, c -> c.getJSONObject("limits").put("memory_mb", 2_000));
+        doorman.box.serve();
+        Wire client = doorman.narrowClient();
+        byte[] bytes = new byte[240_000];
+        Arrays.fill(bytes, (byte) 7);
+        for (int i = 1; i <= 30; i++) {
+            client.write(dispatch(i, id(i)));
+            doorman.box.next().answer("DONE", DONE, bytes);
+        }
+        try (Wire probe = doorman.client()) {
+            turn(probe);
+        }
+        doorman.node.drain();
+        doorman.pass(3_400);
+        for (int i = 1; i <= 30; i++) {
+            ByteBuf in = Unpooled.wrappedBuffer(client.frame());
+            in.skipBytes(4).skipBytes(in.readInt()).skipBytes(4 + 3 + 3);
+            byte[] got = new byte[in.readInt()];
+            in.readBytes(got);
+            assertArrayEquals(bytes, got, "answer " + i);
+        }
+        assertNull(client.frame());
+        doorman.close();
+    }
+
+    // ---- what must not run twice ----------------------------------------------------------------------------
+
+    /** A box that reads so much of an unsafe request and resets: it is failed, and never sent again, whatever its class is called. */
+    @Test
+    void anUnsafeRequestNeverGoesOutTwice() throws Exception {
+        try (Loopback doorman = new Loopback(folder, c -> { }); Wire client = doorman.client()) {
+            for (int read = 1; read < 110; read++) {
+                client.write(dispatch(read, "order", id(read)));
+                Wire at = doorman.box.accept();
+                at.bytes(read);
+                at.reset();
+                assertEquals(FAILED, answer(client, read), "reset after " + read + " bytes");
+            }
+            doorman.box.serve();
+            assertStillServes(doorman, id(200));
+        }
+    }
+
+    /** Guards keyed requests: depots drop repeats by the key that the client gave, so each attempt carries it, and no other does. */
+    @Test
+    void aKeyedRequestCarriesItsKeyWithEachAttempt() throws Exception {
+        try (Loopback doorman = start(); Wire client = doorman.client()) {
+            client.write(Cuts.take(ThriftPropertiesTest.dispatch(1, Map.of("c", "stamp", "i", id(1), "d", "2500", "o",
+                "7f3a9c21e0b4d655", "seg", "0", "bucket", "17", "k", "645b707de91bf3071eae83015509ede1"), new byte[4])));
+            Request first = doorman.box.next();
+            first.answer("BROKE", "-", null);
+            Request again = doorman.box.next();
+            for (Request attempt : List.of(first, again)) {
+                assertEquals(id(1), attempt.id());
+                assertTrue(attempt.words().get(2).contains(",once=645b707de91bf3071eae83015509ede1"), attempt.words().get(2));
+            }
+            again.answer("DONE", DONE, new byte[10]);
+            assertEquals(SERVED, answer(client, 1));
+            client.write(dispatch(2, "stamp", id(2)));
+            Request without = doorman.box.next();
+            assertFalse(without.words().get(2).contains("once="), without.words().get(2));
+            without.answer("DONE", DONE, new byte[10]);
+            assertEquals(SERVED, answer(client, 2));
+        }
+    }
+
+    /** A request keeps the effect of the class that it was taken under, also where a reload changes it meanwhile. */
+    @Test
+    void anOpenRequestKeepsItsEffectThroughAReload() throws Exception {
+        try (Loopback doorman = start(); Wire client = doorman.client()) {
+            Wire channel = doorman.channel.accept();
+            assertEquals("resume 1", channel.line());
+            client.write(dispatch(1, "order", id(1)));
+            Request out = doorman.box.next();
+            doorman.reload(c -> {
+                JSONArray grades = c.getJSONObject("settings").getJSONArray("grades");
+                grades.getJSONObject(1).put("repeat", "repeatable");
+                // It moves the channel too, which shows when it has been read.
+                c.put("channel", c.getString("channel").replace("127.0.0.1", "127.0.0.2"));
+            });
+            assertNull(channel.line(), "the channel has moved");
+            out.wire().reset();
+            assertEquals(FAILED, answer(client, 1));
+            client.write(dispatch(2, "order", id(2)));
+            doorman.box.next().wire().reset();
+            Request again = doorman.box.next();
+            assertEquals(id(2), again.id(), "taken under the new effect it is tried again");
+            again.answer("DONE", DONE, new byte[10]);
+            assertEquals(SERVED, answer(client, 2));
+        }
+    }
+
+    // ---- the command channel ---------------------------------------------------------------------------------
+
+    private static String state(Loopback doorman, int cursor, String state) {
+        return new JSONObject().put("cursor", cursor).put("nodes", new JSONObject().put("rev", cursor).put("all", false)
+            .put("targets", new JSONArray().put(Loopback.target("s-1", doorman.box, "cache").put("state", state))))
+            .toString() + "\n";
+    }
+
+    /** Mute from its first second, mute after a reconnect, and mute after half a line: each time it is given up and asked anew. */
+    @Test
+    void aChannelThatSaysNothingIsGivenUp() throws Exception {
+        try (Loopback doorman = start()) {
+            for (String last : List.of("", "1\n", state(doorman, 2, "terminating").substring(0, 40), "0\n")) {
+                Wire mute = doorman.channel.accept();
+                assertEquals("resume 1", mute.line());
+                mute.write(last);
+                Wire probe = doorman.client();
+                assertAlive(probe, 1);
+                probe.close();
+                doorman.pass(2_000);
+                assertNull(mute.line(), "given up after: " + last);
+                doorman.pass(300);
+            }
+            Wire well = doorman.channel.accept();
+            assertEquals("resume 1", well.line());
+            well.write(state(doorman, 2, "terminating") + "2\n");
+            try (Wire client = doorman.client()) {
+                assertAlive(client, 1);
+                client.write(dispatch(2, id(2)));
+                Request elsewhere = doorman.origin.next();
+                assertEquals(id(2), elsewhere.id(), "the box drains");
+                elsewhere.answer("DONE", DONE, new byte[10]);
+                assertEquals(SERVED, answer(client, 2));
+                assertNull(doorman.box.come());
+            }
+        }
+    }
+
+    /** What waits for a connection to a box that is told to drain meanwhile goes elsewhere. */
+    @Test
+    void aDrainOvertakesWhatWaitsForAConnect() throws Exception {
+        try (Loopback doorman = new Loopback(folder, c -> { }, 1); Wire client = doorman.client();
+            Wire probe = doorman.client()) {
+            doorman.origin.serve();
+            List<Wire> crowd = doorman.box.fillQueue();
+            Wire channel = doorman.channel.accept();
+            client.write(dispatch(1, id(1)));
+            assertAlive(probe, 1);
+            channel.write(state(doorman, 2, "terminating"));
+            Request elsewhere = doorman.origin.next();
+            assertEquals(id(1), elsewhere.id());
+            elsewhere.answer("DONE", DONE, new byte[10]);
+            assertEquals(SERVED, answer(client, 1));
+            for (Wire one : crowd) {
+                one.close();
+            }
+        }
+    }
+
+    // ---- spoilt answers ------------------------------------------------------------------------------------------
+
+    /** A second answer, one after the cancel, and one without bytes harm neither their request nor another. */
+    @Test
+    void aSpoiltAnswerHarmsNobody() throws Exception {
+        try (Loopback doorman = start(); Wire client = doorman.client()) {
+            client.write(dispatch(1, id(1)));
+            Request first = doorman.box.next();
+            first.answer("DONE", DONE, new byte[10]);
+            first.answer("DONE", DONE, new byte[11]);
+            assertEquals(SERVED, answer(client, 1));
+            client.write(dispatch(2, id(2)));
+            Request second = doorman.box.next();
+            second.answer("DONE", DONE, null);
+            Request again = doorman.box.next();
+            assertEquals(id(2), again.id());
+            again.answer("KEEP", DONE, null);
+            Request third = doorman.box.next();
+            assertEquals(id(2), third.id(), "no copy may be called current that the client does not hold");
+            third.answer("DONE", DONE, new byte[12]);
+            assertEquals(SERVED, answer(client, 2));
+            client.write(dispatch(3, id(3)));
+            Request cancelled = doorman.box.next();
+            client.write(Cuts.take(ThriftPropertiesTest.cancelRequest(4, 3)));
+            assertEquals("cancel", doorman.box.next().verb());
+            cancelled.answer("DONE", DONE, new byte[13]);
+            assertStillServes(doorman, id(5));
+        }
+    }
+}
