--- a/decision/src/test/java/barleyspur/decision/Bench.java
+++ b/decision/src/test/java/barleyspur/decision/Bench.java
@@ -26,7 +26,11 @@
     private long lastRequest;
 
     Bench(Director.Settings settings) {
-        director = new Decide(settings, 7);
+        this(settings, 7);
+    }
+
+    Bench(Director.Settings settings, long seed) {
+        director = new Decide(settings, seed);
     }
 
     static Director.RequestClass requestClass(Effect effect, double freshMs) {
@@ -105,7 +109,11 @@
     }
 
     List<Action> request(int category, long object, double remainingMs) {
-        return tell(new Director.Request(++lastRequest, category, 0, object, 0, 5, remainingMs, 0, false, false));
+        return request(category, object, remainingMs, 0);
+    }
+
+    List<Action> request(int category, long object, double remainingMs, double sizeKb) {
+        return tell(new Director.Request(++lastRequest, category, 0, object, 0, 5, remainingMs, sizeKb, false, false));
     }
 
     /** The attempt that a new request of class 0 for {@code object} leads to. */
--- a/lab/src/main/java/barleyspur/lab/stand/StandBoxes.java
+++ b/lab/src/main/java/barleyspur/lab/stand/StandBoxes.java
@@ -129,7 +129,9 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, RespDecoder.Message message) {
-            message.body().release();
+            if (message.body() != null) {
+                message.body().release();
+            }
             String word = message.words().get(0);
             if (word.equals("cancel")) {
                 cancelled.add(message.words().get(1));
--- a/lab/src/main/java/barleyspur/lab/stand/StandChannel.java
+++ b/lab/src/main/java/barleyspur/lab/stand/StandChannel.java
@@ -3,22 +3,45 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.ImmediateEventExecutor;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
-/** The command channel, with nothing to tell beyond the start: each second the number of the last event. */
+/** The command channel: events as they are told, and each second the number of the last one. */
 public final class StandChannel {
 
-    private StandChannel() { }
+    private final ChannelGroup connections = new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
+    private volatile long last;
+
+    private StandChannel(long last) {
+        this.last = last;
+    }
+
+    /** Tells all that are connected one event more: {@code body} is what stands beside its number, as in {@code "nodes":...}. */
+    public void tell(String body) {
+        last++;
+        connections.writeAndFlush(Unpooled.copiedBuffer("{\"cursor\":" + last + "," + body + "}\n", StandardCharsets.UTF_8));
+    }
 
     /** Listens; {@code last} is the number of the last event, which all have from their start. */
-    public static void listen(EventLoopGroup group, InetSocketAddress address, long last) throws InterruptedException {
+    public static StandChannel listen(EventLoopGroup group, InetSocketAddress address, long last)
+        throws InterruptedException {
+        StandChannel told = new StandChannel(last);
+        told.listen(group, address);
+        return told;
+    }
+
+    private void listen(EventLoopGroup group, InetSocketAddress address) throws InterruptedException {
         new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
@@ -26,6 +49,7 @@
                     channel.pipeline().addLast(new SimpleChannelInboundHandler<ByteBuf>() {
                         @Override
                         public void channelActive(ChannelHandlerContext ctx) {
+                            connections.add(ctx.channel());
                             ctx.executor().scheduleAtFixedRate(() -> {
                                 if (ctx.channel().isActive()) {
                                     ctx.writeAndFlush(ByteBufUtil.writeAscii(ctx.alloc(), last + "\n"));
@@ -35,7 +59,7 @@
 
                         @Override
                         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf resume) {
-                            // Nobody lacks anything.
+                            // Nobody lacks anything: events are told once all are connected.
                             resume.skipBytes(resume.readableBytes());
                         }
 
--- a/lab/src/main/java/barleyspur/lab/stand/Tally.java
+++ b/lab/src/main/java/barleyspur/lab/stand/Tally.java
@@ -1,5 +1,8 @@
 package barleyspur.lab.stand;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * What one box sees arrive, whatever the doormans say: at once, in all, and beyond a rate. On the boxes' event loop.
  */
@@ -14,6 +17,7 @@
     private volatile long watchedFrom = Long.MAX_VALUE;
     private volatile long watchedTo;
     private volatile long watched;
+    private final List<Long> times = new ArrayList<>();
     private double level;
     private double levelMs;
     private double mostLevel;
@@ -36,11 +40,23 @@
         return watched;
     }
 
+    /** When each of these came, as Unix times in ms. */
+    public List<Long> watchedTimes() {
+        synchronized (times) {
+            return List.copyOf(times);
+        }
+    }
+
     /** An attempt arrives; this process may have stood still for so long just before. */
     void arrives(double nowMs, double stalledMs) {
         arrived++;
         long wall = System.currentTimeMillis();
-        watched += wall >= watchedFrom && wall < watchedTo ? 1 : 0;
+        if (wall >= watchedFrom && wall < watchedTo) {
+            watched++;
+            synchronized (times) {
+                times.add(wall);
+            }
+        }
         atOnce++;
         mostAtOnce = Math.max(mostAtOnce, atOnce);
         if (perS > 0) {
