Tests of bad clients, cut answers, who has gone, starts without anybody and an ignored SIGHUP

Two hundred clients of garbage, halves, floods and nothing are let go within 2.5 s of the doorman's time while another's request is answered; an answer cut off and one without end are tried again; after a client has gone no timer or outcome begins anything (RulesTest).

--- a/decision/src/test/java/barleyspur/decision/RulesTest.java
+++ b/decision/src/test/java/barleyspur/decision/RulesTest.java
@@ -71,6 +71,21 @@
         assertEquals(1, one.get(43).node());
     }
 
+    /** A client that has gone is owed nothing: neither its timers nor what its attempts come back with begin another. */
+    @Test
+    void nothingIsBegunForWhoHasGone() {
+        for (int category = 0; category < 4; category++) {
+            List<Action> taken = bench.request(category, 50 + category, 3_000);
+            Get get = Bench.only(taken, Get.class);
+            Bench.only(bench.tell(new Director.Gone(get.request())), Director.Cancel.class);
+            for (WakeAt timer : Bench.all(taken, WakeAt.class)) {
+                bench.now = Math.max(bench.now, timer.atMs());
+                assertEquals(List.of(), bench.tell(new Alarm(timer.token())));
+            }
+            assertEquals(List.of(), Bench.all(bench.outcome(get, 0, Result.FULL, Note.NONE), Get.class));
+        }
+    }
+
     // ---- rule 2: no effect twice ----------------------------------------------------------------------
 
     @Test
--- a/doorman/src/test/java/barleyspur/Loopback.java
+++ b/doorman/src/test/java/barleyspur/Loopback.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -308,15 +309,15 @@
 
         /** Fills the queue of the listener, so that connects come up only once it accepts; who fills it comes back. */
         public List<Wire> fillQueue() throws IOException {
-            List<Wire> crowd = new ArrayList<>();
+            List<Wire> registry = new ArrayList<>();
             try {
                 for (;;) {
                     Socket socket = new Socket();
                     socket.connect(server.getLocalSocketAddress(), QUEUED_MS);
-                    crowd.add(new Wire(socket));
+                    registry.add(new Wire(socket));
                 }
             } catch (SocketTimeoutException e) {
-                return crowd;
+                return registry;
             }
         }
 
@@ -463,6 +464,26 @@
             return bytes;
         }
 
+        /** Writes bytes to one that may have reset the connection, or does so meanwhile. */
+        public void writeWhatGoes(byte[] bytes) {
+            try {
+                write(bytes);
+            } catch (IOException e) {
+                // It is gone, which is what it may be.
+            }
+        }
+
+        /** Reads until the connection has ended, in order or by a reset. */
+        public void awaitEnd() throws IOException {
+            try {
+                while (in.read() >= 0) {
+                    // Thrown away.
+                }
+            } catch (SocketException e) {
+                // A reset is an end too.
+            }
+        }
+
         /** Shuts this side only. */
         public void shutOutput() throws IOException {
             socket.shutdownOutput();
--- a/doorman/src/test/java/barleyspur/front/thrift/EndingsTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/EndingsTest.java
@@ -269,6 +269,49 @@
         }
     }
 
+    /**
+     * Crowds that send garbage, endless frames, half a request, half a frame's length or nothing are let go within 2.5 s of
+     * the doorman's time, more of them than there are places; somebody else's request is answered meanwhile.
+     */
+    @Test
+    void badClientsAreLetGoAndHarmNobody() throws Exception {
+        try (Loopback doorman = new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 160));
+            Wire good = doorman.client()) {
+            doorman.box.serve();
+            good.write(dispatch(1, id(1)));
+            Request out = doorman.box.next();
+            List<Wire> bad = new ArrayList<>();
+            byte[] request = dispatch(1, id(2));
+            byte[] flood = new byte[400_000];
+            for (int i = 0; i < 200; i++) {
+                Wire client = doorman.client();
+                bad.add(client);
+                switch (i % 5) {
+                    case 0 -> client.write("GET / HTTP/1.1\r\n\r\n");
+                    case 1 -> client.write(part(request, 0, request.length - 1));
+                    case 2 -> client.write(part(request, 0, 3));
+                    case 3 -> client.writeWhatGoes(flood);
+                    default -> { }
+                }
+            }
+            try (Wire last = doorman.client()) {
+                // Connections are accepted in their order, and read in the next turn.
+                assertAlive(last, 1);
+                assertAlive(last, 2);
+            }
+            doorman.pass(300);
+            out.answer("DONE", DONE, new byte[10]);
+            assertEquals(SERVED, answer(good, 1));
+            doorman.pass(2_500);
+            for (Wire client : bad) {
+                client.awaitEnd();
+            }
+            good.write(dispatch(2, id(3)));
+            assertNextIs(doorman, id(3));
+            assertEquals(SERVED, answer(good, 2));
+        }
+    }
+
     /** A whole request in the very turn in which its idle connection would be shut keeps the connection. */
     @Test
     void aRequestInTheTurnOfItsEvictionIsServed() throws Exception {
@@ -495,7 +538,10 @@
 
     // ---- spoilt answers ------------------------------------------------------------------------------------------
 
-    /** A second answer, one after the cancel, and one without bytes harm neither their request nor another. */
+    /**
+     * A second answer, one after the cancel, one without bytes, one cut off by the connection's end and one without end
+     * harm neither their request nor another.
+     */
     @Test
     void aSpoiltAnswerHarmsNobody() throws Exception {
         try (Loopback doorman = start(); Wire client = doorman.client()) {
@@ -519,7 +565,19 @@
             client.write(Cuts.take(ThriftPropertiesTest.cancelRequest(4, 3)));
             assertEquals("cancel", doorman.box.next().verb());
             cancelled.answer("DONE", DONE, new byte[13]);
-            assertStillServes(doorman, id(5));
+            client.write(dispatch(5, id(5)));
+            Request cut = doorman.box.next();
+            cut.wire().write("*4\r\n$16\r\n" + id(5) + "\r\n$4\r\nDONE\r\n$5\r\nhow=h\r\n$10\r\nhalf");
+            cut.wire().end();
+            assertNextIs(doorman, id(5));
+            assertEquals(SERVED, answer(client, 5));
+            client.write(dispatch(6, id(6)));
+            Request endless = doorman.box.next();
+            endless.wire().write("*4\r\n$16\r\n" + id(6) + "\r\n$4\r\nDONE\r\n$5\r\nhow=h\r\n$99999999\r\n");
+            endless.wire().writeWhatGoes(new byte[400_000]);
+            assertNextIs(doorman, id(6));
+            assertEquals(SERVED, answer(client, 6));
+            assertStillServes(doorman, id(7));
         }
     }
 }
--- a/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
+++ b/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
@@ -34,8 +34,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Isolated;
 
-/** Several {@code serve} processes of the built jar that end, or meet a box that has just started. */
+/**
+ * Several {@code serve} processes of the built jar that end, or meet a box that has just started. Alone on the machine, since
+ * each starts many processes at once.
+ */
+@Isolated
 class EndingProcessesTest {
 
     private static final Path JAR = Path.of("..", "doorman", "target", "barleyspur.jar").toAbsolutePath();
@@ -55,6 +60,10 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<Process> processes = new ArrayList<>();
     private final AtomicLong ids = new AtomicLong(1);
+    /** Nodes on the list: caches, then a parent and an origin, and more of these. */
+    private int listed = CACHES + 2;
+    /** What starts the JVM. */
+    private List<String> before = List.of();
 
     @AfterEach
     void end() {
@@ -80,7 +89,7 @@
     /** Starts so many doormans, all boxes long up. */
     private void start(int doormans, InetSocketAddress channel, double size) throws IOException, InterruptedException {
         JSONArray targets = new JSONArray();
-        for (int i = 0; i < CACHES + 2; i++) {
+        for (int i = 0; i < listed; i++) {
             targets.put(target(i, size, 0));
         }
         for (int i = 0; i < doormans; i++) {
@@ -97,9 +106,11 @@
                     .put("cursor", 1).put("nodes", new JSONObject().put("rev", 1).put("all", true).put("targets", targets)))));
             Path own = Files.createDirectories(folder.resolve("d" + i));
             Path config = Files.writeString(own.resolve("config.json"), json.toString());
-            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            List<String> command = new ArrayList<>(before);
+            command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:ActiveProcessorCount=1", "-Xshare:auto", "-Xms24m",
-                "-Xmx56m", "-Xss512k", "-XX:-UsePerfData", "-Djava.net.preferIPv4Stack=true", "-jar", JAR.toString(), "serve");
+                "-Xmx56m", "-Xss512k", "-XX:-UsePerfData", "-Djava.net.preferIPv4Stack=true", "-jar", JAR.toString(), "serve"));
+            ProcessBuilder builder = new ProcessBuilder(command);
             builder.environment().put("RELAY_CONFIG", config.toString());
             builder.environment().put("TMPDIR", own.toString());
             builder.redirectErrorStream(true).redirectOutput(own.resolve("log").toFile());
@@ -212,6 +223,26 @@
         }
     }
 
+    /**
+     * Guards restarts: a doorman is ready without anybody else, that is with discovery and all boxes out of reach, and with
+     * 200 boxes on its list. What that took of a core is printed: at a fifth of one, 2 s of it are the 10 s that it has.
+     */
+    @Test
+    void aDoormanIsReadyWithoutAnybodyElse() throws Exception {
+        listed = 200;
+        start(1, new InetSocketAddress(NETWORK + "252.3", PORT), SIZE);
+        System.out.printf("ready with 200 boxes and no channel after %.1f s of a core%n",
+            processes.get(0).info().totalCpuDuration().orElseThrow().toMillis() / 1e3);
+    }
+
+    /** Guards: SIGHUP that the parent ignores can't be taken back by the JVM, so the log says that reloads are off. */
+    @Test
+    void anIgnoredHangUpIsSaid() throws Exception {
+        before = List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh");
+        start(1, new InetSocketAddress(NETWORK + "252.4", PORT), SIZE);
+        assertTrue(Files.readString(folder.resolve("d0").resolve("log")).contains("SIGHUP is ignored"));
+    }
+
     /** Guards planned restarts: of what comes until 0.6 s after SIGTERM everything is answered, and no connection is reset. */
     @Test
     void aWaveOfSigtermsLeavesNothingUnanswered() throws Exception {
