--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -1,7 +1,7 @@
 package barleyspur;
 
 import barleyspur.admin.AdminServer;
-import barleyspur.admin.DutyCalls;
+import barleyspur.admin.LifecycleCalls;
 import barleyspur.admin.Routes;
 import barleyspur.budget.net.BudgetPort;
 import barleyspur.budget.net.GuardedDepots;
@@ -15,7 +15,7 @@
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.LoopClock;
-import barleyspur.duty.Duty;
+import barleyspur.lifecycle.Lifecycle;
 import barleyspur.fleet.net.FleetPort;
 import barleyspur.front.thrift.ThriftFront;
 import barleyspur.log.LogEvent;
@@ -49,7 +49,7 @@
     /**
      * The depots get a third of the descriptors, and clients what the process leaves: those that the protocol knows
      * hold a third at most, and others must not be able to keep them out. The process has about 20 of its own, and
-     * in a crowd up to 32 are accepted, or closed but not yet given back, between two looks.
+     * in a registry up to 32 are accepted, or closed but not yet given back, between two looks.
      */
     private static final int SHARES = 3;
     private static final int OWN_SOCKETS = 64;
@@ -85,7 +85,7 @@
     private final ThriftFront front;
     private final CommandReader commands;
     private final Clock clock;
-    private final Duty duty = new Duty();
+    private final Lifecycle lifecycle = new Lifecycle();
     /** The classes that requests may name; a retune makes a new table. */
     private ClassTable classes;
     /** The second address; null where the platform gives none. */
@@ -115,7 +115,7 @@
         Director director = new Decide(settings, configuration.seed());
         // Not the configuration's seed: doormans, and lives of one, may have it alike, and must be told apart.
         long life = own.fleet() == null ? 0 : new SecureRandom().nextLong();
-        FleetPort port = own.fleet() == null ? null : new FleetPort(group, clock, own.fleet(), duty, configuration.name(),
+        FleetPort port = own.fleet() == null ? null : new FleetPort(group, clock, own.fleet(), lifecycle, configuration.name(),
             configuration.names().zones().get(settings.zone()), version(), configuration.digest(),
             System.currentTimeMillis(), life);
         fleet = port;
@@ -130,13 +130,13 @@
         classes = ClassTable.of(configuration.names().classes(), settings.classes());
         front = new ThriftFront(group, doorman, clock, classes,
             Math.max(limits.sockets() / SHARES + 1, limits.sockets() - limits.sockets() / SHARES - OWN_SOCKETS),
-            limits.memoryMb() * MEGABYTE / UNREAD_SHARE, depots::pauseReading, duty, configuration.mgmt() != null);
+            limits.memoryMb() * MEGABYTE / UNREAD_SHARE, depots::pauseReading, lifecycle, configuration.mgmt() != null);
         if (configuration.mgmt() == null) {
             admin = null;
             handOff = null;
         } else {
             // Only a platform that gives a second address upgrades a doorman beside itself.
-            Routes.Builder routes = new DutyCalls(duty, clock, this::dutyChanged).addTo(Routes.builder());
+            Routes.Builder routes = new LifecycleCalls(lifecycle, clock, this::lifecycleChanged).addTo(Routes.builder());
             if (fleet != null) {
                 fleet.addTo(routes);
             }
@@ -153,7 +153,7 @@
         return version == null ? "" : version;
     }
 
-    private void dutyChanged() {
+    private void lifecycleChanged() {
         front.closeIdle();
         if (fleet != null) {
             fleet.refresh();
@@ -170,7 +170,7 @@
         }).sync();
         listen(front.listen(configuration.listen()), configuration.listen());
         group.submit(() -> {
-            duty.serving(clock.nowMs());
+            lifecycle.serving(clock.nowMs());
             if (fleet != null) {
                 fleet.start();
             }
@@ -257,28 +257,28 @@
     }
 
     private void leave(long successor) {
-        boolean served = duty.phase() != Duty.Phase.STARTING;
-        if (!duty.leave(clock.nowMs(), successor >= 0, Duty.killAfterMs(longestDeadlineMs()))) {
+        boolean served = lifecycle.phase() != Lifecycle.Phase.STARTING;
+        if (!lifecycle.leave(clock.nowMs(), successor >= 0, Lifecycle.killAfterMs(longestDeadlineMs()))) {
             return;
         }
         LogEvent.log(LOG.atInfo(), "leaving", "successor", successor);
-        if (served && !duty.listening()) {
+        if (served && !lifecycle.listening()) {
             front.stopListening();
             front.closeIdle();
         }
         if (fleet != null) {
             fleet.refresh();
         }
-        double graceMs = served && duty.listening() ? DRAIN_MS : 0;
-        if (duty.listening()) {
+        double graceMs = served && lifecycle.listening() ? DRAIN_MS : 0;
+        if (lifecycle.listening()) {
             clock.after(graceMs, () -> {
-                duty.graceOver();
+                lifecycle.graceOver();
                 front.closeIdle();
             });
         }
-        doorman.drain(graceMs, duty.answeredByMs() - clock.nowMs(), () -> {
-            duty.graceOver();
-            front.close(Math.max(LAST_READ_MS, duty.answeredByMs() - clock.nowMs()), this::left);
+        doorman.drain(graceMs, lifecycle.answeredByMs() - clock.nowMs(), () -> {
+            lifecycle.graceOver();
+            front.close(Math.max(LAST_READ_MS, lifecycle.answeredByMs() - clock.nowMs()), this::left);
         });
     }
 
--- a/doorman/src/main/java/barleyspur/Rehearsal.java
+++ b/doorman/src/main/java/barleyspur/Rehearsal.java
@@ -7,7 +7,7 @@
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.Listing;
-import barleyspur.duty.Duty;
+import barleyspur.lifecycle.Lifecycle;
 import barleyspur.front.thrift.ThriftFront;
 import barleyspur.retune.ClassTable;
 import io.netty.buffer.ByteBuf;
@@ -77,11 +77,11 @@
             settings.reportFields());
         Doorman doorman = new Doorman(settings, requests, new Decide(settings, 1), this, client);
         doorman.listed(true, listings(settings));
-        Duty duty = new Duty();
-        duty.serving(now);
+        Lifecycle lifecycle = new Lifecycle();
+        lifecycle.serving(now);
         ThriftFront front = new ThriftFront(group, doorman, this,
             ClassTable.of(configuration.names().classes(), settings.classes()), CLIENTS,
-            Long.MAX_VALUE, full -> { }, duty, false);
+            Long.MAX_VALUE, full -> { }, lifecycle, false);
         List<EmbeddedChannel> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             clients.add(new EmbeddedChannel(front.acceptor()));
--- a/doorman/src/main/java/barleyspur/Subsystem.java
+++ b/doorman/src/main/java/barleyspur/Subsystem.java
@@ -14,7 +14,7 @@
     /** Begins; the doorman serves from now on, or soon. */
     void start();
 
-    /** Something that it may follow has changed: the doorman's duty. */
+    /** Something that it may follow has changed: the doorman's lifecycle. */
     void refresh();
 
     /** The doorman is about to end: says so to whom it concerns, then runs {@code left}. */
--- a/doorman/src/main/java/barleyspur/depot/DepotClient.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotClient.java
@@ -152,14 +152,14 @@
     @Override
     public Call send(long node, Order order, End end) {
         Depot depot = depots.get(node);
-        DepotConnection c = depot == null ? null : depot.connection(order.ask().id());
+        DepotConnection c = depot == null ? null : depot.connection(order.request().id());
         if (c == null) {
             return never(end);
         }
         ByteBufAllocator alloc = c.channel().alloc();
-        int bodyBytes = order.ask().body().readableBytes();
-        return c.open(order.ask().id(), waitedMs -> Resp.serveHead(alloc, order, bodyBytes, waitedMs),
-            order.ask().body().retainedDuplicate(), end);
+        int bodyBytes = order.request().body().readableBytes();
+        return c.open(order.request().id(), waitedMs -> Resp.serveHead(alloc, order, bodyBytes, waitedMs),
+            order.request().body().retainedDuplicate(), end);
     }
 
     @Override
--- a/doorman/src/main/java/barleyspur/depot/Resp.java
+++ b/doorman/src/main/java/barleyspur/depot/Resp.java
@@ -1,7 +1,7 @@
 package barleyspur.depot;
 
 import barleyspur.decision.Director.Note;
-import barleyspur.doorman.Ask;
+import barleyspur.doorman.Request;
 import barleyspur.doorman.Depots.Order;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -24,7 +24,7 @@
      */
     static ByteBuf serveHead(ByteBufAllocator alloc, Order order, int bodyBytes, double waitedMs) {
         ByteBuf out = alloc.buffer(HEAD);
-        words(out, 4, "serve", order.ask().id(), fields(order, waitedMs));
+        words(out, 4, "serve", order.request().id(), fields(order, waitedMs));
         return line(out, '$', bodyBytes);
     }
 
@@ -54,9 +54,9 @@
 
     /** A request's fields. Ages are cut to whole milliseconds, so that no copy older than allowed will do. */
     private static String fields(Order order, double waitedMs) {
-        Ask ask = order.ask();
+        Request request = order.request();
         StringJoiner fields = new StringJoiner(",");
-        fields.add("class=" + ask.className()).add("key=" + ask.key()).add("part=" + ask.partWord())
+        fields.add("class=" + request.className()).add("key=" + request.key()).add("part=" + request.partWord())
             .add("wait=" + Math.max(1, (long) (order.waitMs() - waitedMs)));
         if (order.source() != null) {
             fields.add("parent=" + order.source());
@@ -71,11 +71,11 @@
         if (!hints.isEmpty()) {
             fields.add("hints=" + hints);
         }
-        if (ask.repeatKey() != null) {
-            fields.add("once=" + ask.repeatKey());
+        if (request.repeatKey() != null) {
+            fields.add("once=" + request.repeatKey());
         }
-        if (ask.tag() != null) {
-            fields.add("got=" + ask.tag());
+        if (request.tag() != null) {
+            fields.add("got=" + request.tag());
         }
         return fields.toString();
     }
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -11,7 +11,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
@@ -70,29 +69,29 @@
     /** A request on its way through the core, to be named when its client leaves. */
     public interface Ticket {
         /** The client has left: no answer is owed any more. */
-        void gone();
+        void cancel();
     }
 
-    /** Takes a request and its body. The caller may be answered from within this call. */
-    public Ticket take(Ask ask, Caller caller) {
+    /** Takes a request and its body. The handler may be called from within this call. */
+    public Ticket take(Request request, ResponseHandler handler) {
         if (owed >= maxOpen) {
-            LogEvent.log(LOG.atWarn(), "refused: too many requests are open", "request", ask.id(), "open", owed);
-            ask.body().release();
-            caller.refused(settings.maxRetryAfterMs());
+            LogEvent.log(LOG.atWarn(), "refused: too many requests are open", "request", request.id(), "open", owed);
+            request.body().release();
+            handler.refused(settings.maxRetryAfterMs());
             return () -> { };
         }
         double now = clock.nowMs();
         lastId = (lastId + 1) % MOST_IDS;
-        Exchange x = new Exchange(lastId, ask, caller, now);
+        Exchange x = new Exchange(lastId, request, handler, now);
         exchanges.put(x.id, x);
-        takenIds.add(ask.id());
-        Trail.taken(ask);
+        takenIds.add(request.id());
+        Trail.taken(request);
         owed++;
         // Guards rule 1 against a director that leaves a request unanswered: half the slack is left by then.
-        x.guard = clock.after(ask.remainingMs() + settings.answerSlackMs() / 2, () -> abandon(x, "left unanswered"));
-        boolean write = settings.classes().get(ask.category()).write();
-        tell(new Director.Request(x.id, ask.category(), 0, ask.object(), ask.part(), ask.group(),
-            ask.remainingMs(), ask.sizeKb(), false, write));
+        x.guard = clock.after(request.remainingMs() + settings.answerSlackMs() / 2, () -> abandon(x, "left unanswered"));
+        boolean write = settings.classes().get(request.category()).write();
+        tell(new Director.Request(x.id, request.category(), 0, request.object(), request.part(), request.group(),
+            request.remainingMs(), request.sizeKb(), false, write));
         return () -> gone(x);
     }
 
@@ -147,9 +146,9 @@
     /** Fails a request without the director, and gives up all that is out for it. */
     private void abandon(Exchange x, String why) {
         if (!x.over) {
-            LogEvent.log(LOG.atError(), "failed without the director", "request", x.ask.id(), "cause", why);
+            LogEvent.log(LOG.atError(), "failed without the director", "request", x.request.id(), "cause", why);
             close(x, "failed");
-            x.caller.failed();
+            x.handler.failed();
             tell(new Director.Gone(x.id));
             for (int i = 0; i < x.attempts.size(); i++) {
                 giveUp(x, i, Result.CANCELLED);
@@ -172,7 +171,7 @@
         x.over = true;
         Trail.over(x, how, clock.nowMs() - x.takenAt);
         x.guard.cancel();
-        x.ask.body().release();
+        x.request.body().release();
         owed--;
         if (drained != null) {
             clock.after(0, this::leaveIfDone);
@@ -256,13 +255,13 @@
     @Override
     public void purgedObject(long object, double whenMs) {
         tell(new Director.Purged(0, object, clock.nowMs() - whenMs));
-        overtake((x, attempt) -> x.ask.object() == object);
+        overtake((x, attempt) -> x.request.object() == object);
     }
 
     @Override
     public void purgedGroup(int group, double whenMs) {
         tell(new Director.Purged(group, 0, clock.nowMs() - whenMs));
-        overtake((x, attempt) -> x.ask.group() == group);
+        overtake((x, attempt) -> x.request.group() == group);
     }
 
     // ---- the director ----------------------------------------------------------------------------------
@@ -308,9 +307,9 @@
         } else if (action instanceof Director.Cancel a) {
             cancel(a);
         } else if (action instanceof Director.Refuse a) {
-            finish(a.request(), "refused", x -> x.caller.refused(a.pauseMs()));
+            finish(a.request(), "refused", x -> x.handler.refused(a.pauseMs()));
         } else if (action instanceof Director.Fail a) {
-            finish(a.request(), "failed", x -> x.caller.failed());
+            finish(a.request(), "failed", x -> x.handler.failed());
         } else if (action instanceof Director.WakeAt a) {
             clock.after(a.atMs() - clock.nowMs(), () -> tell(new Director.Alarm(a.token())));
         } else if (action instanceof Director.Probe a) {
@@ -385,7 +384,7 @@
      * first attempt that may have run: it was decided in time, but had to wait for a connection.
      */
     private boolean pastKeyWindow(Exchange x, Exchange.Attempt next) {
-        Director.RequestClass c = settings.classes().get(x.ask.category());
+        Director.RequestClass c = settings.classes().get(x.request.category());
         if (c.effect() != Director.Effect.KEYED) {
             return false;
         }
@@ -396,11 +395,11 @@
 
     private Depots.Order order(Exchange x, long node, double wait, Director.Get get) {
         if (get == null) {
-            return new Depots.Order(x.ask, wait, null, 0, 0, false, false, false, false);
+            return new Depots.Order(x.request, wait, null, 0, 0, false, false, false, false);
         }
         Listing from = get.source() == node ? null : listed.get(get.source());
         String source = from == null ? null : from.uid();
-        return new Depots.Order(x.ask, wait, source, get.rank(), get.maxAgeMs(), get.join(), get.onlyHeld(),
+        return new Depots.Order(x.request, wait, source, get.rank(), get.maxAgeMs(), get.join(), get.onlyHeld(),
             get.parentKeepsNone(), get.renew());
     }
 
@@ -425,10 +424,10 @@
             return;
         }
         Depots.Answer answer = told;
-        if (told.result() == Result.OK && told.body() == null && !Objects.equals(x.ask.tag(), told.tag())) {
+        if (told.result() == Result.OK && told.body() == null && (told.tag() == null || !told.tag().equals(x.request.tag()))) {
             // Only a copy that the depot has named may be called current.
             LogEvent.log(LOG.atWarn(), "a copy that the client does not hold was called current", "node", attempt.node, "tag",
-                told.tag(), "held", x.ask.tag());
+                told.tag(), "held", x.request.tag());
             answer = Depots.Answer.of(Result.ERROR);
         }
         attempt.ended = true;
@@ -442,9 +441,9 @@
         if (answer.result() == Result.OK && !x.over) {
             close(x, "served");
             if (answer.body() == null) {
-                x.caller.unchanged(answer.tag());
+                x.handler.unchanged(answer.tag());
             } else {
-                x.caller.served(answer.body(), answer.tag());
+                x.handler.served(answer.body(), answer.tag());
             }
         } else if (answer.body() != null) {
             answer.body().release();
--- a/doorman/src/main/java/barleyspur/doorman/Exchange.java
+++ b/doorman/src/main/java/barleyspur/doorman/Exchange.java
@@ -30,8 +30,8 @@
     }
 
     final long id;
-    final Ask ask;
-    final Caller caller;
+    final Request request;
+    final ResponseHandler handler;
     final double takenAt;
     final double deadline;
     final List<Attempt> attempts = new ArrayList<>(2);
@@ -39,11 +39,11 @@
     int out;
     boolean over;
 
-    Exchange(long id, Ask ask, Caller caller, double takenAt) {
+    Exchange(long id, Request request, ResponseHandler handler, double takenAt) {
         this.id = id;
-        this.ask = ask;
-        this.caller = caller;
+        this.request = request;
+        this.handler = handler;
         this.takenAt = takenAt;
-        this.deadline = takenAt + ask.remainingMs();
+        this.deadline = takenAt + request.remainingMs();
     }
 }
--- a/doorman/src/main/java/barleyspur/doorman/Caller.java
+++ b/doorman/src/main/java/barleyspur/doorman/ResponseHandler.java
@@ -3,9 +3,9 @@
 import io.netty.buffer.ByteBuf;
 
 /** Who waits for the answer to one request: exactly one of these is called, once. */
-public interface Caller {
+public interface ResponseHandler {
 
-    /** Served: {@code body}, which now belongs to the caller, under {@code tag} (null: none). */
+    /** Served: {@code body}, which now belongs to the handler, under {@code tag} (null: none). */
     void served(ByteBuf body, String tag);
 
     /** Served: the copy that the client holds, under {@code tag} (null: none), is the one. */
--- a/doorman/src/main/java/barleyspur/doorman/Trail.java
+++ b/doorman/src/main/java/barleyspur/doorman/Trail.java
@@ -16,10 +16,10 @@
 
     private Trail() { }
 
-    static void taken(Ask ask) {
+    static void taken(Request request) {
         if (LOG.isDebugEnabled()) {
-            LogEvent.log(LOG.atDebug(), "request taken", "request", ask.id(), "class", ask.className(), "object",
-                ask.key(), "part", ask.part(), "left", Math.round(ask.remainingMs()), "kb", Math.round(ask.sizeKb()));
+            LogEvent.log(LOG.atDebug(), "request taken", "request", request.id(), "class", request.className(), "object",
+                request.key(), "part", request.part(), "left", Math.round(request.remainingMs()), "kb", Math.round(request.sizeKb()));
         }
     }
 
@@ -27,7 +27,7 @@
     static void sent(Exchange x, int number, long node, Director.Get get) {
         if (LOG.isDebugEnabled()) {
             boolean sourced = get != null && get.source() != node;
-            LogEvent.log(LOG.atDebug(), "attempt sent", "request", x.ask.id(), "number", number, "node", node, "source",
+            LogEvent.log(LOG.atDebug(), "attempt sent", "request", x.request.id(), "number", number, "node", node, "source",
                 sourced ? get.source() : Director.NO_NODE, "rank", get == null ? 0 : get.rank(), "age",
                 get == null ? 0 : Math.round(get.maxAgeMs()));
         }
@@ -35,7 +35,7 @@
 
     static void ended(Exchange x, int number, Depots.Answer answer, double ms) {
         if (LOG.isDebugEnabled()) {
-            LogEvent.log(LOG.atDebug(), "attempt ended", "request", x.ask.id(), "number", number, "node",
+            LogEvent.log(LOG.atDebug(), "attempt ended", "request", x.request.id(), "number", number, "node",
                 x.attempts.get(number).node, "result", answer.result(), "note", answer.note(), "ms", Math.round(ms));
         }
     }
@@ -43,7 +43,7 @@
     /** {@code how}: served, refused, failed or gone. */
     static void over(Exchange x, String how, double ms) {
         if (LOG.isDebugEnabled()) {
-            LogEvent.log(LOG.atDebug(), "request over", "request", x.ask.id(), "how", how, "attempts",
+            LogEvent.log(LOG.atDebug(), "request over", "request", x.request.id(), "how", how, "attempts",
                 x.attempts.size(), "ms", Math.round(ms));
         }
     }
--- a/doorman/src/main/java/barleyspur/expect/Plant.java
+++ b/doorman/src/main/java/barleyspur/expect/Plant.java
@@ -92,8 +92,8 @@
 
     /** How much longer work takes now than alone in a warm box. */
     double stretch(double now) {
-        double crowd = Math.max(1, inside / Math.max(0.5, box.size() * shareAt(now)));
-        return crowd * (now < slowUntil ? slowBy : 1);
+        double registry = Math.max(1, inside / Math.max(0.5, box.size() * shareAt(now)));
+        return registry * (now < slowUntil ? slowBy : 1);
     }
 
     /** Counts what reaches it, in ms of sending, while it is cold. */
--- a/doorman/src/main/java/barleyspur/fleet/About.java
+++ b/doorman/src/main/java/barleyspur/fleet/About.java
@@ -7,7 +7,7 @@
  *
  * @param address  where its datagrams are to be sent, as {@code 127.0.0.1:7001}
  * @param zone     the name of its zone, or empty
- * @param phase    of its duty, as health says it
+ * @param phase    of its lifecycle, as health says it
  * @param program  the program's version
  * @param settings a digest of the settings it runs by
  * @param format   the newest format of datagrams that it reads
--- a/doorman/src/main/java/barleyspur/fleet/net/FleetPort.java
+++ b/doorman/src/main/java/barleyspur/fleet/net/FleetPort.java
@@ -5,7 +5,7 @@
 import barleyspur.config.FleetSettings;
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
-import barleyspur.duty.Duty;
+import barleyspur.lifecycle.Lifecycle;
 import barleyspur.fleet.About;
 import barleyspur.fleet.Action;
 import barleyspur.fleet.Change;
@@ -53,7 +53,7 @@
     private final EventLoopGroup group;
     private final Clock clock;
     private final FleetSettings settings;
-    private final Duty duty;
+    private final Lifecycle lifecycle;
     private final Codec codec;
     private final Membership membership;
     private final CappedLog capped;
@@ -77,16 +77,16 @@
      * @param digest  of the platform's settings that it runs by
      * @param wallMs  the wall clock's time, by which this life is numbered
      */
-    public FleetPort(EventLoopGroup group, Clock clock, FleetSettings settings, Duty duty, String name, String zone,
+    public FleetPort(EventLoopGroup group, Clock clock, FleetSettings settings, Lifecycle lifecycle, String name, String zone,
                      String program, long digest, long wallMs, long seed) {
         this.group = group;
         this.clock = clock;
         this.settings = settings;
-        this.duty = duty;
+        this.lifecycle = lifecycle;
         codec = new Codec(settings.name(), settings.key());
         capped = new CappedLog(LOG, clock);
         membership = new Membership(name, Math.max(0, wallMs + (long) settings.clockOffsetMs()), new About(
-            settings.advertise(), zone, duty.phase().word(), program, digest, settings.format(), more()),
+            settings.advertise(), zone, lifecycle.phase().word(), program, digest, settings.format(), more()),
             new Times(settings.periodMs(), settings.rememberMs()), settings.seeds(), seed, this::carryOut);
         metrics.watch(membership, clock);
     }
@@ -224,13 +224,13 @@
         Counters now = new Counters(counted[0], counted[1]);
         About told = membership.self().about();
         // Compared before it is encoded: this is looked at with each tick and seldom new.
-        if (!now.equals(counters) || !duty.phase().word().equals(told.phase())) {
+        if (!now.equals(counters) || !lifecycle.phase().word().equals(told.phase())) {
             counters = now;
-            if (passenger != null && (duty.phase() == Duty.Phase.LEAVING || duty.phase() == Duty.Phase.HANDING_OFF)
-                && !told.phase().equals(duty.phase().word())) {
+            if (passenger != null && (lifecycle.phase() == Lifecycle.Phase.LEAVING || lifecycle.phase() == Lifecycle.Phase.HANDING_OFF)
+                && !told.phase().equals(lifecycle.phase().word())) {
                 passenger.leaving();
             }
-            membership.about(clock.nowMs(), told.with(duty.phase().word(), more()));
+            membership.about(clock.nowMs(), told.with(lifecycle.phase().word(), more()));
             schedule();
         }
     }
--- a/doorman/src/main/java/barleyspur/front/thrift/Crowd.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ConnectionRegistry.java
@@ -12,7 +12,7 @@
  * crowds that connect and say nothing, and against clients that keep a connection which they use no more. Those that are
  * closing are counted apart: they keep a place of their own for the moment in which their client reads the last answer.
  */
-final class Crowd<C> {
+final class ConnectionRegistry<C> {
 
     /** A client that has only just connected may be about to ask: until then it goes last. */
     static final double NEW_MS = 250;
@@ -65,7 +65,7 @@
     }
 
     /** The one that has to go for a newcomer, which is closing from here on; null: all are in use. */
-    C makeRoom(double now) {
+    C evictIdle(double now) {
         boolean known = !strangers.isEmpty() && now - strangers.values().iterator().next() >= NEW_MS;
         Iterator<C> from = (known || idle.isEmpty() ? strangers : idle).keySet().iterator();
         if (!from.hasNext()) {
--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -1,11 +1,11 @@
 package barleyspur.front.thrift;
 
-import barleyspur.doorman.Ask;
-import barleyspur.doorman.Caller;
+import barleyspur.doorman.Request;
+import barleyspur.doorman.ResponseHandler;
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
-import barleyspur.duty.Duty;
+import barleyspur.lifecycle.Lifecycle;
 import barleyspur.log.LogEvent;
 import barleyspur.retune.ClassTable;
 import barleyspur.transport.LingeringClose;
@@ -55,7 +55,7 @@
 
     /** What all connections of one front have in common. */
     record Shared(Doorman doorman, Clock clock, Supplier<ClassTable> classes, int mostOpen, UnreadAnswers unread,
-                  Crowd<FrontConnection> crowd, CappedLog log, Duty duty) { }
+                  ConnectionRegistry<FrontConnection> registry, CappedLog log, Lifecycle lifecycle) { }
 
     private final Shared front;
     private final UnreadAnswers unread;
@@ -88,7 +88,7 @@
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         closing = new LingeringClose(channel, front.clock());
-        front.crowd().came(this, front.clock().nowMs());
+        front.registry().came(this, front.clock().nowMs());
         watch();
     }
 
@@ -105,7 +105,7 @@
             cancel(c.cancelled());
         } else if (call instanceof ThriftCall.Alive c) {
             used();
-            answer("alive", c.seqid(), Unpooled.EMPTY_BUFFER, Map.of(), front.duty().ready());
+            answer("alive", c.seqid(), Unpooled.EMPTY_BUFFER, Map.of(), front.lifecycle().ready());
         } else if (call instanceof ThriftCall.Unknown c) {
             log.warn("unknown method", "client", channel.remoteAddress(), "method", c.method());
             bad(c.method(), c.seqid(), Thrift.UNKNOWN_METHOD, "unknown method");
@@ -189,26 +189,26 @@
 
     private void idleIfDone() {
         if (open.isEmpty() && !closing.begun() && useful) {
-            front.crowd().idle(this, front.clock().nowMs());
+            front.registry().idle(this, front.clock().nowMs());
             closeSoonIfQuiet();
         }
     }
 
     /** Behind all that this turn of the loop reads, and behind the answer that made it idle. */
     private void closeSoonIfQuiet() {
-        if (front.duty().closeWhenIdle()) {
+        if (front.lifecycle().closeWhenIdle()) {
             channel.eventLoop().execute(this::closeIfQuiet);
         }
     }
 
     /**
-     * Closes the connection where the duty wants idle ones gone and nothing is open, unwritten or half read on it. One
-     * that never asked is left to the watch on half-sent requests, for it may be about to ask, until nothing more is to
+     * Closes the connection where the lifecycle wants idle ones gone and nothing is open, unwritten or half read on it. One
+     * that never asked is left to the watch on half-sent requests, for it may be about to request, until nothing more is to
      * come at all.
      */
     void closeIfQuiet() {
         boolean quiet = open.isEmpty() && arrived.isEmpty() && unwritten == 0 && !decoder.midFrame();
-        if (quiet && front.duty().closeWhenIdle() && (useful || front.duty().closeStrangers())) {
+        if (quiet && front.lifecycle().closeWhenIdle() && (useful || front.lifecycle().closeStrangers())) {
             close();
         }
     }
@@ -216,7 +216,7 @@
     /** Begins to close; what still comes is thrown away. */
     private void close() {
         if (!closing.begun() && channel.isActive()) {
-            front.crowd().leaving(this);
+            front.registry().leaving(this);
             halfSent.cancel();
             decoder.discard();
             closing.begin(LINGER_MS);
@@ -258,10 +258,10 @@
         if (open.containsKey(seqid)) {
             throw new ThriftCall.Malformed("sequence number " + seqid + " is in use");
         }
-        Ask ask;
+        Request request;
         try {
-            ask = RequestFields.read(call.fields(), call.body(), front.classes().get());
-            if (doorman.hasTaken(ask.id())) {
+            request = RequestFields.read(call.fields(), call.body(), front.classes().get());
+            if (doorman.hasTaken(request.id())) {
                 // Two requests under one id would be taken for one another at a depot.
                 throw new IllegalArgumentException("field i is the id of an earlier request");
             }
@@ -271,7 +271,7 @@
             return;
         }
         useful = true;
-        if (!front.duty().takes(front.clock().nowMs(), ask.remainingMs())) {
+        if (!front.lifecycle().takes(front.clock().nowMs(), request.remainingMs())) {
             // Its connection is to be closed, which needs a moment with nothing open: the client asks again elsewhere.
             write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of("w", Long.toString(AWAY_MS))));
             idleIfDone();
@@ -287,14 +287,14 @@
         }
         Pending x = new Pending(seqid);
         open.put(seqid, x);
-        front.crowd().busy(this);
+        front.registry().busy(this);
         // The body outlives the frame that it is a slice of: until the request is over.
         call.body().retain();
-        x.ticket = doorman.take(ask, x);
+        x.ticket = doorman.take(request, x);
     }
 
     /** One open request of this connection. */
-    private final class Pending implements Caller {
+    private final class Pending implements ResponseHandler {
         private final int seqid;
         private Doorman.Ticket ticket;
 
@@ -303,7 +303,7 @@
         }
 
         void leave() {
-            ticket.gone();
+            ticket.cancel();
         }
 
         private void over() {
@@ -360,7 +360,7 @@
     }
 
     /** Closes the connection for a newcomer's, unless what has just been read is a request on it. */
-    void makeRoom() {
+    void evict() {
         channel.eventLoop().execute(() -> {
             if (open.isEmpty() && arrived.isEmpty()) {
                 close();
@@ -410,7 +410,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         closing.closed();
-        front.crowd().left(this);
+        front.registry().left(this);
         halfSent.cancel();
         if (stuck != null) {
             stuck.cancel();
--- a/doorman/src/main/java/barleyspur/front/thrift/RequestFields.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/RequestFields.java
@@ -1,6 +1,6 @@
 package barleyspur.front.thrift;
 
-import barleyspur.doorman.Ask;
+import barleyspur.doorman.Request;
 import barleyspur.retune.ClassTable;
 import io.netty.buffer.ByteBuf;
 import java.util.List;
@@ -28,11 +28,11 @@
     }
 
     /** The request; its body is still the frame's. */
-    static Ask read(Map<String, String> fields, ByteBuf body, ClassTable classes) {
-        return new RequestFields(fields).ask(body, classes);
+    static Request read(Map<String, String> fields, ByteBuf body, ClassTable classes) {
+        return new RequestFields(fields).request(body, classes);
     }
 
-    private Ask ask(ByteBuf body, ClassTable classes) {
+    private Request request(ByteBuf body, ClassTable classes) {
         String className = word("c");
         int category = classes.number(className);
         if (category < 0) {
@@ -43,7 +43,7 @@
         String key = word("o");
         String size = fields.get("m");
         int mostMs = (int) Math.ceil(classes.classes().get(category).deadlineMs());
-        return new Ask(id, category, className, key, hex("o", key), word("seg"), whole("seg", MOST_PART),
+        return new Request(id, category, className, key, hex("o", key), word("seg"), whole("seg", MOST_PART),
             whole("bucket", MOST_GROUP), whole("d", mostMs), size == null ? 0 : decimal("m", size),
             bare("etag"), bare("k"), body);
     }
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -3,7 +3,7 @@
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
-import barleyspur.duty.Duty;
+import barleyspur.lifecycle.Lifecycle;
 import barleyspur.retune.ClassTable;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -45,7 +45,7 @@
     private final int mostServed;
     private final ChannelGroup connections;
     private final CappedLog log;
-    private final Crowd<FrontConnection> crowd = new Crowd<>();
+    private final ConnectionRegistry<FrontConnection> registry = new ConnectionRegistry<>();
     private final FrontConnection.Shared shared;
     private final boolean sharePort;
     private ClassTable classes;
@@ -57,7 +57,7 @@
      */
     public ThriftFront(EventLoopGroup group, Doorman doorman, Clock clock, ClassTable classes, int mostConnections,
                        long mostUnread,
-                       Consumer<Boolean> onFull, Duty duty, boolean sharePort) {
+                       Consumer<Boolean> onFull, Lifecycle lifecycle, boolean sharePort) {
         this.group = group;
         this.clock = clock;
         this.mostConnections = mostConnections;
@@ -66,7 +66,7 @@
         this.connections = new DefaultChannelGroup(group.next());
         this.classes = classes;
         this.shared = new FrontConnection.Shared(doorman, clock, () -> this.classes,
-            MOST_OPEN, new UnreadAnswers(mostUnread, onFull), crowd, log, duty);
+            MOST_OPEN, new UnreadAnswers(mostUnread, onFull), registry, log, lifecycle);
         this.sharePort = sharePort;
     }
 
@@ -104,9 +104,9 @@
     }
 
     private void accept(Channel channel) {
-        if (connections.size() - crowd.leaving() >= mostServed) {
-            // Guards the limit on descriptors: without it a crowd of clients would cut off the depots.
-            FrontConnection leaves = crowd.makeRoom(clock.nowMs());
+        if (connections.size() - registry.leaving() >= mostServed) {
+            // Guards the limit on descriptors: without it a registry of clients would cut off the depots.
+            FrontConnection leaves = registry.evictIdle(clock.nowMs());
             if (leaves == null) {
                 log.warn("turned away: all connections are in use", "client", channel.remoteAddress(), "open",
                     connections.size());
@@ -115,10 +115,10 @@
             }
             log.warn("a connection that is not in use makes room", "client", channel.remoteAddress(), "open",
                 connections.size());
-            leaves.makeRoom();
+            leaves.evict();
         }
-        if (connections.size() >= mostConnections && crowd.leaving() > 0) {
-            crowd.closingLongest().endClosing();
+        if (connections.size() >= mostConnections && registry.leaving() > 0) {
+            registry.closingLongest().endClosing();
         }
         connections.add(channel);
         ThriftFrameDecoder decoder = new ThriftFrameDecoder(MAX_FRAME);
@@ -130,7 +130,7 @@
         classes = next;
     }
 
-    /** Closes every connection that has nothing open, as the duty wants it now, once this turn of the loop has been read. */
+    /** Closes every connection that has nothing open, as the lifecycle wants it now, once this turn of the loop has been read. */
     public void closeIdle() {
         group.next().execute(() -> {
             for (Channel c : connections) {
@@ -152,7 +152,7 @@
 
     /**
      * Stops listening and ends every connection as it falls quiet, all of them after {@code mostMs}; then runs
-     * {@code then}. The duty wants idle ones gone from before this call on.
+     * {@code then}. The lifecycle wants idle ones gone from before this call on.
      */
     public void close(double mostMs, Runnable then) {
         if (listener != null) {
--- a/doorman/src/main/java/barleyspur/duty/Duty.java
+++ b/doorman/src/main/java/barleyspur/lifecycle/Lifecycle.java
@@ -1,4 +1,4 @@
-package barleyspur.duty;
+package barleyspur.lifecycle;
 
 import java.util.Locale;
 
@@ -13,7 +13,7 @@
  * rule on lost requests where a connection is held idle, or with a request from the last 2 s, 4 s after the call.
  * A request that crosses such a close is sent once more by its client (the protocol page's rule on closes).
  */
-public final class Duty {
+public final class Lifecycle {
 
     /**
      * How long after a quiesce requests on kept connections are still taken; later ones are refused, so that each
--- a/doorman/src/test/java/barleyspur/admin/AdminServerTest.java
+++ b/doorman/src/test/java/barleyspur/admin/AdminServerTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import barleyspur.doorman.Clock;
-import barleyspur.duty.Duty;
+import barleyspur.lifecycle.Lifecycle;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -14,16 +14,16 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** The second address on virtual time: calls, callers that say nothing, and the duty behind. */
+/** The second address on virtual time: calls, callers that say nothing, and the lifecycle behind. */
 class AdminServerTest implements Clock {
 
     private record Task(double at, Runnable run) { }
 
     private double now;
     private final List<Task> timers = new ArrayList<>();
-    private final Duty duty = new Duty();
+    private final Lifecycle lifecycle = new Lifecycle();
     private int quiesced;
-    private final AdminServer server = new AdminServer(null, this, new DutyCalls(duty, this, () -> quiesced++)
+    private final AdminServer server = new AdminServer(null, this, new LifecycleCalls(lifecycle, this, () -> quiesced++)
         .addTo(Routes.builder()).build());
 
     @Override
@@ -74,7 +74,7 @@
     @Test
     void quiesceAndResumeTurnHealth() {
         assertTrue(call("GET", "/admin/health").startsWith("HTTP/1.1 503"), "not yet serving");
-        duty.serving(now);
+        lifecycle.serving(now);
         assertTrue(call("GET", "/admin/health").startsWith("HTTP/1.1 200"));
         String quiesce = call("PUT", "/admin/quiesce");
         assertTrue(quiesce.startsWith("HTTP/1.1 200") && quiesce.contains("\"phase\":\"quiesced\""), quiesce);
@@ -84,7 +84,7 @@
         assertEquals(1, quiesced, "a second quiesce is nothing new");
         assertTrue(call("PUT", "/admin/resume").startsWith("HTTP/1.1 200"));
         assertTrue(call("GET", "/admin/health").startsWith("HTTP/1.1 200"));
-        duty.leave(now, false, 3_700);
+        lifecycle.leave(now, false, 3_700);
         assertTrue(call("PUT", "/admin/resume").startsWith("HTTP/1.1 409"), "a leaving process is not taken back");
     }
 
@@ -101,7 +101,7 @@
      */
     @Test
     void callersWhoSayNothingNeitherBlockNorStay() {
-        duty.serving(now);
+        lifecycle.serving(now);
         List<EmbeddedChannel> silent = new ArrayList<>();
         for (int i = 0; i < AdminServer.MOST_CALLERS; i++) {
             EmbeddedChannel c = connect();
--- a/doorman/src/test/java/barleyspur/arch/LayersTest.java
+++ b/doorman/src/test/java/barleyspur/arch/LayersTest.java
@@ -18,7 +18,7 @@
     @Test
     void whatDecidesIsPure() {
         noClasses().that().resideInAnyPackage("barleyspur.decision", "barleyspur.expect", "barleyspur.tier",
-            "barleyspur.duty", "barleyspur.retune", "barleyspur.fleet").should()
+            "barleyspur.lifecycle", "barleyspur.retune", "barleyspur.fleet").should()
             .dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..", "java.time..",
                 "java.util.concurrent..", "io.netty..", "org.slf4j..", "org.json..")
             .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.Random")
--- a/doorman/src/test/java/barleyspur/depot/DepotClientTest.java
+++ b/doorman/src/test/java/barleyspur/depot/DepotClientTest.java
@@ -6,7 +6,7 @@
 
 import barleyspur.decision.Director;
 import barleyspur.decision.Director.Result;
-import barleyspur.doorman.Ask;
+import barleyspur.doorman.Request;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Depots;
 import barleyspur.doorman.Listing;
@@ -53,8 +53,8 @@
     }
 
     private void send(long node, String id) {
-        Ask ask = new Ask(id, 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 0, 1_000, 0, null, null, Unpooled.EMPTY_BUFFER);
-        client.send(node, new Depots.Order(ask, 500, null, 0, 0, false, false, false, false),
+        Request request = new Request(id, 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 0, 1_000, 0, null, null, Unpooled.EMPTY_BUFFER);
+        client.send(node, new Depots.Order(request, 500, null, 0, 0, false, false, false, false),
             answer -> ends.add(answer.result()));
         channels.forEach(EmbeddedChannel::runPendingTasks);
     }
--- a/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
+++ b/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
@@ -89,7 +89,7 @@
         public void hangUp(long node) { }
     };
 
-    private final Caller caller = new Caller() {
+    private final ResponseHandler caller = new ResponseHandler() {
         @Override
         public void served(ByteBuf served, String tag) {
             answers.add("served " + served.readableBytes() + " " + tag);
@@ -125,7 +125,7 @@
 
     private void take(Consumer<Director.Event> decisions) {
         decide = decisions;
-        ticket = doorman.take(new Ask("9b1f03aa5c7e2d41", 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 7, 1_000, 0, null, null,
+        ticket = doorman.take(new Request("9b1f03aa5c7e2d41", 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 7, 1_000, 0, null, null,
             body.refCnt() > 0 ? body : Unpooled.copiedBuffer(new byte[3])), caller);
     }
 
@@ -221,8 +221,8 @@
                 out.accept(new Director.Cancel(g.request(), 0));
             }
         });
-        ticket.gone();
-        ticket.gone();
+        ticket.cancel();
+        ticket.cancel();
         moveTo(9_000);
         assertEquals(List.of(), answers);
         assertEquals(List.of("attempt 0"), cancelled);
@@ -288,7 +288,7 @@
     void nothingGoesOutForWhoHasGone() {
         take(e -> sendAll(1, e));
         assertEquals(Result.OK, sent.get(0).admit());
-        ticket.gone();
+        ticket.cancel();
         assertEquals(Result.MOOT, sent.get(0).admit());
     }
 
@@ -346,8 +346,9 @@
     void onlyTheCopyThatTheClientHoldsIsCurrent() {
         take(e -> sendAll(2, e));
         sent.get(0).ended(new Answer(Result.OK, Director.Note.HIT, List.of(), null, "tag"));
+        sent.get(1).ended(new Answer(Result.OK, Director.Note.HIT, List.of(), null, null));
         assertEquals(List.of(), answers);
-        assertEquals(Result.ERROR, outcomes().get(0).result());
+        assertEquals(List.of(Result.ERROR, Result.ERROR), outcomes().stream().map(Director.Outcome::result).toList());
     }
 
     /** Guards the last answers: what is still open when SIGKILL may come is failed, not left. */
@@ -367,7 +368,7 @@
     @Test
     void requestsBeyondTheLimitAreRefused() {
         take(e -> { });
-        doorman.take(new Ask("9b1f03aa5c7e2d42", 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 0, 1_000, 0, null, null,
+        doorman.take(new Request("9b1f03aa5c7e2d42", 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 0, 1_000, 0, null, null,
             Unpooled.EMPTY_BUFFER), caller);
         assertEquals(List.of("refused 700.0"), answers);
     }
--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -11,7 +11,7 @@
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.SilentDepots;
-import barleyspur.duty.Duty;
+import barleyspur.lifecycle.Lifecycle;
 import barleyspur.retune.ClassTable;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -48,17 +48,17 @@
         events.add(event);
         out = sink;
     }, this, new SilentDepots());
-    private final Crowd<FrontConnection> crowd = new Crowd<>();
-    private final Duty duty = new Duty();
+    private final ConnectionRegistry<FrontConnection> registry = new ConnectionRegistry<>();
+    private final Lifecycle lifecycle = new Lifecycle();
     private final List<Runnable> timers = new ArrayList<>();
     private double now;
     private final EmbeddedChannel channel = connect();
 
     private EmbeddedChannel connect() {
-        duty.serving(now);
+        lifecycle.serving(now);
         ThriftFrameDecoder decoder = new ThriftFrameDecoder(100_000);
         FrontConnection.Shared shared = new FrontConnection.Shared(doorman, this, () -> CLASSES, MOST_OPEN, new UnreadAnswers(1_000, full -> { }),
-            crowd, new CappedLog(LoggerFactory.getLogger("front"), this), duty);
+            registry, new CappedLog(LoggerFactory.getLogger("front"), this), lifecycle);
         return new EmbeddedChannel(decoder, new FrontConnection(shared, decoder));
     }
 
@@ -319,23 +319,23 @@
     /** Guards newcomers: those that are of no use go first, those with something open never. */
     @Test
     void theLeastUsefulMakeRoom() {
-        Crowd<String> guests = new Crowd<>();
+        ConnectionRegistry<String> guests = new ConnectionRegistry<>();
         List.of("silent", "idle", "busy", "left").forEach(c -> guests.came(c, 0));
         guests.busy("busy");
         guests.idle("idle", 100);
         guests.left("left");
-        guests.came("newcomer", Crowd.NEW_MS);
+        guests.came("newcomer", ConnectionRegistry.NEW_MS);
         guests.leaving("told");
-        assertEquals("silent", guests.makeRoom(Crowd.NEW_MS));
-        assertEquals("idle", guests.makeRoom(Crowd.NEW_MS));
-        assertEquals("newcomer", guests.makeRoom(Crowd.NEW_MS));
-        assertNull(guests.makeRoom(Crowd.NEW_MS));
+        assertEquals("silent", guests.evictIdle(ConnectionRegistry.NEW_MS));
+        assertEquals("idle", guests.evictIdle(ConnectionRegistry.NEW_MS));
+        assertEquals("newcomer", guests.evictIdle(ConnectionRegistry.NEW_MS));
+        assertNull(guests.evictIdle(ConnectionRegistry.NEW_MS));
         for (String next : List.of("told", "silent", "idle", "newcomer")) {
             assertEquals(next, guests.closingLongest());
             guests.left(next);
         }
         assertNull(guests.closingLongest());
-        crowd.makeRoom(0).makeRoom();
+        registry.evictIdle(0).evict();
         dispatch(1, "small");
         channel.runPendingTasks();
         assertTrue(channel.isOpen(), "what asked in the same moment stays");
@@ -346,7 +346,7 @@
     void quiescedAConnectionIsClosedOnceItsAnswersAreOut() {
         dispatch(1, "small");
         dispatch(2, "small");
-        duty.quiesce(now);
+        lifecycle.quiesce(now);
         out.accept(new Director.Refuse(((Director.Request) events.get(0)).id(), 0));
         doorman.purgedGroup(1, 0);
         channel.runPendingTasks();
--- a/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
@@ -6,7 +6,7 @@
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.LoopClock;
 import barleyspur.doorman.SilentDepots;
-import barleyspur.duty.Duty;
+import barleyspur.lifecycle.Lifecycle;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -31,10 +31,10 @@
     }
 
     private ThriftFront front(boolean share) {
-        Duty duty = new Duty();
-        duty.serving(0);
+        Lifecycle lifecycle = new Lifecycle();
+        lifecycle.serving(0);
         Doorman doorman = new Doorman(FrontConnectionTest.SETTINGS, 9, (now, event, sink) -> { }, clock, new SilentDepots());
-        return new ThriftFront(group, doorman, clock, FrontConnectionTest.CLASSES, 16, 1 << 20, full -> { }, duty,
+        return new ThriftFront(group, doorman, clock, FrontConnectionTest.CLASSES, 16, 1 << 20, full -> { }, lifecycle,
             share);
     }
 
