Heartbeats from before are a sign of life; closing connections take no places from others

The registry also took a sixteenth of the places for closing connections from those in use, and kept one that a bad request had saved from eviction as closing: whatABadRequestKeptCanBeEvictedLater.

--- a/doorman/src/main/java/barleyspur/channel/CommandChannel.java
+++ b/doorman/src/main/java/barleyspur/channel/CommandChannel.java
@@ -119,16 +119,11 @@
             if (this != current || closed) {
                 return;
             }
-            switch (reader.line(line)) {
-                case CURRENT -> {
-                    silence.cancel();
-                    silence = clock.after(SILENCE_MS, this::silent);
-                }
-                case BEHIND -> { }
-                case GAP -> {
-                    log.warn("gap: resuming", "after", reader.cursor());
-                    ctx.close();
-                }
+            silence.cancel();
+            silence = clock.after(SILENCE_MS, this::silent);
+            if (!reader.line(line)) {
+                log.warn("gap: resuming", "after", reader.cursor());
+                ctx.close();
             }
         }
 
--- a/doorman/src/main/java/barleyspur/channel/CommandReader.java
+++ b/doorman/src/main/java/barleyspur/channel/CommandReader.java
@@ -44,38 +44,29 @@
         cursor = known.getLong("cursor");
     }
 
-    /** What a line shows of the channel that brought it. */
-    enum Sign {
-        /** It has told all that there is up to now. */
-        CURRENT,
-        /** It says nothing that we have not, such as a number from before: no sign that the channel would tell more. */
-        BEHIND,
-        /** A command was missed, or the line can't be read at all. */
-        GAP
-    }
-
-    /** Reads one line. */
-    Sign line(String line) {
+    /** Reads one line; false where it shows that a command was missed or can't be read at all. */
+    boolean line(String line) {
         String text = line.strip();
         if (text.isEmpty()) {
-            return Sign.BEHIND;
+            return true;
         }
         try {
-            boolean heartbeat = text.charAt(0) != '{';
-            JSONObject command = heartbeat ? null : new JSONObject(text);
-            long number = heartbeat ? Long.parseLong(text) : command.getLong("cursor");
-            long next = heartbeat ? cursor : cursor + 1;
-            if (number != next) {
-                return number > next ? Sign.GAP : Sign.BEHIND;
+            if (text.charAt(0) != '{') {
+                return Long.parseLong(text) <= cursor;
+            }
+            JSONObject command = new JSONObject(text);
+            long number = command.getLong("cursor");
+            if (number > cursor + 1) {
+                return false;
             }
-            cursor = number;
-            if (!heartbeat) {
+            if (number == cursor + 1) {
+                cursor = number;
                 command(command);
             }
-            return Sign.CURRENT;
+            return true;
         } catch (JSONException | NumberFormatException e) {
             LogEvent.log(LOG.atWarn(), "bad line", "cause", e.getMessage());
-            return Sign.GAP;
+            return false;
         }
     }
 
--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -364,6 +364,9 @@
         channel.eventLoop().execute(() -> {
             if (open.isEmpty() && arrived.isEmpty()) {
                 close();
+            } else if (open.isEmpty()) {
+                // It stays, and may have to go another time where what has come can't be used.
+                front.registry().idle(this, front.clock().nowMs());
             }
         });
     }
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -35,14 +35,12 @@
      * connection is seen with the last request before it.
      */
     private static final int MOST_READS = 16;
-    /** Of the connections one in so many may be closing ones, which linger until their client has read the last answer. */
+    /** Beside those in use one in so many may be closing ones, which linger until their client has read the last answer. */
     private static final int LINGERING = 16;
 
     private final EventLoopGroup group;
     private final Clock clock;
     private final int mostConnections;
-    /** So many may be in use; the rest are for those that are closing. */
-    private final int mostServed;
     private final ChannelGroup connections;
     private final CappedLog log;
     private final ConnectionRegistry<FrontConnection> registry = new ConnectionRegistry<>();
@@ -61,7 +59,6 @@
         this.group = group;
         this.clock = clock;
         this.mostConnections = mostConnections;
-        this.mostServed = mostConnections - mostConnections / LINGERING;
         this.log = new CappedLog(LOG, clock);
         this.connections = new DefaultChannelGroup(group.next());
         this.classes = classes;
@@ -104,7 +101,7 @@
     }
 
     private void accept(Channel channel) {
-        if (connections.size() - registry.leaving() >= mostServed) {
+        if (connections.size() - registry.leaving() >= mostConnections) {
             // Guards the limit on descriptors: without it a registry of clients would cut off the depots.
             FrontConnection leaves = registry.evictIdle(clock.nowMs());
             if (leaves == null) {
@@ -117,7 +114,7 @@
                 connections.size());
             leaves.evict();
         }
-        if (connections.size() >= mostConnections && registry.leaving() > 0) {
+        if (registry.leaving() > mostConnections / LINGERING) {
             registry.closingLongest().endClosing();
         }
         connections.add(channel);
--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -341,6 +341,19 @@
         assertTrue(channel.isOpen(), "what asked in the same moment stays");
     }
 
+    /** Guards descriptors: a connection that a bad request has kept from eviction is not counted as closing, and can go later. */
+    @Test
+    void whatABadRequestKeptCanBeEvictedLater() {
+        registry.evictIdle(0).evict();
+        dispatch(1, "unheard-of");
+        assertTrue(channel.isOpen());
+        assertEquals(0, registry.leaving());
+        registry.evictIdle(0).evict();
+        channel.runPendingTasks();
+        pass(FrontConnection.LINGER_MS);
+        assertFalse(channel.isOpen());
+    }
+
     /** Guards the drain's rule: quiesced, a connection goes once its last answer is out, and not before. */
     @Test
     void quiescedAConnectionIsClosedOnceItsAnswersAreOut() {
