--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -49,7 +49,7 @@
     /**
      * The depots get a third of the descriptors, and clients what the process leaves: those that the protocol knows
      * hold a third at most, and others must not be able to keep them out. The process has about 20 of its own, and
-     * in a registry up to 32 are accepted, or closed but not yet given back, between two looks.
+     * in a crowd up to 32 are accepted, or closed but not yet given back, between two looks.
      */
     private static final int SHARES = 3;
     private static final int OWN_SOCKETS = 64;
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -102,7 +102,7 @@
 
     private void accept(Channel channel) {
         if (connections.size() - registry.leaving() >= mostConnections) {
-            // Guards the limit on descriptors: without it a registry of clients would cut off the depots.
+            // Guards the limit on descriptors: without it a crowd of clients would cut off the depots.
             FrontConnection leaves = registry.evictIdle(clock.nowMs());
             if (leaves == null) {
                 log.warn("turned away: all connections are in use", "client", channel.remoteAddress(), "open",
