--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -15,6 +15,7 @@
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.LoopClock;
+import barleyspur.doorman.SocketPolls;
 import barleyspur.lifecycle.Lifecycle;
 import barleyspur.fleet.net.FleetPort;
 import barleyspur.front.thrift.ThriftFront;
@@ -26,7 +27,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -38,7 +38,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -78,7 +78,8 @@
     /** Reads configurations one after another, off the event loop, for as long as there are any to read. */
     private final ThreadPoolExecutor reloads = new ThreadPoolExecutor(0, 1, 1, TimeUnit.SECONDS,
         new ArrayBlockingQueue<>(1), new DefaultThreadFactory("reload", true), new ThreadPoolExecutor.DiscardPolicy());
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final SocketPolls polls = new SocketPolls();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, polls.ioHandlers());
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Doorman doorman;
     private final CommandChannel channel;
@@ -103,12 +104,12 @@
     }
 
     /** The same with another clock than the machine's, made for its event loop: for tests of clocks that drift. */
-    public Node(Configuration configuration, OwnSettings own, Function<EventLoop, Clock> clocks) {
+    public Node(Configuration configuration, OwnSettings own, BiFunction<EventLoop, SocketPolls, Clock> clocks) {
         this.configuration = configuration;
         this.own = own;
         Configuration.Limits limits = configuration.limits();
         Director.Settings settings = configuration.settings();
-        clock = clocks.apply(group.next());
+        clock = clocks.apply(group.next(), polls);
         DepotClient depots = new DepotClient(Connector.tcp(group, limits.connectTimeoutMs()), clock,
             new DepotClient.Limits(limits.streams(), limits.idleMs(), limits.sockets() / SHARES),
             settings.reportFields());
@@ -258,7 +259,7 @@
 
     private void leave(long successor) {
         boolean served = lifecycle.phase() != Lifecycle.Phase.STARTING;
-        if (!lifecycle.leave(clock.nowMs(), successor >= 0, Lifecycle.killAfterMs(longestDeadlineMs()))) {
+        if (!lifecycle.leave(clock.nowMs(), successor >= 0, Lifecycle.killAfterMs(classes.longestDeadlineMs()))) {
             return;
         }
         LogEvent.log(LOG.atInfo(), "leaving", "successor", successor);
@@ -295,10 +296,6 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> ended.countDown());
     }
 
-    private double longestDeadlineMs() {
-        return classes.classes().stream().mapToDouble(Director.RequestClass::deadlineMs).max().orElse(0);
-    }
-
     /** Waits until a drain has ended. */
     public void awaitEnd() throws InterruptedException {
         ended.await();
--- a/doorman/src/main/java/barleyspur/doorman/Clock.java
+++ b/doorman/src/main/java/barleyspur/doorman/Clock.java
@@ -9,6 +9,14 @@
     /** Milliseconds. */
     double nowMs();
 
+    /**
+     * The earliest moment at which what is being read from a socket may have come: before now, where the event loop was
+     * busy and it had to wait.
+     */
+    default double pendingSinceMs() {
+        return nowMs();
+    }
+
     /** Runs {@code task} on the event loop after {@code delayMs}, never from within this call. */
     Timer after(double delayMs, Runnable task);
 
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -4,10 +4,8 @@
 import barleyspur.decision.Director;
 import barleyspur.log.LogEvent;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,12 +42,11 @@
             return size() > MOST_TAKEN;
         }
     });
-    /** What was last listed of each node that is there. */
-    private final Map<Long, Listing> listed = new HashMap<>();
+    private final NodeListings listings;
+    private final StandstillMargin standstills = new StandstillMargin();
     private final ArrayDeque<Director.Event> events = new ArrayDeque<>();
     private final ArrayDeque<Director.Action> actions = new ArrayDeque<>();
     private boolean telling;
-    private boolean listedOnce;
     private long lastId;
     /** Requests whose answer is owed. */
     private int owed;
@@ -62,6 +59,7 @@
         this.director = director;
         this.clock = clock;
         this.depots = depots;
+        this.listings = new NodeListings(depots);
     }
 
     // ---- the front -------------------------------------------------------------------------------------
@@ -72,8 +70,12 @@
         void cancel();
     }
 
-    /** Takes a request and its body. The handler may be called from within this call. */
-    public Ticket take(Request request, ResponseHandler handler) {
+    /**
+     * Takes a request and its body, which may have come to this machine as early as {@code arrivedMs}: its time counts from
+     * there, however late the event loop was to read it, and is cut by what the loop may be late to end it. The handler may
+     * be called from within this call.
+     */
+    public Ticket take(Request request, double arrivedMs, ResponseHandler handler) {
         if (owed >= maxOpen) {
             LogEvent.log(LOG.atWarn(), "refused: too many requests are open", "request", request.id(), "open", owed);
             request.body().release();
@@ -82,16 +84,17 @@
         }
         double now = clock.nowMs();
         lastId = (lastId + 1) % MOST_IDS;
-        Exchange x = new Exchange(lastId, request, handler, now);
+        standstills.observe(now, now - arrivedMs);
+        Exchange x = new Exchange(lastId, request, handler, arrivedMs, standstills.of(request.remainingMs(), now));
         exchanges.put(x.id, x);
         takenIds.add(request.id());
-        Trail.taken(request);
+        RequestTrace.taken(request, now - arrivedMs);
         owed++;
         // Guards rule 1 against a director that leaves a request unanswered: half the slack is left by then.
-        x.guard = clock.after(request.remainingMs() + settings.answerSlackMs() / 2, () -> abandon(x, "left unanswered"));
+        x.guard = clock.after(x.deadline - now + settings.answerSlackMs() / 2, () -> abandon(x, "left unanswered"));
         boolean write = settings.classes().get(request.category()).write();
         tell(new Director.Request(x.id, request.category(), 0, request.object(), request.part(), request.group(),
-            request.remainingMs(), request.sizeKb(), false, write));
+            Math.max(0, x.deadline - now), request.sizeKb(), false, write));
         return () -> gone(x);
     }
 
@@ -169,7 +172,7 @@
     /** The request is over: nothing further is sent for it. */
     private void close(Exchange x, String how) {
         x.over = true;
-        Trail.over(x, how, clock.nowMs() - x.takenAt);
+        RequestTrace.over(x, how, clock.nowMs() - x.takenAt);
         x.guard.cancel();
         x.request.body().release();
         owed--;
@@ -187,48 +190,12 @@
     // ---- the command channel ---------------------------------------------------------------------------
 
     @Override
-    public void listed(boolean whole, List<Listing> listings) {
-        List<Director.Node> nodes = new ArrayList<>(listings.size());
-        Set<Long> changed = new HashSet<>();
-        if (whole) {
-            // A node that a whole list leaves out has gone.
-            List<Long> left = new ArrayList<>(listed.keySet());
-            listings.forEach(l -> left.remove(l.node()));
-            left.forEach(this::retire);
-            changed.addAll(left);
-        }
-        for (Listing l : listings) {
-            long node = l.node();
-            Listing known = listed.get(node);
-            if (known != null && !known.uid().equals(l.uid())) {
-                LogEvent.log(LOG.atError(), "node passed over: its number is another's", "uid", l.uid(), "node", node, "other",
-                    known.uid());
-                continue;
-            }
-            if (l.state() != Director.State.READY || known != null && !known.sameProcess(l)) {
-                changed.add(node);
-            }
-            if (l.state() == Director.State.GONE) {
-                LogEvent.log(LOG.atInfo(), "node is gone", "node", node);
-                retire(node);
-            } else {
-                if (known == null) {
-                    LogEvent.log(LOG.atInfo(), "node is listed", "node", node, "uid", l.uid(), "address", l.address(), "kind",
-                        l.kind(), "started", (long) l.bootMs());
-                }
-                if (l.state() == Director.State.DRAINING) {
-                    LogEvent.log(LOG.atInfo(), "node drains", "node", node);
-                }
-                listed.put(node, l);
-                depots.list(node, l);
-            }
-            nodes.add(new Director.Node(node, l.zone(), l.kind(), l.cell(), l.state(), l.size(), l.bootMs()));
-        }
-        Director.ListKind full = listedOnce ? Director.ListKind.FULL : Director.ListKind.CACHED;
-        listedOnce = true;
-        tell(new Director.Members(whole ? full : Director.ListKind.DELTA, nodes));
-        if (!changed.isEmpty()) {
-            overtake((x, attempt) -> changed.contains(attempt.node) || changed.contains(attempt.source));
+    public void listed(boolean whole, List<Listing> list) {
+        NodeListings.Change change = listings.apply(whole, list);
+        tell(new Director.Members(change.kind(), change.nodes()));
+        if (!change.overtaken().isEmpty()) {
+            overtake((x, attempt) -> change.overtaken().contains(attempt.node)
+                || change.overtaken().contains(attempt.source));
         }
     }
 
@@ -247,11 +214,6 @@
         }
     }
 
-    private void retire(long node) {
-        listed.remove(node);
-        depots.retire(node);
-    }
-
     @Override
     public void purgedObject(long object, double whenMs) {
         tell(new Director.Purged(0, object, clock.nowMs() - whenMs));
@@ -352,7 +314,7 @@
         int number = x.attempts.size();
         x.attempts.add(attempt);
         x.out++;
-        Trail.sent(x, number, node, get);
+        RequestTrace.sent(x, number, node, get);
         double left = x.deadline - now;
         double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
         if (x.over || number >= settings.maxAttempts() || wait <= 0) {
@@ -397,7 +359,7 @@
         if (get == null) {
             return new Depots.Order(x.request, wait, null, 0, 0, false, false, false, false);
         }
-        Listing from = get.source() == node ? null : listed.get(get.source());
+        Listing from = get.source() == node ? null : listings.get(get.source());
         String source = from == null ? null : from.uid();
         return new Depots.Order(x.request, wait, source, get.rank(), get.maxAgeMs(), get.join(), get.onlyHeld(),
             get.parentKeepsNone(), get.renew());
@@ -437,7 +399,7 @@
             attempt.timeout.cancel();
         }
         double ms = clock.nowMs() - attempt.sentAt;
-        Trail.ended(x, number, answer, ms);
+        RequestTrace.ended(x, number, answer, ms);
         if (answer.result() == Result.OK && !x.over) {
             close(x, "served");
             if (answer.body() == null) {
--- a/doorman/src/main/java/barleyspur/doorman/Exchange.java
+++ b/doorman/src/main/java/barleyspur/doorman/Exchange.java
@@ -39,11 +39,12 @@
     int out;
     boolean over;
 
-    Exchange(long id, Request request, ResponseHandler handler, double takenAt) {
+    /** The request came at {@code takenAt}, and is to end {@code marginMs} before its time is over. */
+    Exchange(long id, Request request, ResponseHandler handler, double takenAt, double marginMs) {
         this.id = id;
         this.request = request;
         this.handler = handler;
         this.takenAt = takenAt;
-        this.deadline = takenAt + request.remainingMs();
+        this.deadline = takenAt + request.remainingMs() - marginMs;
     }
 }
--- a/doorman/src/main/java/barleyspur/doorman/LoopClock.java
+++ b/doorman/src/main/java/barleyspur/doorman/LoopClock.java
@@ -10,11 +10,15 @@
     private static final double NANOS_PER_MS = 1e6;
 
     private final EventLoop loop;
+    private final SocketPolls polls;
     private final double startedAtMs = System.currentTimeMillis();
     private final long startedAtNanos = System.nanoTime();
 
-    public LoopClock(EventLoop loop) {
+    /** The clock of {@code loop}, whose sockets are polled by {@code polls}. */
+    public LoopClock(EventLoop loop, SocketPolls polls) {
         this.loop = loop;
+        this.polls = polls;
+        polls.setClock(this::nowMs);
     }
 
     @Override
@@ -22,10 +26,18 @@
         return startedAtMs + (System.nanoTime() - startedAtNanos) / NANOS_PER_MS;
     }
 
+    @Override
+    public double pendingSinceMs() {
+        return polls.pendingSinceMs();
+    }
+
     @Override
     public Timer after(double delayMs, Runnable task) {
-        long nanos = Math.max(0, Math.round(delayMs * NANOS_PER_MS));
-        Future<?> scheduled = loop.schedule(task, nanos, TimeUnit.NANOSECONDS);
+        double dueMs = nowMs() + Math.max(0, delayMs);
+        Future<?> scheduled = loop.schedule(() -> {
+            RequestTrace.timerRan(nowMs() - dueMs);
+            task.run();
+        }, Math.max(0, Math.round(delayMs * NANOS_PER_MS)), TimeUnit.NANOSECONDS);
         return () -> scheduled.cancel(false);
     }
 }
--- a/doorman/src/main/java/barleyspur/doorman/Trail.java
+++ b/doorman/src/main/java/barleyspur/doorman/RequestTrace.java
@@ -10,16 +10,19 @@
  * {@code trail}, level debug, so it is off unless asked for ({@code -Dorg.slf4j.simpleLogger.log.trail=debug}); a
  * request's id is the client's, so that one can be followed, and many counted, across the doormans that it came to.
  */
-final class Trail {
+public final class RequestTrace {
 
     private static final Logger LOG = LoggerFactory.getLogger("trail");
+    /** A timer that runs so late shows a busy event loop or process. */
+    private static final double LATE_MS = 50;
 
-    private Trail() { }
+    private RequestTrace() { }
 
-    static void taken(Request request) {
+    /** {@code waitedMs}: how long it may have waited to be read. */
+    static void taken(Request request, double waitedMs) {
         if (LOG.isDebugEnabled()) {
             LogEvent.log(LOG.atDebug(), "request taken", "request", request.id(), "class", request.className(), "object",
-                request.key(), "part", request.part(), "left", Math.round(request.remainingMs()), "kb", Math.round(request.sizeKb()));
+                request.key(), "part", request.part(), "left", Math.round(request.remainingMs()), "kb", Math.round(request.sizeKb()), "waited", Math.round(waitedMs));
         }
     }
 
@@ -47,4 +50,36 @@
                 x.attempts.size(), "ms", Math.round(ms));
         }
     }
+
+    /** A timer ran {@code lateMs} after its time. */
+    static void timerRan(double lateMs) {
+        if (lateMs > LATE_MS && LOG.isDebugEnabled()) {
+            LogEvent.log(LOG.atDebug(), "event loop late", "ms", Math.round(lateMs));
+        }
+    }
+
+    /**
+     * The last byte of an answer was handed to the client's socket, or the write failed with {@code cause}; without
+     * this line after a request is over, its answer still waits in this process.
+     */
+    public static void written(String requestId, String how, int bytes, Throwable cause) {
+        if (LOG.isDebugEnabled()) {
+            LogEvent.log(LOG.atDebug(), "answer written", "request", requestId, "how", how, "bytes", bytes, "failure", cause);
+        }
+    }
+
+    /** No answer is owed any more; {@code why}: the client cancelled, or its connection has ended. */
+    public static void left(String requestId, String why) {
+        if (LOG.isDebugEnabled()) {
+            LogEvent.log(LOG.atDebug(), "client left", "request", requestId, "why", why);
+        }
+    }
+
+    /** A client's connection has ended: why, and how many answers were still open or unwritten on it. */
+    public static void connectionEnded(Object client, Object why, int open, int unwritten) {
+        if (LOG.isDebugEnabled()) {
+            LogEvent.log(LOG.atDebug(), "connection ended", "client", client, "why", why, "open", open, "unwritten",
+                unwritten);
+        }
+    }
 }
--- a/doorman/src/main/java/barleyspur/front/thrift/ConnectionRegistry.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ConnectionRegistry.java
@@ -8,9 +8,10 @@
 
 /**
  * Who makes room when the clients' connections are all in use: first those that have never asked for anything, the
- * oldest first, then those that asked once and have nothing open, the longest idle first. Guards newcomers against
- * crowds that connect and say nothing, and against clients that keep a connection which they use no more. Those that are
- * closing are counted apart: they keep a place of their own for the moment in which their client reads the last answer.
+ * oldest first, then those that asked once and have nothing open, the longest idle first, and last those of which a
+ * request is on its way in, the one that began first. Guards newcomers against crowds that connect and say nothing, and
+ * against clients that keep a connection which they use no more. Those that are closing are counted apart: they keep a
+ * place of their own for the moment in which their client reads the last answer.
  */
 final class ConnectionRegistry<C> {
 
@@ -23,9 +24,12 @@
     private final Map<C, Double> strangers = new LinkedHashMap<>();
     /** Nothing open, by when that began. */
     private final Map<C, Double> idle = new LinkedHashMap<>();
+    /** Nothing open, but part of a request has come; the longest under way first. */
+    private final Set<C> arriving = new LinkedHashSet<>();
 
     /** A connection that has not asked yet. */
     void came(C connection, double now) {
+        left(connection);
         strangers.put(connection, now);
     }
 
@@ -34,6 +38,14 @@
         left(connection);
     }
 
+    /** Nothing is open on it, but part of a request has come: it would be lost with the connection. */
+    void arriving(C connection) {
+        if (!arriving.contains(connection)) {
+            left(connection);
+            arriving.add(connection);
+        }
+    }
+
     /** Nothing is open on it any more. */
     void idle(C connection, double now) {
         left(connection);
@@ -51,6 +63,7 @@
     void left(C connection) {
         strangers.remove(connection);
         idle.remove(connection);
+        arriving.remove(connection);
         leaving.remove(connection);
     }
 
@@ -67,7 +80,8 @@
     /** The one that has to go for a newcomer, which is closing from here on; null: all are in use. */
     C evictIdle(double now) {
         boolean known = !strangers.isEmpty() && now - strangers.values().iterator().next() >= NEW_MS;
-        Iterator<C> from = (known || idle.isEmpty() ? strangers : idle).keySet().iterator();
+        Set<C> useless = (known || idle.isEmpty() ? strangers : idle).keySet();
+        Iterator<C> from = (useless.isEmpty() ? arriving : useless).iterator();
         if (!from.hasNext()) {
             return null;
         }
--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -1,6 +1,7 @@
 package barleyspur.front.thrift;
 
 import barleyspur.doorman.Request;
+import barleyspur.doorman.RequestTrace;
 import barleyspur.doorman.ResponseHandler;
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
@@ -36,13 +37,29 @@
  *
  * <p>It ends by one way, {@link LingeringClose}, but for a client that is gone or does not read: those are closed outright.
  */
-final class FrontConnection extends SimpleChannelInboundHandler<ByteBuf> {
+final class FrontConnection extends SimpleChannelInboundHandler<ByteBuf> implements ResponseWriter.Listener {
+
+    /** Why a connection ends. */
+    private enum EndCause {
+        /** Its client closed it, or one side of it. */
+        CLIENT_CLOSED,
+        /** It was reset, or failed otherwise. */
+        BROKEN,
+        /** Nothing was open on it, and the process wants idle ones gone. */
+        IDLE,
+        /** Nothing was open on it, and a newcomer needed its place. */
+        EVICTED,
+        /** What came on it can't be used. */
+        REJECTED,
+        /** Its client does not read. */
+        STUCK,
+        /** An answer could not be written. */
+        ANSWER_LOST
+    }
 
     private static final Logger LOG = LoggerFactory.getLogger("front");
     private static final String DISPATCH = "dispatch";
-    /** No client waits this long for an answer: what is still unread then was for nobody. */
-    static final double STUCK_MS = 10_000;
-    /** How long a client may take over its first whole request, or over the rest of one that it began. */
+    /** How long a client may say nothing before its first request, or within one that it began. */
     static final int HALF_SENT_MS = 2_000;
     /** How long a client has to read what was last written, and to close its side, before its connection is closed. */
     static final double LINGER_MS = 500;
@@ -57,28 +74,31 @@
     record Shared(Doorman doorman, Clock clock, Supplier<ClassTable> classes, int mostOpen, UnreadAnswers unread,
                   ConnectionRegistry<FrontConnection> registry, CappedLog log, Lifecycle lifecycle) { }
 
+    /** A request that has been read, and when it may have come to this machine. */
+    private record Arrival(ThriftCall.Dispatch call, double atMs) { }
+
     private final Shared front;
-    private final UnreadAnswers unread;
     private final Doorman doorman;
     private final CappedLog log;
     private final ThriftFrameDecoder decoder;
     private final Map<Integer, Pending> open = new HashMap<>();
     /** Requests read in this turn of the loop, in their order; each holds its body. */
-    private final ArrayDeque<ThriftCall.Dispatch> arrived = new ArrayDeque<>();
+    private final ArrayDeque<Arrival> arrived = new ArrayDeque<>();
     private Channel channel;
     private LingeringClose closing;
-    private Clock.Timer stuck;
+    private ResponseWriter responses;
     private Clock.Timer halfSent;
+    /** When the request began of which only a part has come. */
+    private double arrivingSince;
+    private boolean arriving;
+    /** How many whole frames had come before it. */
+    private long framesBefore;
     private boolean useful;
-    /** Since when nothing that was written has gone out, where something waits. */
-    private double stuckSince;
     private int bad;
-    /** Answers and errors written and not yet out. */
-    private int unwritten;
+    private EndCause endCause = EndCause.CLIENT_CLOSED;
 
     FrontConnection(Shared front, ThriftFrameDecoder decoder) {
         this.front = front;
-        this.unread = front.unread();
         this.doorman = front.doorman();
         this.log = front.log();
         this.decoder = decoder;
@@ -88,6 +108,8 @@
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         closing = new LingeringClose(channel, front.clock());
+        responses = new ResponseWriter(channel, front.clock(), front.unread(), log,
+            () -> front.classes().get().longestDeadlineMs(), this);
         front.registry().came(this, front.clock().nowMs());
         watch();
     }
@@ -100,12 +122,12 @@
         ThriftCall call = ThriftCall.read(frame);
         if (call instanceof ThriftCall.Dispatch c) {
             c.body().retain();
-            arrived.add(c);
+            arrived.add(new Arrival(c, front.clock().pendingSinceMs()));
         } else if (call instanceof ThriftCall.CancelRequest c) {
             cancel(c.cancelled());
         } else if (call instanceof ThriftCall.Alive c) {
             used();
-            answer("alive", c.seqid(), Unpooled.EMPTY_BUFFER, Map.of(), front.lifecycle().ready());
+            responses.alive(c.seqid(), front.lifecycle().ready());
         } else if (call instanceof ThriftCall.Unknown c) {
             log.warn("unknown method", "client", channel.remoteAddress(), "method", c.method());
             bad(c.method(), c.seqid(), Thrift.UNKNOWN_METHOD, "unknown method");
@@ -114,8 +136,8 @@
 
     /** No answer is owed to what is cancelled, whether it was taken or has only just come. */
     private void cancel(int seqid) {
-        for (Iterator<ThriftCall.Dispatch> it = arrived.iterator(); it.hasNext();) {
-            ThriftCall.Dispatch call = it.next();
+        for (Iterator<Arrival> it = arrived.iterator(); it.hasNext();) {
+            ThriftCall.Dispatch call = it.next().call();
             if (call.seqid() == seqid) {
                 it.remove();
                 call.body().release();
@@ -124,7 +146,7 @@
         }
         Pending cancelled = open.remove(seqid);
         if (cancelled != null) {
-            cancelled.leave();
+            cancelled.leave("cancelled");
             idleIfDone();
         }
     }
@@ -147,10 +169,11 @@
     }
 
     private void takeArrived() {
-        for (ThriftCall.Dispatch call = arrived.poll(); call != null; call = arrived.poll()) {
+        for (Arrival arrival = arrived.poll(); arrival != null; arrival = arrived.poll()) {
+            ThriftCall.Dispatch call = arrival.call();
             try {
                 if (!closing.begun() && channel.isActive()) {
-                    dispatch(call);
+                    dispatch(call, arrival.atMs());
                 }
             } catch (ThriftCall.Malformed e) {
                 malformed(e);
@@ -160,24 +183,54 @@
         }
         if (closing.begun()) {
             closing.discarded(decoder.discarded());
-        } else if (unwritten >= MOST_UNREAD * front.mostOpen()) {
+        } else if (responses.unwritten() >= MOST_UNREAD * front.mostOpen()) {
             log.warn("connection closed: it asks for more and reads no answers", "client", channel.remoteAddress());
             dismiss(Thrift.PROTOCOL_ERROR, "answers are not read");
-        } else if (useful) {
+        } else {
+            watchArriving();
+        }
+    }
+
+    /** A request of which part has come may go on coming for as long as any may take, unless it stops. */
+    private void watchArriving() {
+        boolean midFrame = decoder.midFrame() && channel.isActive();
+        if (useful || midFrame) {
             halfSent.cancel();
-            if (decoder.midFrame() && channel.isActive()) {
-                watchRest(decoder.frames());
-            }
         }
+        if (!midFrame) {
+            stopArriving();
+            return;
+        }
+        double now = front.clock().nowMs();
+        if (!arriving || decoder.frames() != framesBefore) {
+            arriving = true;
+            arrivingSince = now;
+            framesBefore = decoder.frames();
+        }
+        if (open.isEmpty()) {
+            front.registry().arriving(this);
+        }
+        watchRest(Math.min(HALF_SENT_MS, arrivingSince + front.classes().get().longestDeadlineMs() - now));
     }
 
-    private void watchRest(long frames) {
-        halfSent = front.clock().after(HALF_SENT_MS, () -> {
-            if (decoder.frames() == frames && open.isEmpty()) {
+    /** Nothing half sent is left here: what came last was whole, or could not be used. */
+    private void stopArriving() {
+        if (arriving && open.isEmpty() && useful) {
+            front.registry().idle(this, front.clock().nowMs());
+        } else if (arriving && open.isEmpty()) {
+            front.registry().came(this, front.clock().nowMs());
+            watch();
+        }
+        arriving = false;
+    }
+
+    private void watchRest(double ms) {
+        halfSent = front.clock().after(ms, () -> {
+            if (open.isEmpty()) {
                 log.warn("connection closed: half a request", "client", channel.remoteAddress());
                 dismiss(Thrift.PROTOCOL_ERROR, "half a request came");
             } else {
-                watchRest(decoder.frames());
+                watchRest(HALF_SENT_MS);
             }
         });
     }
@@ -189,7 +242,11 @@
 
     private void idleIfDone() {
         if (open.isEmpty() && !closing.begun() && useful) {
-            front.registry().idle(this, front.clock().nowMs());
+            if (decoder.midFrame()) {
+                front.registry().arriving(this);
+            } else {
+                front.registry().idle(this, front.clock().nowMs());
+            }
             closeSoonIfQuiet();
         }
     }
@@ -207,15 +264,16 @@
      * come at all.
      */
     void closeIfQuiet() {
-        boolean quiet = open.isEmpty() && arrived.isEmpty() && unwritten == 0 && !decoder.midFrame();
+        boolean quiet = open.isEmpty() && arrived.isEmpty() && responses.unwritten() == 0 && !decoder.midFrame();
         if (quiet && front.lifecycle().closeWhenIdle() && (useful || front.lifecycle().closeStrangers())) {
-            close();
+            close(EndCause.IDLE);
         }
     }
 
     /** Begins to close; what still comes is thrown away. */
-    private void close() {
+    private void close(EndCause cause) {
         if (!closing.begun() && channel.isActive()) {
+            endCause = cause;
             front.registry().leaving(this);
             halfSent.cancel();
             decoder.discard();
@@ -225,7 +283,7 @@
 
     /** Answers what can't be used. Who sends nothing else is let go: guards the loop against endless repeats. */
     private void bad(String method, int seqid, int kind, String message) {
-        write(Thrift.exception(channel.alloc(), method, seqid, kind, message));
+        responses.exception(method, seqid, kind, message);
         if (++bad >= MOST_BAD && open.isEmpty()) {
             dismiss(kind, message);
         }
@@ -242,18 +300,19 @@
         List<Pending> left = new ArrayList<>(open.values());
         open.clear();
         left.forEach(x -> {
-            x.leave();
-            write(Thrift.failed(channel.alloc(), DISPATCH, x.seqid));
+            x.leave("connection rejected");
+            responses.failed(x.seqid, x.requestId);
         });
-        for (ThriftCall.Dispatch call = arrived.poll(); call != null; call = arrived.poll()) {
-            write(Thrift.failed(channel.alloc(), DISPATCH, call.seqid()));
+        for (Arrival arrival = arrived.poll(); arrival != null; arrival = arrived.poll()) {
+            ThriftCall.Dispatch call = arrival.call();
+            responses.failed(call.seqid(), call.fields().getOrDefault("i", ""));
             call.body().release();
         }
-        write(Thrift.exception(channel.alloc(), "", 0, kind, message));
-        close();
+        responses.exception("", 0, kind, message);
+        close(EndCause.REJECTED);
     }
 
-    private void dispatch(ThriftCall.Dispatch call) throws ThriftCall.Malformed {
+    private void dispatch(ThriftCall.Dispatch call, double arrivedMs) throws ThriftCall.Malformed {
         int seqid = call.seqid();
         if (open.containsKey(seqid)) {
             throw new ThriftCall.Malformed("sequence number " + seqid + " is in use");
@@ -273,36 +332,39 @@
         useful = true;
         if (!front.lifecycle().takes(front.clock().nowMs(), request.remainingMs())) {
             // Its connection is to be closed, which needs a moment with nothing open: the client asks again elsewhere.
-            write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of("w", Long.toString(AWAY_MS))));
+            responses.refused(seqid, request.id(), Map.of("w", Long.toString(AWAY_MS)));
             idleIfDone();
             return;
         }
         // What is not yet out is open to its client: who keeps to the limit is never refused by this.
-        if (open.size() + unwritten >= front.mostOpen() || unread.full()) {
+        if (open.size() + responses.unwritten() >= front.mostOpen() || front.unread().full()) {
             log.warn("refused: too many requests are open here", "client", channel.remoteAddress(), "open", open.size(),
-                "unread", unread.full());
-            write(Thrift.busy(channel.alloc(), DISPATCH, seqid, Map.of()));
+                "unread", front.unread().full());
+            responses.refused(seqid, request.id(), Map.of());
             idleIfDone();
             return;
         }
-        Pending x = new Pending(seqid);
+        Pending x = new Pending(seqid, request.id());
         open.put(seqid, x);
         front.registry().busy(this);
         // The body outlives the frame that it is a slice of: until the request is over.
         call.body().retain();
-        x.ticket = doorman.take(request, x);
+        x.ticket = doorman.take(request, arrivedMs, x);
     }
 
     /** One open request of this connection. */
     private final class Pending implements ResponseHandler {
         private final int seqid;
+        private final String requestId;
         private Doorman.Ticket ticket;
 
-        Pending(int seqid) {
+        Pending(int seqid, String requestId) {
             this.seqid = seqid;
+            this.requestId = requestId;
         }
 
-        void leave() {
+        void leave(String why) {
+            RequestTrace.left(requestId, why);
             ticket.cancel();
         }
 
@@ -314,56 +376,60 @@
         @Override
         public void served(ByteBuf body, String tag) {
             over();
-            answer(DISPATCH, seqid, body, tag == null ? Map.of() : Map.of("etag", tag), true);
+            responses.served(seqid, requestId, body, tag == null ? Map.of() : Map.of("etag", tag));
         }
 
         @Override
         public void unchanged(String tag) {
             over();
             Map<String, String> fields = tag == null ? Map.of("notmod", "1") : Map.of("notmod", "1", "etag", tag);
-            answer(DISPATCH, seqid, Unpooled.EMPTY_BUFFER, fields, true);
+            responses.served(seqid, requestId, Unpooled.EMPTY_BUFFER, fields);
         }
 
         @Override
         public void refused(double pauseMs) {
             over();
             Map<String, String> advice = pauseMs > 0 ? Map.of("w", Long.toString(Math.round(pauseMs))) : Map.of();
-            write(Thrift.busy(channel.alloc(), DISPATCH, seqid, advice));
+            responses.refused(seqid, requestId, advice);
         }
 
         @Override
         public void failed() {
             over();
-            write(Thrift.failed(channel.alloc(), DISPATCH, seqid));
+            responses.failed(seqid, requestId);
         }
     }
 
-    /** Head, body and tail go out as they are: the body is not copied. */
-    private void answer(String method, int seqid, ByteBuf body, Map<String, String> fields, boolean good) {
-        ByteBuf tail = Thrift.answerTail(channel.alloc(), fields, good);
-        int bodyBytes = body.readableBytes();
-        channel.write(Thrift.answerHead(channel.alloc(), method, seqid, bodyBytes, tail.readableBytes()));
-        channel.write(body);
-        unread.add(bodyBytes);
-        unwritten++;
-        channel.writeAndFlush(tail).addListener(written -> {
-            unread.add(-bodyBytes);
-            written();
-        });
-    }
-
-    private void written() {
-        stuckSince = front.clock().nowMs();
-        if (--unwritten == 0 && open.isEmpty()) {
+    @Override
+    public void allWritten() {
+        if (open.isEmpty()) {
             closeSoonIfQuiet();
         }
     }
 
+    @Override
+    public void stuck() {
+        log.warn("connection closed: it does not read its answers", "client", channel.remoteAddress());
+        endNow(EndCause.STUCK);
+    }
+
+    @Override
+    public void lost(Throwable cause) {
+        log.warn("connection closed: an answer could not be written", "client", channel.remoteAddress(), "cause", cause);
+        endNow(EndCause.ANSWER_LOST);
+    }
+
+    /** Closes outright: nothing that is owed could still reach the client. */
+    private void endNow(EndCause cause) {
+        endCause = cause;
+        channel.close();
+    }
+
     /** Closes the connection for a newcomer's, unless what has just been read is a request on it. */
     void evict() {
         channel.eventLoop().execute(() -> {
             if (open.isEmpty() && arrived.isEmpty()) {
-                close();
+                close(EndCause.EVICTED);
             } else if (open.isEmpty()) {
                 // It stays, and may have to go another time where what has come can't be used.
                 front.registry().idle(this, front.clock().nowMs());
@@ -380,34 +446,10 @@
         });
     }
 
-    private void write(ByteBuf message) {
-        unwritten++;
-        channel.writeAndFlush(message).addListener(out -> written());
-    }
-
     /** A client to which nothing goes out any more is left at last; it is read meanwhile, to learn when it is gone. */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        if (stuck != null) {
-            stuck.cancel();
-            stuck = null;
-        }
-        if (!channel.isWritable() && channel.isActive() && !closing.begun()) {
-            stuckSince = front.clock().nowMs();
-            watchStuck(STUCK_MS);
-        }
-    }
-
-    private void watchStuck(double ms) {
-        stuck = front.clock().after(ms, () -> {
-            double left = stuckSince + STUCK_MS - front.clock().nowMs();
-            if (left > 0) {
-                watchStuck(left);
-            } else {
-                log.warn("connection closed: it does not read its answers", "client", channel.remoteAddress());
-                channel.close();
-            }
-        });
+        responses.writabilityChanged(!channel.isWritable() && channel.isActive() && !closing.begun());
     }
 
     @Override
@@ -415,14 +457,13 @@
         closing.closed();
         front.registry().left(this);
         halfSent.cancel();
-        if (stuck != null) {
-            stuck.cancel();
-        }
-        arrived.forEach(call -> call.body().release());
+        responses.stop();
+        RequestTrace.connectionEnded(channel.remoteAddress(), endCause, open.size() + arrived.size(), responses.unwritten());
+        arrived.forEach(arrival -> arrival.call().body().release());
         arrived.clear();
         List<Pending> left = new ArrayList<>(open.values());
         open.clear();
-        left.forEach(Pending::leave);
+        left.forEach(x -> x.leave("connection ended"));
     }
 
     private void malformed(Exception cause) {
@@ -435,12 +476,12 @@
         if (cause instanceof IOException) {
             LogEvent.log(LOG.atDebug(), "connection lost", "client", ctx.channel().remoteAddress(), "cause",
                 cause.getMessage());
-            ctx.close();
+            endNow(EndCause.BROKEN);
         } else if (cause instanceof ThriftCall.Malformed || cause instanceof DecoderException) {
             malformed((Exception) cause);
         } else {
             log.warn("connection closed", "client", ctx.channel().remoteAddress(), "cause", cause);
-            ctx.close();
+            endNow(EndCause.BROKEN);
         }
     }
 }
--- a/doorman/src/main/java/barleyspur/retune/ClassTable.java
+++ b/doorman/src/main/java/barleyspur/retune/ClassTable.java
@@ -83,4 +83,9 @@
     public List<RequestClass> classes() {
         return classes;
     }
+
+    /** The longest that a request of any class may take, in milliseconds; 0 without classes. */
+    public double longestDeadlineMs() {
+        return classes.stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0);
+    }
 }
--- a/doorman/src/test/java/barleyspur/Loopback.java
+++ b/doorman/src/test/java/barleyspur/Loopback.java
@@ -3,6 +3,7 @@
 import barleyspur.config.Configuration;
 import barleyspur.config.OwnSettings;
 import barleyspur.doorman.Clock;
+import barleyspur.doorman.SocketPolls;
 import io.netty.channel.EventLoop;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -92,9 +93,9 @@
             .put("settings", new JSONObject(SETTINGS));
         change.accept(configuration);
         file = folder.resolve("config.json");
-        node = new Node(read(), OwnSettings.none(), eventLoop -> {
+        node = new Node(read(), OwnSettings.none(), (eventLoop, polls) -> {
             loop = eventLoop;
-            clock = new ManualClock(eventLoop);
+            clock = new ManualClock(eventLoop, polls);
             return clock;
         });
         node.start();
@@ -164,6 +165,21 @@
         }
     }
 
+    /** Waits until the doorman has read, and acted on, all that a client has written. */
+    public void awaitRead(Wire client) throws IOException, InterruptedException {
+        Pattern unread = Pattern.compile(String.format(":%04X", address.getPort()) + " [0-9A-F]+"
+            + String.format(":%04X 01", client.localPort) + " [0-9A-F]{8}:(?!00000000)");
+        for (int i = 0; unread.matcher(Files.readString(Path.of("/proc/net/tcp"))).find()
+            || unread.matcher(Files.readString(Path.of("/proc/net/tcp6"))).find(); i++) {
+            if (i > PATIENCE_MS) {
+                throw new AssertionError("it is never read");
+            }
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        loop.submit(() -> { }).syncUninterruptibly();
+        loop.submit(() -> { }).syncUninterruptibly();
+    }
+
     /** What is run once, within the turn of the loop that next asks for the time. */
     public void whenTheTimeIsNextAsked(Runnable task) {
         loop.submit(() -> clock.asked = task).syncUninterruptibly();
@@ -174,6 +190,11 @@
         loop.submit(() -> clock.pass(ms)).syncUninterruptibly();
     }
 
+    /** The same while the event loop is held, as when it is busy: no timer runs before it is released. */
+    public void passHeld(double ms) {
+        clock.now += ms;
+    }
+
     /** Gives the doorman its configuration anew, changed, as SIGHUP does. */
     public void reload(Consumer<JSONObject> change) {
         change.accept(configuration);
@@ -205,13 +226,21 @@
     /** Time that stands still until the test moves it; what is due at once comes with the loop's next turn. */
     private static final class ManualClock implements Clock {
         private final EventLoop loop;
+        private final SocketPolls polls;
         private final List<Task> timers = new ArrayList<>();
         private volatile double now = System.currentTimeMillis();
         private long order;
         private Runnable asked;
 
-        ManualClock(EventLoop loop) {
+        ManualClock(EventLoop loop, SocketPolls polls) {
             this.loop = loop;
+            this.polls = polls;
+            polls.setClock(() -> now);
+        }
+
+        @Override
+        public double pendingSinceMs() {
+            return polls.pendingSinceMs();
         }
 
         @Override
--- a/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
+++ b/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
@@ -126,7 +126,7 @@
     private void take(Consumer<Director.Event> decisions) {
         decide = decisions;
         ticket = doorman.take(new Request("9b1f03aa5c7e2d41", 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 7, 1_000, 0, null, null,
-            body.refCnt() > 0 ? body : Unpooled.copiedBuffer(new byte[3])), caller);
+            body.refCnt() > 0 ? body : Unpooled.copiedBuffer(new byte[3])), clock.nowMs(), caller);
     }
 
     private void send(long id) {
@@ -369,7 +369,7 @@
     void requestsBeyondTheLimitAreRefused() {
         take(e -> { });
         doorman.take(new Request("9b1f03aa5c7e2d42", 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 0, 1_000, 0, null, null,
-            Unpooled.EMPTY_BUFFER), caller);
+            Unpooled.EMPTY_BUFFER), clock.nowMs(), caller);
         assertEquals(List.of("refused 700.0"), answers);
     }
 
@@ -432,4 +432,31 @@
         doorman.purgedGroup(17, 900);
         assertEquals(new Director.Purged(17, 0, 100), events.get(events.size() - 1));
     }
+
+    private void takeThatWaited(int number, double waitedMs) {
+        doorman.take(new Request("9b1f03aa5c7e2d4" + number, 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 7, 1_000, 0, null, null,
+            Unpooled.EMPTY_BUFFER), clock.nowMs() - waitedMs, caller);
+    }
+
+    /** Guards the last answer of each request: a process that has stood still for a while may do so again when it is due. */
+    @Test
+    void requestsEndSoonerOnceTheProcessHasStoodStill() {
+        List<Double> told = new ArrayList<>();
+        decide = e -> {
+            if (e instanceof Director.Request r) {
+                told.add(r.remainingMs());
+                out.accept(new Director.Refuse(r.id(), 0));
+            }
+        };
+        takeThatWaited(2, 0);
+        assertEquals(List.of(1_000.0), told);
+        takeThatWaited(3, 200);
+        assertEquals(600, told.get(1), 1e-6, "200 ms waited, and as much again may be lost at its end");
+        takeThatWaited(4, 0);
+        assertEquals(800, told.get(2), 1e-6);
+        takeThatWaited(5, 900);
+        assertEquals(0, told.get(3), 1e-6, "its time is over");
+        takeThatWaited(6, 0);
+        assertEquals(750, told.get(4), 1e-6, "a quarter at most");
+    }
 }
--- a/doorman/src/test/java/barleyspur/front/thrift/EndingsTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/EndingsTest.java
@@ -95,6 +95,69 @@
         }
     }
 
+    // ---- a request that is late, or comes slowly -----------------------------------------------------------
+
+    /** A busy loop reads a request late: its time counts from before that, so its final answer comes in time all the same. */
+    @Test
+    void aRequestThatWaitedToBeReadEndsInItsOwnTime() throws Exception {
+        try (Loopback doorman = start(); Wire client = doorman.client()) {
+            client.write(alive(1));
+            assertEquals(SERVED, answer(client, 1));
+            Runnable release = doorman.hold();
+            client.write(dispatch(2, id(1)));
+            doorman.passHeld(1_500);
+            release.run();
+            assertEquals(id(1), doorman.box.next().id());
+            doorman.pass(999);
+            assertEquals(REFUSED, answer(client, 2), "2,499 of its 2,500 ms are over");
+        }
+    }
+
+    /** One that comes as soon as the loop looks has all its time: it waited for nobody. */
+    @Test
+    void aRequestThatIsReadAtOnceHasAllItsTime() throws Exception {
+        try (Loopback doorman = start(); Wire client = doorman.client()) {
+            client.write(alive(1));
+            assertEquals(SERVED, answer(client, 1));
+            doorman.pass(1_500);
+            client.write(dispatch(2, id(1)));
+            Request request = doorman.box.next();
+            doorman.pass(2_400);
+            request.answer("DONE", DONE, new byte[10]);
+            assertEquals(SERVED, answer(client, 2));
+        }
+    }
+
+    /** A first request in pieces is taken when it is whole, however slowly it comes, while it goes on coming. */
+    @Test
+    void aFirstRequestThatComesSlowlyIsServed() throws Exception {
+        try (Loopback doorman = start(); Wire client = doorman.client()) {
+            byte[] request = dispatch(1, id(1));
+            for (int i = 0; i < 4; i++) {
+                client.write(part(request, request.length * i / 4, request.length * (i + 1) / 4));
+                doorman.awaitRead(client);
+                doorman.pass(i < 3 ? 1_500 : 0);
+            }
+            assertNextIs(doorman, id(1));
+            assertEquals(SERVED, answer(client, 1));
+        }
+    }
+
+    /** But no longer than any request may take. */
+    @Test
+    void aRequestThatNeverBecomesWholeIsGivenUp() throws Exception {
+        try (Loopback doorman = start(); Wire client = doorman.client()) {
+            byte[] request = dispatch(1, id(1));
+            for (int i = 0; i < 4; i++) {
+                client.write(part(request, i, i + 1));
+                doorman.awaitRead(client);
+                doorman.pass(1_500);
+            }
+            assertEquals(-1, answer(client, 0), "6 s are more than the longest deadline, 5 s");
+            assertNull(client.frame());
+        }
+    }
+
     // ---- a client that has gone ---------------------------------------------------------------------------
 
     /** FIN, RST and a cancel that have come by the time in which their requests are read: no first attempt begins. */
--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -145,13 +145,13 @@
     void aReaderThatTakesNothingIsLetGo() {
         dispatch(1, "small");
         writable(false);
-        pass(FrontConnection.STUCK_MS - 1);
+        pass(CLASSES.longestDeadlineMs() - 1);
         writable(true);
         writable(false);
-        pass(FrontConnection.STUCK_MS - 1);
+        pass(CLASSES.longestDeadlineMs() - 1);
         assertTrue(channel.isOpen(), "it caught up in between");
         pass(1);
-        assertFalse(channel.isOpen(), "nothing went out for 10 s");
+        assertFalse(channel.isOpen(), "nothing went out for as long as any client waits");
     }
 
     /**
--- a/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
@@ -5,6 +5,7 @@
 
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.LoopClock;
+import barleyspur.doorman.SocketPolls;
 import barleyspur.doorman.SilentDepots;
 import barleyspur.lifecycle.Lifecycle;
 import io.netty.channel.EventLoopGroup;
@@ -23,7 +24,7 @@
 class SharedPortTest {
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final LoopClock clock = new LoopClock(group.next());
+    private final LoopClock clock = new LoopClock(group.next(), new SocketPolls());
 
     @AfterEach
     void end() {
--- /dev/null
+++ b/lab/src/test/java/barleyspur/lab/ServeProcesses.java
@@ -0,0 +1,191 @@
+package barleyspur.lab;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import barleyspur.lab.stand.StandBoxes;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.json.JSONArray;
+import org.json.JSONObject;
+import org.json.JSONTokener;
+
+/** Doormans started by the deployment's own {@code run} line, and the station of stand-ins that their lists name. */
+final class ServeProcesses implements AutoCloseable {
+
+    /** How a node that has just started gains capacity, and what pushes it over. */
+    record ColdRule(double coldMs, double fallMs, double coldFrom, double fallMultiple) { }
+
+    private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+    private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
+    private static final int PORT = 7001;
+    private static final int READY_MS = 60_000;
+    private static final int NODES_A_NETWORK = 250;
+
+    /** Each station has addresses of its own: those of the one before may not be free yet. */
+    private static final AtomicInteger STATIONS = new AtomicInteger();
+
+    private final String network = "127." + (225 + (ProcessHandle.current().pid() + STATIONS.getAndIncrement()) % 25) + ".";
+    private final Path folder;
+    private final EventLoopGroup group;
+    private final ColdRule cold;
+    private final List<Process> processes = new ArrayList<>();
+    private String prefix = "";
+    private int sockets = 256;
+
+    ServeProcesses(Path folder, EventLoopGroup group, ColdRule cold) {
+        this.folder = folder;
+        this.group = group;
+        this.cold = cold;
+    }
+
+    /** The shell's commands before {@code run}, for processes that are started from here on. */
+    void startedBy(String shellCommands) {
+        prefix = shellCommands;
+    }
+
+    /** How many descriptors processes have that are started from here on. */
+    void sockets(int limit) {
+        sockets = limit;
+    }
+
+    InetSocketAddress box(int number) {
+        return new InetSocketAddress(network + (100 + number / NODES_A_NETWORK) + "." + (number % NODES_A_NETWORK + 1), PORT);
+    }
+
+    InetSocketAddress front(int number) {
+        return new InetSocketAddress(network + "251." + (number + 1), PORT);
+    }
+
+    InetSocketAddress channel(int number) {
+        return new InetSocketAddress(network + "252." + number, PORT);
+    }
+
+    /** Of so many nodes the last is the origin, one in twenty (one at least) a parent, the others are caches. */
+    private static StandBoxes.Kind kind(int number, int nodes) {
+        if (number == nodes - 1) {
+            return StandBoxes.Kind.ORIGIN;
+        }
+        return number >= nodes - 1 - Math.max(1, nodes / 20) ? StandBoxes.Kind.PARENT : StandBoxes.Kind.CACHE;
+    }
+
+    /** One node of so many as the command channel lists it. */
+    JSONObject target(int number, int nodes, double size, double bootMs) {
+        return new JSONObject().put("uid", "s-" + Integer.toHexString(number + 1)).put("endpoint", text(box(number)))
+            .put("az", "central").put("model", kind(number, nodes).name().toLowerCase(Locale.ROOT))
+            .put("pod_group", 0).put("state", "in_service").put("capacity_hint", size).put("boot_ms", bootMs);
+    }
+
+    /** So many nodes, which answer what they hold after so long. */
+    StandBoxes boxes(int nodes, int hitMs) throws InterruptedException {
+        StandBoxes boxes = new StandBoxes(group, "record", hitMs, new double[StandBoxes.Kind.values().length]);
+        for (int i = 0; i < nodes; i++) {
+            boxes.listen(box(i), kind(i, nodes));
+        }
+        return boxes;
+    }
+
+    /** Starts so many doormans and waits until they are ready; all nodes are long up. */
+    void start(int doormans, int nodes, InetSocketAddress channel, double size) throws IOException, InterruptedException {
+        for (int i = 0; i < doormans; i++) {
+            launch(i, doormans, configuration(i, doormans, nodes, channel, size));
+        }
+        for (int i = 0; i < doormans; i++) {
+            awaitReady(i);
+        }
+    }
+
+    /** The configuration of one doorman of so many. */
+    JSONObject configuration(int number, int doormans, int nodes, InetSocketAddress channel, double size) {
+        JSONArray targets = new JSONArray();
+        for (int i = 0; i < nodes; i++) {
+            targets.put(target(i, nodes, size, 0));
+        }
+        JSONObject json = new JSONObject(new JSONTokener(ServeProcesses.class.getResourceAsStream(
+            "/barleyspur/rehearsal.json")));
+        JSONObject settings = json.getJSONObject("settings").put("groupSize", doormans).put("myNumber", number)
+            .put("weights", "nominal");
+        settings.getJSONObject("familyInfo").put("zoneBalancers", new JSONArray().put(doormans));
+        settings.getJSONObject("rules").put("coldMs", cold.coldMs()).put("fallMs", cold.fallMs())
+            .put("coldFrom", cold.coldFrom()).put("tipMultiple", cold.fallMultiple());
+        json.getJSONObject("limits").put("sockets", sockets);
+        return json.put("name", "d" + number).put("listen", text(front(number))).put("channel", text(channel))
+            .put("seed", Integer.toHexString(77 + number))
+            .put("known", new JSONObject().put("cursor", 1).put("cmds", new JSONArray().put(new JSONObject()
+                .put("cursor", 1).put("nodes", new JSONObject().put("rev", 1).put("all", true).put("targets", targets)))));
+    }
+
+    /** Starts one doorman and does not wait for it. */
+    Process launch(int number, int doormans, JSONObject configuration) throws IOException {
+        Path own = Files.createDirectories(folder.resolve("d" + number));
+        Path config = Files.writeString(own.resolve("config.json"), configuration.toString());
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", prefix + runLine()).directory(ROOT.toFile());
+        builder.environment().put("RELAY_CONFIG", config.toString());
+        builder.environment().put("TMPDIR", own.toString());
+        builder.redirectErrorStream(true).redirectOutput(own.resolve("log").toFile());
+        Process process = builder.start();
+        processes.add(process);
+        return process;
+    }
+
+    private static String runLine() throws IOException {
+        Matcher run = RUN.matcher(Files.readString(ROOT.resolve("deploy").resolve("balancer.toml")));
+        assertTrue(run.find(), "deploy/balancer.toml has a run line");
+        return run.group(1);
+    }
+
+    /** Waits until a doorman says that it takes work. */
+    void awaitReady(int number) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
+        while (true) {
+            try (ThriftClient client = new ThriftClient(front(number))) {
+                client.send("alive", 1, null);
+                assertNotNull(client.answer(), "doorman " + number + " is not ready");
+                return;
+            } catch (IOException e) {
+                assertTrue(System.nanoTime() < until, "doorman " + number + " never listened");
+                TimeUnit.MILLISECONDS.sleep(50);
+            }
+        }
+    }
+
+    List<Process> all() {
+        return List.copyOf(processes);
+    }
+
+    Process process(int number) {
+        return processes.get(number);
+    }
+
+    /** What a doorman has logged. */
+    String log(int number) throws IOException {
+        return Files.readString(folder.resolve("d" + number).resolve("log"));
+    }
+
+    /** The most memory that a doorman has had, in MB. */
+    long peakMemoryMb(int number) throws IOException {
+        Path status = Path.of("/proc", Long.toString(process(number).pid()), "status");
+        Matcher peak = Pattern.compile("VmHWM:\\s+(\\d+) kB").matcher(Files.readString(status));
+        assertTrue(peak.find(), "the system tells peak memory");
+        return Long.parseLong(peak.group(1)) / 1024;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    @Override
+    public void close() {
+        processes.forEach(Process::destroyForcibly);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/barleyspur/lab/ThriftClient.java
@@ -0,0 +1,87 @@
+package barleyspur.lab;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/** A client of the Thrift front that waits for each answer. */
+final class ThriftClient implements AutoCloseable {
+    private static final int REPLY = 2;
+    private static final int SUCCESS = 0;
+
+    private final Socket socket;
+    private final DataInputStream in;
+    private final DataOutputStream out;
+
+    ThriftClient(InetSocketAddress address) throws IOException {
+        socket = new Socket(address.getAddress(), address.getPort());
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(20_000);
+        in = new DataInputStream(socket.getInputStream());
+        out = new DataOutputStream(socket.getOutputStream());
+    }
+
+    void send(String method, int seqid, Map<String, String> fields) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream frame = new DataOutputStream(bytes);
+        frame.writeInt(0x80010001);
+        text(frame, method);
+        frame.writeInt(seqid);
+        if (fields != null) {
+            frame.writeByte(13);
+            frame.writeShort(1);
+            frame.writeByte(11);
+            frame.writeByte(11);
+            frame.writeInt(fields.size());
+            for (Map.Entry<String, String> field : fields.entrySet()) {
+                text(frame, field.getKey());
+                text(frame, field.getValue());
+            }
+        }
+        frame.writeByte(0);
+        out.writeInt(bytes.size());
+        out.write(bytes.toByteArray());
+    }
+
+    private static void text(DataOutputStream to, String text) throws IOException {
+        to.writeInt(text.length());
+        to.write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** An answer's sequence number, and whether it is the one of a request that was served. */
+    record Answer(int seqid, boolean served) { }
+
+    /** The next answer's sequence number; null at the end of the connection, which must not be a reset. */
+    Integer answer() throws IOException {
+        Answer answer = read();
+        return answer == null ? null : answer.seqid();
+    }
+
+    /** The next answer; null at the end of the connection, which must not be a reset. */
+    Answer read() throws IOException {
+        int first = in.read();
+        if (first < 0) {
+            return null;
+        }
+        byte[] bytes = new byte[first << 24 | in.readUnsignedByte() << 16 | in.readUnsignedByte() << 8
+            | in.readUnsignedByte()];
+        in.readFully(bytes);
+        ByteBuffer frame = ByteBuffer.wrap(bytes);
+        int type = frame.getInt() & 0xFF;
+        frame.position(frame.getInt() + frame.position());
+        int seqid = frame.getInt();
+        frame.get();
+        return new Answer(seqid, type == REPLY && frame.getShort() == SUCCESS);
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- a/lab/src/test/java/barleyspur/lab/fleet/EmbeddedClocksTest.java
+++ b/lab/src/test/java/barleyspur/lab/fleet/EmbeddedClocksTest.java
@@ -7,6 +7,7 @@
 import barleyspur.config.OwnSettings;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.LoopClock;
+import barleyspur.doorman.SocketPolls;
 import barleyspur.lab.stand.StandBoxes;
 import barleyspur.lab.stand.StandChannel;
 import barleyspur.lab.stand.StandClients;
@@ -40,8 +41,8 @@
 
     /** A clock of an event loop that runs fast or slow, timers included. */
     private record Skewed(LoopClock clock, double startMs, double rate) implements Clock {
-        Skewed(EventLoop loop, double rate) {
-            this(new LoopClock(loop), System.currentTimeMillis(), rate);
+        Skewed(EventLoop loop, SocketPolls polls, double rate) {
+            this(new LoopClock(loop, polls), System.currentTimeMillis(), rate);
         }
 
         @Override
@@ -79,7 +80,7 @@
             for (int i = 0; i < RATES.length; i++) {
                 double rate = RATES[i];
                 fronts.add(new InetSocketAddress(network + (i + 1), 7001));
-                nodes.add(new Node(configuration(network, i, channel, targets), settings(network, i), loop -> new Skewed(loop,
+                nodes.add(new Node(configuration(network, i, channel, targets), settings(network, i), (loop, polls) -> new Skewed(loop, polls,
                     rate)));
                 nodes.get(i).start();
             }
