--- a/decision/src/main/java/barleyspur/decision/Decide.java
+++ b/decision/src/main/java/barleyspur/decision/Decide.java
@@ -489,9 +489,9 @@
         o.attempts.add(a);
         out.accept(new WakeAt(now + aim(o), o.request.id() + o.attempts.size() * ATTEMPT_TOKEN));
         enter(o.request, a, 1);
-        target.coldTokens -= a.work;
+        target.cold.spend(a.work);
         if (a.reaches()) {
-            source.coldTokens -= a.work;
+            source.cold.spend(a.work);
         }
         RequestClass c = settings.classes().get(o.request.category());
         a.surelyHeld = !fill && c.freshMs() == 0;
@@ -669,17 +669,14 @@
         double age = Math.max(0, now - startedAt) / rule.warmAfterMs();
         double share = rule.fromShare() + (1 - rule.fromShare()) * age;
         double load = BUDGET_USED * rule.fallMultiple();
-        double earned = load * share * warmRate(s) * (now - s.coldAt);
-        s.coldTokens = Math.min(meanWork.most(), s.coldTokens + earned);
-        s.coldAt = now;
-        return s.coldTokens >= work;
+        s.cold.earn(load * share * warmRate(s), meanWork.most(), now);
+        return s.cold.covers(work);
     }
 
     /** The debt that a cold node starts with: spread evenly over the directors, up to one request. */
     private void startCold(Server s) {
         double turn = (double) settings.me() / settings.directors() + Rendezvous.unit(s.id());
-        s.coldTokens = -meanWork.most() * (turn - Math.floor(turn));
-        s.coldAt = now;
+        s.cold.start(meanWork.most() * (turn - Math.floor(turn)), now);
     }
 
     /** What a warm peer of this node has carried for us at most, in work a millisecond. */
@@ -717,7 +714,7 @@
             a.target.turnedAway = 0;
         }
         if (a.reaches() && !sourced) {
-            a.source.coldTokens += a.work;
+            a.source.cold.giveBack(a.work);
         }
         switch (e.result()) {
             case OK -> served(o, a, e, sourced);
--- a/decision/src/main/java/barleyspur/decision/Server.java
+++ b/decision/src/main/java/barleyspur/decision/Server.java
@@ -29,12 +29,11 @@
     double outUntil;
     double outFor;
     int trialsLeft;
-    /** What may be sent while it is cold, in work, and when that was last reckoned. */
-    double coldTokens;
+    /** What may be sent while it is cold. */
+    final ColdBudget cold = new ColdBudget();
     /** A restart that the list has not told, and until when it is believed without that. */
     double presumedStart;
     double presumedUntil;
-    double coldAt;
 
     Server(Director.Node node) {
         this.node = node;
