Remembered ids, the accept queue and presumed warm times follow the settings

Tuned to one deployment until now: 8,192 remembered request ids (doorman/Doorman.java) where limits.maxOpen allows 20,000 open ones; 256 remembered ids of a connection (depot/DepotConnection.java) where limits.multiplex is 100 at another customer's; a backlog of 512 (front/thrift/ThriftFront.java) below the largest limit on descriptors; 8 s for which a node that answers again is believed cold (decision/Decide.java), where the settings name each kind's warm time.

--- a/decision/src/main/java/barleyspur/decision/Decide.java
+++ b/decision/src/main/java/barleyspur/decision/Decide.java
@@ -40,8 +40,6 @@
     /** First and longest time that a node is left out before it is tried again. */
     private static final double OUT_FIRST_MS = 500;
     private static final double OUT_MOST_MS = 2_000;
-    /** How long a node that was out of reach is believed cold, where the list tells nothing. */
-    private static final double PRESUMED_MS = 8_000;
     /** Trials in a row that must succeed before a node is back. */
     private static final int TRIALS = 3;
     /** With fewer than this share of the location's caches in use, exclusions are ignored. */
@@ -785,7 +783,7 @@
      */
     private void presumeRestart(Server s) {
         s.presumedStart = now;
-        s.presumedUntil = now + PRESUMED_MS;
+        s.presumedUntil = now + coldRule(s).warmAfterMs();
         s.forgetBefore = now;
         startCold(s);
     }
--- a/doorman/src/main/java/barleyspur/depot/DepotClient.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotClient.java
@@ -42,7 +42,7 @@
         this.connector = connector;
         this.clock = clock;
         this.limits = limits;
-        this.shared = new DepotConnection.Shared(clock, reportFields, new CappedLog(LOG, clock));
+        this.shared = new DepotConnection.Shared(clock, reportFields, limits.streams(), new CappedLog(LOG, clock));
         sweepLater();
     }
 
--- a/doorman/src/main/java/barleyspur/depot/DepotConnection.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotConnection.java
@@ -32,8 +32,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("depot");
 
-    /** More than can be answered or cancelled on one connection while an answer is on its way. */
-    private static final int MOST_USED = 256;
+    /** Ids that are remembered, in times of what may be open: more than can end while an answer is on its way. */
+    private static final int REMEMBERED = 8;
     /**
      * A connection on which calls wait and nothing has come for this long gets no new ones: a depot that broke off
      * in an answer says nothing further on it, though it stays open. Costs another connection where it was slow.
@@ -43,7 +43,7 @@
     static final double STALLED_MS = 500;
 
     /** What all connections of one client have in common. */
-    record Shared(Clock clock, List<String> reportFields, CappedLog log) { }
+    record Shared(Clock clock, List<String> reportFields, int streams, CappedLog log) { }
 
     private final String uid;
     private final Shared client;
@@ -57,7 +57,7 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MOST_USED;
+            return size() > REMEMBERED * client.streams();
         }
     });
     private Channel channel;
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -25,7 +25,8 @@
     /** Ids given to the director stay below 2^32, where its timer tokens begin. */
     private static final long MOST_IDS = 1L << 32;
     private static final double PROBE_TIMEOUT_MS = 250;
-    private static final int MOST_TAKEN = 8_192;
+    /** Ids of earlier requests that are remembered, beside those of all that may be open. */
+    private static final int REMEMBERED_IDS = 8_192;
 
     private Director.Settings settings;
     private final int maxOpen;
@@ -39,7 +40,7 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MOST_TAKEN;
+            return size() > maxOpen + REMEMBERED_IDS;
         }
     });
     private final NodeListings listings;
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -29,7 +29,8 @@
     /** A write carries up to 48,000 bytes, and its fields need far less than what is left. */
     private static final int MAX_FRAME = 128 * 1024;
     private static final int MOST_OPEN = 32;
-    private static final int BACKLOG = 512;
+    /** Connections that the system holds until they are accepted: as many as the largest limit on descriptors. */
+    private static final int BACKLOG = 1_024;
     /**
      * A connection is read until there is no more, but so often at most before others have their turn: an end of the
      * connection is seen with the last request before it.
--- a/doorman/src/test/java/barleyspur/depot/DepotConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/depot/DepotConnectionTest.java
@@ -43,7 +43,7 @@
     private final List<Runnable> later = new ArrayList<>();
     private final RespDecoder decoder = new RespDecoder();
     private final DepotConnection connection = new DepotConnection("s-1",
-        new DepotConnection.Shared(clock, List.of(), new CappedLog(LoggerFactory.getLogger("depot"), clock)), decoder,
+        new DepotConnection.Shared(clock, List.of(), 32, new CappedLog(LoggerFactory.getLogger("depot"), clock)), decoder,
         () -> closed++);
     private final EmbeddedChannel channel = new EmbeddedChannel(decoder, connection);
     private final ChannelPromise connect = channel.newPromise();
