--- a/doorman/src/test/java/barleyspur/depot/DepotClientTest.java
+++ b/doorman/src/test/java/barleyspur/depot/DepotClientTest.java
@@ -23,6 +23,9 @@
     private static final InetSocketAddress HERE = new InetSocketAddress("127.0.0.1", 7_001);
     private static final InetSocketAddress THERE = new InetSocketAddress("127.0.0.1", 7_002);
 
+    private static final int STREAMS = 32;
+    private static final int CONNECTIONS = 100;
+
     private final List<EmbeddedChannel> channels = new ArrayList<>();
     private final List<InetSocketAddress> connects = new ArrayList<>();
     private final List<Result> ends = new ArrayList<>();
@@ -46,7 +49,7 @@
         channels.add(channel);
         connects.add(address);
         return channel.newSucceededFuture();
-    }, clock, new DepotClient.Limits(32, 15_000, 100), List.of());
+    }, clock, new DepotClient.Limits(STREAMS, 15_000, CONNECTIONS), List.of());
 
     private static Listing box(int number, InetSocketAddress address, double bootMs) {
         return new Listing("s-" + number, address, 0, 0, 0, Director.State.READY, 1, bootMs);
@@ -95,6 +98,36 @@
         assertEquals(List.of(HERE, HERE, THERE), connects);
     }
 
+    /** Calls to one box are spread over eight connections; of all that may be open a quarter is left to boxes that have none. */
+    @Test
+    void connectionsToOneBoxAreFewAndCallsShareThem() {
+        client.list(1, box(1, HERE, 0));
+        for (int i = 0; i < 8 * STREAMS; i++) {
+            send(1, "a" + i);
+        }
+        assertEquals(8, connects.size());
+        send(1, "b");
+        assertEquals(9, connects.size(), "all are full");
+    }
+
+    /** With all connections in use, idle ones to another box make room; where none is idle, a call never ran. */
+    @Test
+    void idleConnectionsMakeRoomAndNoMoreAreOpened() {
+        for (int i = 0; i < CONNECTIONS; i++) {
+            client.list(i, box(i, HERE, 0));
+            send(i, "a" + i);
+        }
+        client.list(1_000, box(1_000, THERE, 0));
+        send(1_000, "b");
+        soon.forEach(Runnable::run);
+        assertEquals(List.of(Result.CONNECT_FAILED), ends, "all have a call open");
+        channels.get(7).writeInbound(Resp.message(channels.get(7).alloc(), "a7", "LACK", "-", ""));
+        send(1_000, "c");
+        assertEquals(CONNECTIONS + 1, connects.size());
+        assertFalse(channels.get(7).isOpen());
+        assertEquals(CONNECTIONS, channels.stream().filter(EmbeddedChannel::isOpen).count());
+    }
+
     /** What was never listed, or has gone twice, is no box: a call there ends as one that never ran. */
     @Test
     void aCallToABoxThatIsNotListedNeverRan() {
