Alarm tokens and what peers carry move out of the decisions, at unchanged actions

Decide keeps what decides; AlarmToken, Carried and ColdRule.shareAt hold arithmetic. SameActionsTest's checksums hold.

--- a/decision/src/main/java/barleyspur/decision/Decide.java
+++ b/decision/src/main/java/barleyspur/decision/Decide.java
@@ -75,11 +75,6 @@
     /** How long to wait before a failed subscription is asked for again. */
     private static final double ASK_AGAIN_MS = 1_000;
 
-    private static final long WATCH_TOKEN = -1;
-    /** Tokens of attempts' alarms are the request's id and this much for each attempt; ids are smaller. */
-    private static final long ATTEMPT_TOKEN = 1L << 32;
-    private static final long BACKUP_TOKEN = 1L << 48;
-
     // ---- State -----------------------------------------------------------------------------------------
 
     private Settings settings;
@@ -157,7 +152,7 @@
         out.accept(new WakeAt(o.deadline - 2 * settings.tickMs(), r.id()));
         route(o);
         if (settings.mayDuplicate() && settings.classes().get(r.category()).effect() == Effect.SAFE) {
-            out.accept(new WakeAt(now + aim(o) / 2, r.id() + BACKUP_TOKEN));
+            out.accept(new WakeAt(now + aim(o) / 2, AlarmToken.backup(r.id())));
         }
     }
 
@@ -485,7 +480,7 @@
         a.trial = takeTrial(target);
         a.sourceTrial = source != null && fill && takeTrial(source);
         o.attempts.add(a);
-        out.accept(new WakeAt(now + aim(o), o.request.id() + o.attempts.size() * ATTEMPT_TOKEN));
+        out.accept(new WakeAt(now + aim(o), AlarmToken.attempt(o.request.id(), o.attempts.size())));
         enter(o.request, a, 1);
         target.cold.spend(a.work);
         if (a.reaches()) {
@@ -584,20 +579,20 @@
     }
 
     private void onAlarm(long token) {
-        if (token == WATCH_TOKEN) {
+        if (token == AlarmToken.WATCH) {
             out.accept(new Watch(true));
             return;
         }
-        Open o = open.get(token % ATTEMPT_TOKEN);
+        Open o = open.get(AlarmToken.request(token));
         if (o == null || o.over) {
             return;
         }
-        if (token >= BACKUP_TOKEN) {
+        if (AlarmToken.isBackup(token)) {
             backUp(o);
             return;
         }
-        if (token >= ATTEMPT_TOKEN) {
-            overdue(o.attempts.get((int) (token / ATTEMPT_TOKEN) - 1));
+        if (AlarmToken.attempt(token) >= 0) {
+            overdue(o.attempts.get(AlarmToken.attempt(token)));
             return;
         }
         o.attempts.forEach(this::overdue);
@@ -637,9 +632,7 @@
     }
 
     private void carry(Server s, double work) {
-        Carried c = fleet.isCache(s) ? byCaches : byParents;
-        c.rate.add(work, now);
-        c.best = Math.max(c.best, c.rate.perMs(now) / Math.max(1, fleet.peers(s).size()));
+        (fleet.isCache(s) ? byCaches : byParents).add(work, fleet.peers(s).size(), now);
     }
 
     private ColdRule coldRule(Server s) {
@@ -664,10 +657,8 @@
         }
         ColdRule rule = coldRule(s);
         double startedAt = now < s.presumedUntil ? s.presumedStart : s.node.startedAtMs();
-        double age = Math.max(0, now - startedAt) / rule.warmAfterMs();
-        double share = rule.fromShare() + (1 - rule.fromShare()) * age;
-        double load = BUDGET_USED * rule.fallMultiple();
-        s.cold.earn(load * share * warmRate(s), meanWork.most(), now);
+        double load = BUDGET_USED * rule.fallMultiple() * rule.shareAt(now - startedAt);
+        s.cold.earn(load * warmRate(s), meanWork.most(), now);
         return s.cold.covers(work);
     }
 
@@ -682,7 +673,7 @@
         boolean cache = fleet.isCache(cold);
         int sharers = cache ? settings.zoneDirectors().get(settings.zone()) : settings.directors();
         double told = settings.sizesCount() ? cold.node.size() / Math.max(1, sharers) : 0;
-        return Math.max(told, (cache ? byCaches : byParents).best);
+        return Math.max(told, (cache ? byCaches : byParents).best());
     }
 
     // ---- Health ----------------------------------------------------------------------------------------
@@ -824,7 +815,7 @@
 
     private void onMembers(Members e) {
         if (e.kind() == ListKind.FAILED) {
-            out.accept(new WakeAt(now + ASK_AGAIN_MS, WATCH_TOKEN));
+            out.accept(new WakeAt(now + ASK_AGAIN_MS, AlarmToken.WATCH));
             return;
         }
         if (e.kind() != ListKind.DELTA) {
--- a/decision/src/main/java/barleyspur/decision/Director.java
+++ b/decision/src/main/java/barleyspur/decision/Director.java
@@ -40,7 +40,13 @@
                         boolean write, double freshMs, double graceMs, double staleWorth) { }
 
     /** How a newly started node gains capacity, and what pushes it over. */
-    record ColdRule(double fromShare, double warmAfterMs, double fallMultiple) { }
+    record ColdRule(double fromShare, double warmAfterMs, double fallMultiple) {
+
+        /** The part of its capacity that a node has so long after its start. */
+        public double shareAt(double ageMs) {
+            return fromShare + (1 - fromShare) * (Math.max(0, ageMs) / warmAfterMs);
+        }
+    }
 
     /** What a director is told at its start. {@code zoneDirectors} has one figure for each zone. */
     record Settings(List<RequestClass> classes, int me, int directors, int zone, List<Integer> zoneDirectors,
