--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -65,11 +65,13 @@
 
     /** Reads a configuration. */
     public interface Source {
+        /** The configuration as it is now; a fault names its key. */
         Configuration read() throws Configuration.Invalid;
     }
 
     /** Reads our own settings. */
     public interface OwnSource {
+        /** The settings as they are now; a fault names its line. */
         OwnSettings read() throws Configuration.Invalid;
     }
 
--- a/doorman/src/main/java/barleyspur/admin/AdminServer.java
+++ b/doorman/src/main/java/barleyspur/admin/AdminServer.java
@@ -36,6 +36,7 @@
     private final Set<Channel> waiting = new LinkedHashSet<>();
     private int open;
 
+    /** A server of these routes that does not listen yet. */
     public AdminServer(EventLoopGroup group, Clock clock, Routes routes) {
         this.group = group;
         this.clock = clock;
--- a/doorman/src/main/java/barleyspur/admin/Routes.java
+++ b/doorman/src/main/java/barleyspur/admin/Routes.java
@@ -16,6 +16,7 @@
     /** What answers a call; it runs on the event loop and must not wait. */
     @FunctionalInterface
     public interface Handler {
+        /** The answer to a request. */
         HttpAnswer answer(HttpRequest request);
     }
 
@@ -31,6 +32,7 @@
     public static final class Builder {
         private final List<Route> routes = new ArrayList<>();
 
+        /** Adds the handler of a method on a path. */
         public Builder add(String method, String path, Handler handler) {
             for (Route r : routes) {
                 if (r.method.equals(method) && r.path.equals(path)) {
@@ -41,11 +43,13 @@
             return this;
         }
 
+        /** The routes that were added. */
         public Routes build() {
             return new Routes(routes);
         }
     }
 
+    /** A builder without routes. */
     public static Builder builder() {
         return new Builder();
     }
--- a/doorman/src/main/java/barleyspur/admin/http/HttpFault.java
+++ b/doorman/src/main/java/barleyspur/admin/http/HttpFault.java
@@ -12,6 +12,7 @@
 
     private final int status;
 
+    /** A fault of the request that is answered with this status. */
     public HttpFault(int status, String message) {
         super(message);
         this.status = status;
--- a/doorman/src/main/java/barleyspur/admin/http/HttpRequestDecoder.java
+++ b/doorman/src/main/java/barleyspur/admin/http/HttpRequestDecoder.java
@@ -36,6 +36,7 @@
     private int bodyLength = -1;
     private boolean done;
 
+    /** A decoder of requests with so many bytes of head and body at most. */
     public HttpRequestDecoder(int maxHead, int maxBody) {
         this.maxHead = maxHead;
         this.maxBody = maxBody;
--- a/doorman/src/main/java/barleyspur/budget/Terms.java
+++ b/doorman/src/main/java/barleyspur/budget/Terms.java
@@ -49,6 +49,7 @@
         }
     }
 
+    /** Copies the collections, so that nobody changes them later. */
     public Terms {
         voters = List.copyOf(voters);
         budgets = Map.copyOf(budgets);
--- a/doorman/src/main/java/barleyspur/channel/CommandChannel.java
+++ b/doorman/src/main/java/barleyspur/channel/CommandChannel.java
@@ -36,6 +36,7 @@
     private Connection current;
     private boolean closed;
 
+    /** A channel to {@code address}, not yet connected; what it tells goes to {@code reader}. */
     public CommandChannel(Connector connector, InetSocketAddress address, Clock clock, CommandReader reader) {
         this.connector = connector;
         this.address = address;
@@ -72,6 +73,7 @@
         }
     }
 
+    /** Ends the channel for good. */
     public void close() {
         closed = true;
         if (current != null) {
--- a/doorman/src/main/java/barleyspur/channel/CommandReader.java
+++ b/doorman/src/main/java/barleyspur/channel/CommandReader.java
@@ -24,6 +24,7 @@
     private final Commands commands;
     private long cursor;
 
+    /** A reader for settings that number zones and kinds by their places in these lists. */
     public CommandReader(List<String> zones, List<String> kinds, Commands commands) {
         this.zones = zones;
         this.kinds = kinds;
--- a/doorman/src/main/java/barleyspur/config/Configuration.java
+++ b/doorman/src/main/java/barleyspur/config/Configuration.java
@@ -39,6 +39,7 @@
     public static final class Invalid extends Exception {
         private static final long serialVersionUID = 1L;
 
+        /** A fault that {@code message} names by its key. */
         public Invalid(String message) {
             super(message);
         }
--- a/doorman/src/main/java/barleyspur/config/ExpectationCheck.java
+++ b/doorman/src/main/java/barleyspur/config/ExpectationCheck.java
@@ -64,6 +64,7 @@
         }
     }
 
+    /** The names of the expectations, in their order. */
     public List<String> names() {
         return read.expectations().stream().map(e -> e.name()).toList();
     }
@@ -79,6 +80,7 @@
         return read.loads().isEmpty() ? List.of(Load.usual(site.any())) : read.loads();
     }
 
+    /** The cases that were read. */
     public List<Case> cases() {
         return read.cases();
     }
--- a/doorman/src/main/java/barleyspur/config/Hcl.java
+++ b/doorman/src/main/java/barleyspur/config/Hcl.java
@@ -27,6 +27,7 @@
     public static final class Invalid extends Exception {
         private static final long serialVersionUID = 1L;
 
+        /** A fault on a line of a file. */
         public Invalid(String file, int line, String message) {
             super(file + ":" + line + ": " + message);
         }
@@ -35,6 +36,7 @@
     /** A value and where it stands: a {@link String}, {@link Double}, {@link Boolean} or a {@link List} of them. */
     public record Value(String file, int line, String key, Object value) {
 
+        /** A fault of this place. */
         public Invalid invalid(String message) {
             return new Invalid(file, line, "key " + key + " " + message);
         }
@@ -44,6 +46,7 @@
             return file + ":" + line;
         }
 
+        /** The value as a text; a fault where it is none. */
         public String text() throws Invalid {
             if (value instanceof String s) {
                 return s;
@@ -51,6 +54,7 @@
             throw invalid("is no string: " + value);
         }
 
+        /** The value as a number; a fault where it is none. */
         public double number() throws Invalid {
             if (value instanceof Double d) {
                 return d;
@@ -58,6 +62,7 @@
             throw invalid("is no number: " + value);
         }
 
+        /** The value as true or false; a fault where it is neither. */
         public boolean flag() throws Invalid {
             if (value instanceof Boolean b) {
                 return b;
@@ -95,10 +100,12 @@
             this.labels = labels;
         }
 
+        /** The word that the block begins with. */
         public String type() {
             return type;
         }
 
+        /** The line on which the block begins. */
         public int line() {
             return line;
         }
@@ -108,6 +115,7 @@
             return file + ":" + line;
         }
 
+        /** A fault of this place. */
         public Invalid invalid(String message) {
             return new Invalid(file, line, (type.isEmpty() ? "" : "block " + type + " ") + message);
         }
@@ -142,6 +150,7 @@
             return values.values();
         }
 
+        /** The blocks within this one, in their order. */
         public List<Block> blocks() {
             return blocks;
         }
--- a/doorman/src/main/java/barleyspur/config/OwnSettings.java
+++ b/doorman/src/main/java/barleyspur/config/OwnSettings.java
@@ -30,6 +30,7 @@
         return new OwnSettings(null, null, null);
     }
 
+    /** Reads the file; a fault names its line. */
     public static OwnSettings load(Path file) throws Hcl.Invalid {
         String text;
         try {
--- a/doorman/src/main/java/barleyspur/depot/DepotClient.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotClient.java
@@ -38,6 +38,7 @@
     private boolean reading = true;
     private long probes;
 
+    /** A client within these limits; {@code reportFields} are the names of what load reports hold. */
     public DepotClient(Connector connector, Clock clock, Limits limits, List<String> reportFields) {
         this.connector = connector;
         this.clock = clock;
--- a/doorman/src/main/java/barleyspur/doorman/CappedLog.java
+++ b/doorman/src/main/java/barleyspur/doorman/CappedLog.java
@@ -23,6 +23,7 @@
     private final Clock clock;
     private final Map<String, Cause> causes = new HashMap<>();
 
+    /** A log that counts its periods by {@code clock}. */
     public CappedLog(Logger log, Clock clock) {
         this.log = log;
         this.clock = clock;
--- a/doorman/src/main/java/barleyspur/doorman/Clock.java
+++ b/doorman/src/main/java/barleyspur/doorman/Clock.java
@@ -22,6 +22,7 @@
 
     /** A task to come. */
     interface Timer {
+        /** The task does not run any more. */
         void cancel();
     }
 }
--- a/doorman/src/main/java/barleyspur/doorman/Depots.java
+++ b/doorman/src/main/java/barleyspur/doorman/Depots.java
@@ -37,6 +37,7 @@
 
     /** Told how an attempt or a probe ended. */
     interface End {
+        /** It has ended, with this. */
         void ended(Answer answer);
 
         /**
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -54,6 +54,7 @@
     private boolean draining;
     private Runnable drained;
 
+    /** A core that takes {@code maxOpen} open requests at most and acts as {@code director} orders. */
     public Doorman(Director.Settings settings, int maxOpen, Director director, Clock clock, Depots depots) {
         this.settings = settings;
         this.maxOpen = maxOpen;
--- a/doorman/src/main/java/barleyspur/expect/Checker.java
+++ b/doorman/src/main/java/barleyspur/expect/Checker.java
@@ -24,6 +24,7 @@
             this.word = word;
         }
 
+        /** The verdict in one word, as it is printed. */
         public String word() {
             return word;
         }
@@ -62,8 +63,10 @@
 
     /** Told how far a check has come. */
     public interface Progress {
+        /** So many scenarios and decisions have been played, and so many expectations are refuted. */
         void played(long scenarios, long decisions, int refuted);
 
+        /** A counterexample to this expectation is being made shorter. */
         void shrinking(String expectation);
 
         /** Tells nobody. */
--- a/doorman/src/main/java/barleyspur/expect/Condition.java
+++ b/doorman/src/main/java/barleyspur/expect/Condition.java
@@ -16,6 +16,7 @@
      */
     boolean holds(Moment moment, long trigger);
 
+    /** What kind of values it compares. */
     Kind kind();
 
     /** The first part of it, in the order of the file, that does not hold; null where it holds. */
@@ -117,6 +118,7 @@
 
     /** What a value is compared with. */
     sealed interface Matcher permits Words, Range, Flag {
+        /** Whether a value meets it. */
         boolean matches(Object value);
     }
 
--- a/doorman/src/main/java/barleyspur/expect/Expectation.java
+++ b/doorman/src/main/java/barleyspur/expect/Expectation.java
@@ -20,6 +20,7 @@
     /** What must hold. */
     public sealed interface Form permits Must, Never, Share, Eventually, Count,
         Figures {
+        /** What is to hold. */
         Condition that();
     }
 
--- a/doorman/src/main/java/barleyspur/expect/Field.java
+++ b/doorman/src/main/java/barleyspur/expect/Field.java
@@ -100,14 +100,17 @@
         this.read = read;
     }
 
+    /** The block in which the field stands. */
     public String block() {
         return block;
     }
 
+    /** The key that names it in a file. */
     public String key() {
         return key;
     }
 
+    /** What its values are. */
     public Type type() {
         return type;
     }
--- a/doorman/src/main/java/barleyspur/expect/Moment.java
+++ b/doorman/src/main/java/barleyspur/expect/Moment.java
@@ -5,8 +5,10 @@
 /** One action of a doorman that expectations speak of, with all that was so at that moment. */
 public sealed interface Moment permits Moment.Attempt, Moment.Answer {
 
+    /** When it happens, on the virtual clock. */
     double atMs();
 
+    /** The request that it is about. */
     Asked asked();
 
     /** How a box stands on a doorman's list. */
--- a/doorman/src/main/java/barleyspur/expect/Site.java
+++ b/doorman/src/main/java/barleyspur/expect/Site.java
@@ -77,6 +77,7 @@
         return settings.stream().map(Director.Settings::zone).toList();
     }
 
+    /** What a box is on this site. */
     public Role role(Box box) {
         return box.kind() == any().originKind() ? Role.HEAD_OFFICE
             : box.kind() == any().parentKind() ? Role.DISTRICT : Role.CACHE;
--- a/doorman/src/main/java/barleyspur/fleet/About.java
+++ b/doorman/src/main/java/barleyspur/fleet/About.java
@@ -20,6 +20,7 @@
 
     private static final byte[] NOTHING = {};
 
+    /** Without additions there is an empty array, never null. */
     public About {
         more = more == null || more.length == 0 ? NOTHING : more;
     }
--- a/doorman/src/main/java/barleyspur/fleet/Change.java
+++ b/doorman/src/main/java/barleyspur/fleet/Change.java
@@ -3,13 +3,16 @@
 /** What happened to a view, told once each, in order; versions count from 1 without a gap. */
 public sealed interface Change {
 
+    /** The version of the view that it makes. */
     long version();
 
     /** What happened to one member. */
     sealed interface OfMember extends Change {
 
+        /** What is said of the member. */
         Saying member();
 
+        /** What brought it about. */
         Why why();
 
         /** Who told. */
--- a/doorman/src/main/java/barleyspur/tier/Keeper.java
+++ b/doorman/src/main/java/barleyspur/tier/Keeper.java
@@ -5,6 +5,7 @@
 
     /** Takes the parts that have to go. */
     interface Dropped {
+        /** One part of an object. */
         void part(long object, int part);
     }
 
--- a/lab/src/main/java/barleyspur/lab/BudgetScale.java
+++ b/lab/src/main/java/barleyspur/lab/BudgetScale.java
@@ -34,6 +34,7 @@
     private double now;
     private int next;
 
+    /** Makes the shares that are measured. */
     @Setup
     public void start() {
         Terms terms = new Terms(List.of("127.0.0.1:1"), 16, 1_500, 500, 50, Map.of("p", new Terms.Budget("p", Kind.PLACES,
--- a/lab/src/main/java/barleyspur/lab/Lab.java
+++ b/lab/src/main/java/barleyspur/lab/Lab.java
@@ -50,6 +50,7 @@
 
     private Lab() { }
 
+    /** Runs the command that the arguments name. */
     public static void main(String[] args) throws IOException {
         System.exit(run(args));
     }
--- a/lab/src/main/java/barleyspur/lab/stand/StandClients.java
+++ b/lab/src/main/java/barleyspur/lab/stand/StandClients.java
@@ -163,6 +163,7 @@
     private final Map<String, Counts> byClass = new HashMap<>();
     private long unasked;
 
+    /** Clients of these classes that ask the doormans at these addresses; the seed decides what they ask for. */
     public StandClients(EventLoopGroup group, List<Class> classes, List<InetSocketAddress> addresses, long seed) {
         this.loop = group.next();
         this.random = new SplittableRandom(seed);
@@ -179,6 +180,7 @@
 
     /** How much of the requests comes to the doorman of a slot at a moment. */
     public interface Parts {
+        /** The factor for a slot at a time. */
         double of(int slot, double nowMs);
     }
 
