--- a/decision/src/main/java/barleyspur/decision/AlarmToken.java
+++ b/decision/src/main/java/barleyspur/decision/AlarmToken.java
@@ -10,7 +10,7 @@
     private static final long ATTEMPT = 1L << 32;
     private static final long BACKUP = 1L << 48;
 
-    private AlarmToken() { }
+    private AlarmToken() {}
 
     /** For the attempt of a request that is its {@code count}-th, from 1. */
     static long attempt(long request, int count) {
--- a/decision/src/main/java/barleyspur/decision/Attempt.java
+++ b/decision/src/main/java/barleyspur/decision/Attempt.java
@@ -10,6 +10,7 @@
     boolean joined;
     /** Believed held, and of no class whose copies may have to be renewed first. */
     boolean surelyHeld;
+
     boolean learned;
     boolean trial;
     boolean sourceTrial;
--- a/decision/src/main/java/barleyspur/decision/Decide.java
+++ b/decision/src/main/java/barleyspur/decision/Decide.java
@@ -1,7 +1,5 @@
 package barleyspur.decision;
 
-import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +26,7 @@
     private static final int LOST_LIST = 64;
     /** Ranks of copies made by a loss, and of first fills and hits. */
     private static final int RANK_LOST = 3;
+
     private static final int RANK_PLAIN = 2;
     /** Weight of the newest sample in a node's error share and slowness. */
     private static final double NEWEST = 1 / 6.0;
@@ -39,6 +38,7 @@
     private static final int SILENT = 5;
     /** First and longest time that a node is left out before it is tried again. */
     private static final double OUT_FIRST_MS = 500;
+
     private static final double OUT_MOST_MS = 2_000;
     /** Trials in a row that must succeed before a node is back. */
     private static final int TRIALS = 3;
@@ -46,12 +46,15 @@
     private static final double LEAST_IN_USE = 0.34;
     /** Further attempts earned by each request, and the most that are saved up. */
     private static final double RETRY_EARNED = 0.3;
+
     private static final double RETRY_SAVED = 30;
     /** Backup copies earned by a hit whose answer never came, or lost by a late one; the most saved up. */
     private static final double BACKUP_EARNED = 3;
+
     private static final double BACKUP_SAVED = 10;
     /** Share of late answers beyond which fewer are let in, what a cut leaves, its pace, the least let in. */
     private static final double LATE_SHARE = 0.25;
+
     private static final double CUT_TO = 0.85;
     private static final double CUT_EVERY_MS = 500;
     private static final double LEAST_INSIDE = 0.1;
@@ -59,6 +62,7 @@
     private static final double PAST_FIRST = 2;
     /** How busy a cache may report to be for a backup: the report is written by the whole fleet. */
     private static final String BUSY_FIELD = "load_share";
+
     private static final double BUSY = 0.85;
     /** Least time left that is worth another attempt, in ticks. */
     private static final double LEAST_TICKS = 5;
@@ -82,6 +86,7 @@
     private final Fleet fleet;
     /** Looked up only, never walked. An entry goes when the request is over and its attempts are back. */
     private final Map<Long, Open> open = new HashMap<>();
+
     private final Bounded<Part, Copies> beliefs = new Bounded<>(MOST_BELIEFS);
     private final Bounded<Long, Boolean> lost = new Bounded<>(LOST_LIST);
     private final Bounded<Long, Double> purgedObjects = new Bounded<>(MOST_PURGES);
@@ -94,6 +99,7 @@
     private final Gate fills = new Gate();
     /** What goes past the caches, straight to a parent or the origin: not tried yet, it opens by answers. */
     private final Gate past = new Gate(PAST_FIRST);
+
     private boolean watching;
     private double worthAsked;
     private double workAsked;
@@ -101,6 +107,7 @@
     private double favour = 1;
     /** Where the request being routed stands among those that a limit under one lets in. */
     private double draw;
+
     private double now;
     private Consumer<Action> out;
 
@@ -276,8 +283,10 @@
 
     /** A source is late by the measure of others in use: one that is out is never late, and shows none. */
     private boolean lateSource(Attempt a) {
-        return a.source != null && worse(a.source, s -> s.sourceGate.lateShare)
-            && !Lists.where(fleet.peers(a.source), p -> p != a.source && !p.isOut).isEmpty();
+        return a.source != null
+                && worse(a.source, s -> s.sourceGate.lateShare)
+                && !Lists.where(fleet.peers(a.source), p -> p != a.source && !p.isOut)
+                        .isEmpty();
     }
 
     private void learnOutcome(Open o, Attempt a, Outcome e) {
@@ -379,8 +388,8 @@
      */
     private List<Server> candidates(Open o) {
         double work = meanWork.of(o.request.category());
-        List<Server> local = Lists.where(fleet.caches,
-            s -> mayTake(o, s) && coldAllows(s, work) && (!s.unreachable || inUse(s)));
+        List<Server> local =
+                Lists.where(fleet.caches, s -> mayTake(o, s) && coldAllows(s, work) && (!s.unreachable || inUse(s)));
         List<Server> inUse = Lists.where(local, this::inUse);
         List<Server> good = inUse.size() < LEAST_IN_USE * local.size() ? local : inUse;
         List<Server> fresh = Lists.where(good, s -> !o.tried(s));
@@ -402,11 +411,12 @@
         }
         Node first = o.attempts.get(0).target.node;
         boolean inTime = now - o.attempts.get(0).sentAt < c.keyWindowMs() - settings.tickMs();
-        return inTime && switch (c.scope()) {
-            case ALL -> true;
-            case ZONE -> first.zone() == s.node.zone();
-            case CELL -> first.cell() == s.node.cell();
-        };
+        return inTime
+                && switch (c.scope()) {
+                    case ALL -> true;
+                    case ZONE -> first.zone() == s.node.zone();
+                    case CELL -> first.cell() == s.node.cell();
+                };
     }
 
     /**
@@ -429,8 +439,10 @@
                 continue;
             }
             Server s = fleet.parents.get(i);
-            if ((s.failShare < blameless || inUse(s)) && !o.failedFrom(s) && !o.tried(s)
-                && (fill ? coldAllows(s, work) : !cold(s))) {
+            if ((s.failShare < blameless || inUse(s))
+                    && !o.failedFrom(s)
+                    && !o.tried(s)
+                    && (fill ? coldAllows(s, work) : !cold(s))) {
                 if (first == null || score > firstScore) {
                     first = s;
                     firstScore = score;
@@ -490,8 +502,17 @@
         a.surelyHeld = !fill && c.freshMs() == 0;
         Server from = !fleet.isCache(target) ? fleet.origin : source == null ? target : source;
         double age = maxAge(o.request, risky(a, c));
-        out.accept(new Get(o.request.id(), target.id(), o.deadline - now, from.id(), rank, age,
-            settings.joins() && !c.write(), false, false, c.freshMs() > 0));
+        out.accept(new Get(
+                o.request.id(),
+                target.id(),
+                o.deadline - now,
+                from.id(),
+                rank,
+                age,
+                settings.joins() && !c.write(),
+                false,
+                false,
+                c.freshMs() > 0));
     }
 
     private boolean joins(Copies c, Server target) {
@@ -640,8 +661,10 @@
     }
 
     private boolean cold(Server s) {
-        return s.node.kind() != settings.originKind() && (now < s.presumedUntil
-            || s.node.startedAtMs() > 0 && now - s.node.startedAtMs() < coldRule(s).warmAfterMs());
+        return s.node.kind() != settings.originKind()
+                && (now < s.presumedUntil
+                        || s.node.startedAtMs() > 0
+                                && now - s.node.startedAtMs() < coldRule(s).warmAfterMs());
     }
 
     /**
@@ -710,7 +733,7 @@
             case CONNECT_FAILED -> failed(a.target, a, true);
             case RESET -> failed(a.target, a, false);
             case ERROR, TIMEOUT, FULL -> blame(a, e, sourced);
-            default -> { }
+            default -> {}
         }
     }
 
@@ -725,7 +748,7 @@
         switch (e.note()) {
             case SOURCE_REFUSED, SOURCE_FAILED ->
                 failed(a.source == null ? a.target : a.source, a, e.note() == Note.SOURCE_FAILED);
-            case NO_FILL_PLACE, ORIGIN_FAILED, SOURCE_LACKS -> { }
+            case NO_FILL_PLACE, ORIGIN_FAILED, SOURCE_LACKS -> {}
             default -> {
                 boolean full = e.result() == Result.FULL;
                 if (!full || a.target.turnedAway++ > 0 || !untold) {
@@ -864,8 +887,9 @@
     }
 
     private double purgedAt(Request r) {
-        return Math.max(purgedObjects.getOrDefault(r.object(), Double.NEGATIVE_INFINITY),
-            purgedGroups.getOrDefault(r.group(), Double.NEGATIVE_INFINITY));
+        return Math.max(
+                purgedObjects.getOrDefault(r.object(), Double.NEGATIVE_INFINITY),
+                purgedGroups.getOrDefault(r.group(), Double.NEGATIVE_INFINITY));
     }
 
     /**
--- a/decision/src/main/java/barleyspur/decision/Fleet.java
+++ b/decision/src/main/java/barleyspur/decision/Fleet.java
@@ -12,6 +12,7 @@
     final TreeMap<Long, Server> listed = new TreeMap<>();
     /** The ready ones by role, in the order of their ids; made anew when the list changes. */
     final List<Server> caches = new ArrayList<>();
+
     final List<Server> parents = new ArrayList<>();
     final Ring ring = new Ring();
     Server origin;
@@ -33,8 +34,7 @@
 
     /** A cache of another location, which can't be named from here. */
     boolean isElsewhere(Director.Node n) {
-        return n.zone() != settings.zone() && n.kind() != settings.parentKind()
-            && n.kind() != settings.originKind();
+        return n.zone() != settings.zone() && n.kind() != settings.parentKind() && n.kind() != settings.originKind();
     }
 
     void index() {
--- a/decision/src/main/java/barleyspur/decision/Lists.java
+++ b/decision/src/main/java/barleyspur/decision/Lists.java
@@ -8,7 +8,7 @@
 /** Plain loops where streams would be shorter: each request walks a dozen lists, and a start has to compile it all. */
 final class Lists {
 
-    private Lists() { }
+    private Lists() {}
 
     /** Those that pass, in their order. */
     static <T> List<T> where(List<T> from, Predicate<T> test) {
--- a/decision/src/main/java/barleyspur/decision/Open.java
+++ b/decision/src/main/java/barleyspur/decision/Open.java
@@ -10,6 +10,7 @@
     final double deadline;
     /** Where it stands among the requests that limits let in, from 0, the first, to 1. */
     final double draw;
+
     final List<Attempt> attempts = new ArrayList<>(2);
     boolean over;
     boolean maybeRan;
--- a/decision/src/main/java/barleyspur/decision/Rendezvous.java
+++ b/decision/src/main/java/barleyspur/decision/Rendezvous.java
@@ -7,7 +7,7 @@
  */
 final class Rendezvous {
 
-    private Rendezvous() { }
+    private Rendezvous() {}
 
     /**
      * The score for an object of a node with this {@link #hash}, over 0; or 0 where it can't come to more than {@code beyond}. That is seen
--- a/decision/src/main/java/barleyspur/decision/Server.java
+++ b/decision/src/main/java/barleyspur/decision/Server.java
@@ -6,24 +6,29 @@
     Director.Node node;
     /** Its part in rendezvous scores: by its id, and by its size where sizes are told. */
     final long hash;
+
     double weight = 1;
     double forgetBefore = Double.NEGATIVE_INFINITY;
     int serving;
     /** Share of what it should have held that came late. */
     double hitLate;
+
     final Gate gate = new Gate();
     final Gate sourceGate = new Gate();
     /** How busy it reported to be, and when it last answered anything. */
     double busy;
+
     double heardAt;
     double failShare;
     /** No connection came up, or no cache could fill by way of it; a reset may have struck one only. */
     boolean unreachable;
     /** Attempts it turned away since it last answered one, and fills by way of it that caches did. */
     int turnedAway;
+
     int refused;
     /** Fills by way of it that were still out at their aim since it last served one. */
     int silent;
+
     boolean isOut;
     boolean onTrial;
     double outUntil;
@@ -33,6 +38,7 @@
     final ColdBudget cold = new ColdBudget();
     /** A restart that the list has not told, and until when it is believed without that. */
     double presumedStart;
+
     double presumedUntil;
 
     Server(Director.Node node) {
--- a/decision/src/main/java/barleyspur/decision/Work.java
+++ b/decision/src/main/java/barleyspur/decision/Work.java
@@ -12,6 +12,7 @@
 
     /** Weights of the newest sample; answers also wait, so it rises the slower. */
     private static final double UP = 0.001;
+
     private static final double DOWN = 0.02;
 
     private double[] mean = new double[0];
--- a/decision/src/test/java/barleyspur/decision/Bench.java
+++ b/decision/src/test/java/barleyspur/decision/Bench.java
@@ -34,8 +34,8 @@
     }
 
     static Director.RequestClass requestClass(Effect effect, double freshMs) {
-        return new Director.RequestClass(effect, Director.Scope.CELL, 2_000, 400, 2, 5_000, 1, 0.2, false, false,
-            false, freshMs, 0, 0.7);
+        return new Director.RequestClass(
+                effect, Director.Scope.CELL, 2_000, 400, 2, 5_000, 1, 0.2, false, false, false, freshMs, 0, 0.7);
     }
 
     /** Class 0 is fresh until purged, class 1 for 8 s, class 2 unsafe, class 3 keyed within a cell. */
@@ -45,8 +45,8 @@
 
     /** Fresh for 8 s, and for 20 s more at most of its worth. */
     static Director.RequestClass staleClass() {
-        return new Director.RequestClass(Effect.SAFE, Director.Scope.ALL, 0, 400, 2, 5_000, 1, 0.2, false, false,
-            false, 8_000, 20_000, 0.7);
+        return new Director.RequestClass(
+                Effect.SAFE, Director.Scope.ALL, 0, 400, 2, 5_000, 1, 0.2, false, false, false, 8_000, 20_000, 0.7);
     }
 
     static Director.Settings settings(int me, int directors) {
@@ -58,8 +58,11 @@
     }
 
     private static List<Director.RequestClass> classes() {
-        return List.of(requestClass(Effect.SAFE, 0), requestClass(Effect.SAFE, 8_000),
-            requestClass(Effect.UNSAFE, 0), requestClass(Effect.KEYED, 0));
+        return List.of(
+                requestClass(Effect.SAFE, 0),
+                requestClass(Effect.SAFE, 8_000),
+                requestClass(Effect.UNSAFE, 0),
+                requestClass(Effect.KEYED, 0));
     }
 
     /** Answers tell of hits only, as the platform's do: a fill that was turned away doesn't say by whom. */
@@ -71,12 +74,40 @@
         return settings(me, directors, classes, Director.Notes.ALL);
     }
 
-    private static Director.Settings settings(int me, int directors, List<Director.RequestClass> classes,
-                                              Director.Notes notes) {
-        return new Director.Settings(classes, me, directors, 1, List.of(0, directors), PARENT, ORIGIN, false, false, 0,
-            TICK, 8, 1_000, new Director.ColdRule(0.25, 16_000, 4), new Director.ColdRule(0.06, 20_000, 2), 1_500, 500, 6_000, true,
-            true, Director.Siblings.NONE, notes, 5, Director.Reports.WITH_ANSWERS, List.of("load_share"),
-            6, true, true, true, false, 500);
+    private static Director.Settings settings(
+            int me, int directors, List<Director.RequestClass> classes, Director.Notes notes) {
+        return new Director.Settings(
+                classes,
+                me,
+                directors,
+                1,
+                List.of(0, directors),
+                PARENT,
+                ORIGIN,
+                false,
+                false,
+                0,
+                TICK,
+                8,
+                1_000,
+                new Director.ColdRule(0.25, 16_000, 4),
+                new Director.ColdRule(0.06, 20_000, 2),
+                1_500,
+                500,
+                6_000,
+                true,
+                true,
+                Director.Siblings.NONE,
+                notes,
+                5,
+                Director.Reports.WITH_ANSWERS,
+                List.of("load_share"),
+                6,
+                true,
+                true,
+                true,
+                false,
+                500);
     }
 
     static Node node(long id, int kind, State state, double startedAtMs) {
@@ -126,8 +157,8 @@
     }
 
     List<Action> outcome(Get get, int attempt, Result result, Note note, double latencyMs) {
-        return tell(new Outcome(get.request(), attempt, get.node(), result, latencyMs, result == Result.OK, note, 10,
-            List.of()));
+        return tell(new Outcome(
+                get.request(), attempt, get.node(), result, latencyMs, result == Result.OK, note, 10, List.of()));
     }
 
     Get served(Get get) {
--- a/decision/src/test/java/barleyspur/decision/ColdRampTest.java
+++ b/decision/src/test/java/barleyspur/decision/ColdRampTest.java
@@ -44,10 +44,12 @@
         final boolean sizes;
         /** Calls of mean work that a warm cache can serve in a millisecond; a parent can serve twice that. */
         final double perMs;
+
         final double load;
         final double[] weight;
         /** How long from burst to burst, up to the time that a node takes to be warm; 0: traffic is even. */
         final double burstsMs;
+
         final boolean twoCold;
         final double restartsPerMs;
         final List<Bench> benches = new ArrayList<>();
@@ -60,8 +62,8 @@
             this.directors = directors;
             random = new SplittableRandom(seed);
             fallMs = random.nextInt(2) == 0 ? 3_000 : 1_500;
-            cache = new Director.ColdRule(random.nextDouble(0.16, 0.49), random.nextDouble(5_700, 21_000),
-                random.nextDouble(2, 4));
+            cache = new Director.ColdRule(
+                    random.nextDouble(0.16, 0.49), random.nextDouble(5_700, 21_000), random.nextDouble(2, 4));
             parent = new Director.ColdRule(random.nextDouble(0.06, 0.15), random.nextDouble(12_000, 22_000), 2);
             sizes = random.nextBoolean();
             double most = Math.exp(random.nextDouble(Math.log(4), Math.log(500)));
@@ -83,12 +85,40 @@
         }
 
         private Director.Settings settings(int me) {
-            Director.RequestClass read = new Director.RequestClass(Director.Effect.SAFE, Director.Scope.ALL, 0, 400, 2, 5_000,
-                1, 0.2, false, false, false, 0, 0, 0.7);
-            return new Director.Settings(List.of(read), me, directors, 1, List.of(0, directors), Bench.PARENT, Bench.ORIGIN,
-                sizes, false, 0, Bench.TICK, 8, 1_000, cache, parent, fallMs, 500, 6_000, true, true,
-                Director.Siblings.NONE, Director.Notes.HIT, PACE_KB_PER_MS, Director.Reports.NONE, List.of(), 6, false,
-                true, false, false, 500);
+            Director.RequestClass read = new Director.RequestClass(
+                    Director.Effect.SAFE, Director.Scope.ALL, 0, 400, 2, 5_000, 1, 0.2, false, false, false, 0, 0, 0.7);
+            return new Director.Settings(
+                    List.of(read),
+                    me,
+                    directors,
+                    1,
+                    List.of(0, directors),
+                    Bench.PARENT,
+                    Bench.ORIGIN,
+                    sizes,
+                    false,
+                    0,
+                    Bench.TICK,
+                    8,
+                    1_000,
+                    cache,
+                    parent,
+                    fallMs,
+                    500,
+                    6_000,
+                    true,
+                    true,
+                    Director.Siblings.NONE,
+                    Director.Notes.HIT,
+                    PACE_KB_PER_MS,
+                    Director.Reports.NONE,
+                    List.of(),
+                    6,
+                    false,
+                    true,
+                    false,
+                    false,
+                    500);
         }
 
         private Bench start(int me) {
@@ -220,8 +250,9 @@
             assertTrue(one <= 1, "schedule " + i + " of " + directors + " directors: " + one + " of what is borne");
             worst = Math.max(worst, one);
         }
-        System.out.printf("cold ramp, %d directors: at most %.2f of the bound; of the budget %.2f at caches, %.2f at parents%n",
-            directors, worst, used[0] / SCHEDULES, used[1] / SCHEDULES);
+        System.out.printf(
+                "cold ramp, %d directors: at most %.2f of the bound; of the budget %.2f at caches, %.2f at parents%n",
+                directors, worst, used[0] / SCHEDULES, used[1] / SCHEDULES);
         assertTrue(used[0] > 0.02 * SCHEDULES, "cold caches are starved");
     }
 }
--- a/decision/src/test/java/barleyspur/decision/HistoriesTest.java
+++ b/decision/src/test/java/barleyspur/decision/HistoriesTest.java
@@ -28,8 +28,17 @@
 class HistoriesTest {
 
     private static final int STEPS = 4_000;
-    private static final Result[] RESULTS = {Result.OK, Result.OK, Result.OK, Result.ERROR, Result.FULL,
-        Result.CONNECT_FAILED, Result.RESET, Result.TIMEOUT, Result.MISS};
+    private static final Result[] RESULTS = {
+        Result.OK,
+        Result.OK,
+        Result.OK,
+        Result.ERROR,
+        Result.FULL,
+        Result.CONNECT_FAILED,
+        Result.RESET,
+        Result.TIMEOUT,
+        Result.MISS
+    };
 
     /** One history, played against a director, with every action checked as it is ordered. */
     private static final class History {
@@ -138,7 +147,8 @@
             int attempt = attempts.merge(g.request(), 1, Integer::sum) - 1;
             Result result = RESULTS[random.nextInt(RESULTS.length)];
             out.add(() -> {
-                boolean neverRan = List.of(Result.FULL, Result.CONNECT_FAILED, Result.MISS).contains(result);
+                boolean neverRan =
+                        List.of(Result.FULL, Result.CONNECT_FAILED, Result.MISS).contains(result);
                 boolean over = result == Result.OK || !deadlines.containsKey(g.request());
                 if (neverRan) {
                     maybeRan.put(g.request(), false);
@@ -146,8 +156,8 @@
                 if (result == Result.OK) {
                     deadlines.remove(g.request());
                 }
-                check(bench.tell(new Outcome(g.request(), attempt, g.node(), result, 50, over, Note.NONE, 0,
-                    List.of())));
+                check(bench.tell(
+                        new Outcome(g.request(), attempt, g.node(), result, 50, over, Note.NONE, 0, List.of())));
             });
         }
     }
--- a/decision/src/test/java/barleyspur/decision/LimitsTest.java
+++ b/decision/src/test/java/barleyspur/decision/LimitsTest.java
@@ -32,8 +32,9 @@
         for (int i = 0; i < count; i++) {
             List<Get> sent = Bench.all(bench.request(0, 10_000 + i, 4_000), Get.class);
             bench.now += 600;
-            sent.forEach(get -> pastLook(get).forEach(last -> bench.outcome(last, last == get ? 0 : 1, Result.OK,
-                Note.FILLED, last.node() <= 4 ? LATE_MS : pastMs)));
+            sent.forEach(get -> pastLook(get)
+                    .forEach(last -> bench.outcome(
+                            last, last == get ? 0 : 1, Result.OK, Note.FILLED, last.node() <= 4 ? LATE_MS : pastMs)));
         }
     }
 
@@ -101,8 +102,11 @@
         for (int i = 0; i < 20; i++) {
             List<Action> actions = bench.request(0, 30_000 + i, 4_000);
             refused += Bench.all(actions, Refuse.class).size();
-            for (Get look : Bench.all(actions, Get.class).stream().filter(LimitsTest::isLook).toList()) {
-                refused += Bench.all(bench.outcome(look, 0, Result.MISS, Note.NONE), Refuse.class).size();
+            for (Get look : Bench.all(actions, Get.class).stream()
+                    .filter(LimitsTest::isLook)
+                    .toList()) {
+                refused += Bench.all(bench.outcome(look, 0, Result.MISS, Note.NONE), Refuse.class)
+                        .size();
             }
         }
         assertTrue(refused >= 10, refused + " refused");
@@ -125,7 +129,8 @@
         long others = 0;
         for (int i = 0; i < 20; i++) {
             others += Bench.all(bench.request(0, 60_000 + i, 4_000), Get.class).stream()
-                .filter(get -> !isLook(get) && get.node() > 1 && get.node() <= 4).count();
+                    .filter(get -> !isLook(get) && get.node() > 1 && get.node() <= 4)
+                    .count();
         }
         assertTrue(others >= 16, others + " filled");
     }
@@ -154,7 +159,8 @@
         List<WakeAt> aims = new ArrayList<>();
         for (int i = 0; i < 12; i++) {
             List<Action> sent = bench.request(0, 10_000 + i, 4_000);
-            aims.addAll(Bench.all(sent, WakeAt.class).subList(1, Bench.all(sent, WakeAt.class).size()));
+            aims.addAll(Bench.all(sent, WakeAt.class)
+                    .subList(1, Bench.all(sent, WakeAt.class).size()));
         }
         for (WakeAt aim : aims) {
             bench.now = Math.max(bench.now + 200, aim.atMs());
@@ -233,7 +239,8 @@
             Result result = get.source() == bad ? Result.ERROR : Result.OK;
             log.addAll(bench.outcome(get, 0, result, result == Result.OK ? Note.FILLED : Note.SOURCE_FAILED));
         }
-        assertTrue(Bench.all(log, Director.Log.class).stream().allMatch(l -> l.line().contains("node " + bad)));
+        assertTrue(Bench.all(log, Director.Log.class).stream()
+                .allMatch(l -> l.line().contains("node " + bad)));
         assertEquals(1, Bench.all(log, Director.Log.class).size());
     }
 
@@ -286,7 +293,11 @@
         long source = Director.NO_NODE;
         for (int i = 0; i < 50 && source == Director.NO_NODE; i++) {
             List<Get> fills = Bench.all(bench.request(0, 80_000 + i, 4_000), Get.class);
-            source = fills.stream().filter(g -> g.source() != g.node()).mapToLong(Get::source).findFirst().orElse(source);
+            source = fills.stream()
+                    .filter(g -> g.source() != g.node())
+                    .mapToLong(Get::source)
+                    .findFirst()
+                    .orElse(source);
         }
         assertTrue(source == 11 || source == 12, "source " + source);
     }
--- a/decision/src/test/java/barleyspur/decision/LossesTest.java
+++ b/decision/src/test/java/barleyspur/decision/LossesTest.java
@@ -30,8 +30,9 @@
             Get get = bench.get(++object);
             for (int attempt = 0; get != null; attempt++) {
                 named.add(get.source());
-                List<Action> next = turnsAway.test(get) ? bench.outcome(get, attempt, Result.FULL, Note.NONE, 5)
-                    : bench.outcome(get, attempt, Result.OK, Note.FILLED, 100);
+                List<Action> next = turnsAway.test(get)
+                        ? bench.outcome(get, attempt, Result.FULL, Note.NONE, 5)
+                        : bench.outcome(get, attempt, Result.OK, Note.FILLED, 100);
                 List<Get> again = Bench.all(next, Get.class);
                 get = again.isEmpty() ? null : again.get(0);
             }
@@ -87,7 +88,8 @@
                     break;
                 }
                 gone.add(get.node());
-                List<Get> again = Bench.all(bench.outcome(get, attempt, Result.CONNECT_FAILED, Note.NONE, 400), Get.class);
+                List<Get> again =
+                        Bench.all(bench.outcome(get, attempt, Result.CONNECT_FAILED, Note.NONE, 400), Get.class);
                 get = again.isEmpty() ? null : again.get(0);
             }
         }
@@ -128,7 +130,7 @@
         assertTrue(first.size() <= 8, first.size() + " at once");
         for (int i = 0; i < 60; i++) {
             Bench.all(bench.request(0, ++object, 4_000), Get.class)
-                .forEach(get -> bench.outcome(get, 0, Result.OK, Note.FILLED, 100));
+                    .forEach(get -> bench.outcome(get, 0, Result.OK, Note.FILLED, 100));
             first.forEach(get -> bench.outcome(get, 0, Result.OK, Note.FILLED, 100));
         }
         List<Get> later = new ArrayList<>();
--- a/decision/src/test/java/barleyspur/decision/ManyDirectorsTest.java
+++ b/decision/src/test/java/barleyspur/decision/ManyDirectorsTest.java
@@ -62,11 +62,13 @@
 
     @Test
     void aColdParentStaysWithinItsBudget() {
-        staysWithinItsBudget(11, Bench.PARENT, get -> get.source() == 11, Bench.settings().coldParent(), 2);
+        staysWithinItsBudget(
+                11, Bench.PARENT, get -> get.source() == 11, Bench.settings().coldParent(), 2);
     }
 
     @Test
     void aColdCacheStaysWithinItsBudget() {
-        staysWithinItsBudget(1, Bench.CACHE, get -> get.node() == 1, Bench.settings().coldCache(), 4);
+        staysWithinItsBudget(
+                1, Bench.CACHE, get -> get.node() == 1, Bench.settings().coldCache(), 4);
     }
 }
--- a/decision/src/test/java/barleyspur/decision/ModuleSizeTest.java
+++ b/decision/src/test/java/barleyspur/decision/ModuleSizeTest.java
@@ -16,15 +16,18 @@
 
     /** Tests run in their module's folder. */
     private static final Path ROOT = Path.of("..");
+
     private static final int MOST_LINES = 940;
     private static final int MOST_WIDTH = 110;
 
     /** The files that the deploy file names as holding decisions. */
     private static List<Path> policy() throws IOException {
         String line = Files.readAllLines(ROOT.resolve("deploy/balancer.toml")).stream()
-            .filter(l -> l.startsWith("policy = ")).findFirst().orElseThrow();
+                .filter(l -> l.startsWith("policy = "))
+                .findFirst()
+                .orElseThrow();
         List<Path> files = new ArrayList<>();
-        for (Matcher m = Pattern.compile("\"([^\"]+)\"").matcher(line); m.find();) {
+        for (Matcher m = Pattern.compile("\"([^\"]+)\"").matcher(line); m.find(); ) {
             files.add(ROOT.resolve(m.group(1)));
         }
         return files;
--- a/decision/src/test/java/barleyspur/decision/OrdinaryPathTest.java
+++ b/decision/src/test/java/barleyspur/decision/OrdinaryPathTest.java
@@ -52,7 +52,9 @@
     void allDirectorsFillAnObjectFromTheSameParent() {
         Bench other = new Bench(Bench.settings()).list(3);
         for (long object = 1; object <= 60; object++) {
-            assertEquals(bench.served(bench.get(object)).source(), other.served(other.get(object)).source());
+            assertEquals(
+                    bench.served(bench.get(object)).source(),
+                    other.served(other.get(object)).source());
         }
     }
 
--- a/decision/src/test/java/barleyspur/decision/RetuneTest.java
+++ b/decision/src/test/java/barleyspur/decision/RetuneTest.java
@@ -41,6 +41,9 @@
         Get second = bench.get(43);
         List<Director.Action> after = bench.outcome(second, 0, Result.ERROR, Note.NONE);
         assertTrue(Bench.all(after, Get.class).isEmpty(), after.toString());
-        assertEquals(1, Bench.all(after, Director.Refuse.class).size() + Bench.all(after, Director.Fail.class).size());
+        assertEquals(
+                1,
+                Bench.all(after, Director.Refuse.class).size()
+                        + Bench.all(after, Director.Fail.class).size());
     }
 }
--- a/decision/src/test/java/barleyspur/decision/RulesTest.java
+++ b/decision/src/test/java/barleyspur/decision/RulesTest.java
@@ -191,8 +191,10 @@
             first.add(bench.now - told);
         }
         assertTrue(first.stream().filter(ms -> ms < 1_000).count() <= 4, "first sends after " + first);
-        assertTrue(first.stream().mapToDouble(ms -> ms).max().getAsDouble()
-            > 1.5 * first.stream().mapToDouble(ms -> ms).min().getAsDouble(), "first sends after " + first);
+        assertTrue(
+                first.stream().mapToDouble(ms -> ms).max().getAsDouble()
+                        > 1.5 * first.stream().mapToDouble(ms -> ms).min().getAsDouble(),
+                "first sends after " + first);
     }
 
     @Test
--- a/decision/src/test/java/barleyspur/decision/SameActionsTest.java
+++ b/decision/src/test/java/barleyspur/decision/SameActionsTest.java
@@ -26,8 +26,19 @@
 class SameActionsTest {
 
     private static final int STEPS = 6_000;
-    private static final Result[] RESULTS = {Result.OK, Result.OK, Result.OK, Result.OK, Result.OK, Result.ERROR,
-        Result.FULL, Result.CONNECT_FAILED, Result.RESET, Result.TIMEOUT, Result.MISS};
+    private static final Result[] RESULTS = {
+        Result.OK,
+        Result.OK,
+        Result.OK,
+        Result.OK,
+        Result.OK,
+        Result.ERROR,
+        Result.FULL,
+        Result.CONNECT_FAILED,
+        Result.RESET,
+        Result.TIMEOUT,
+        Result.MISS
+    };
     private static final Note[] NOTES = {Note.NONE, Note.HIT, Note.FILLED, Note.SOURCE_FAILED, Note.JOINED};
 
     private final CRC32 digest = new CRC32();
@@ -41,17 +52,52 @@
 
     private static Director.Settings settings(boolean sizes, Director.Notes notes) {
         Director.Settings s = Bench.settings();
-        return new Director.Settings(s.classes(), 0, 3, 1, List.of(0, 3, 3), Bench.PARENT, Bench.ORIGIN, sizes, false,
-            0, 2, 8, 1_000, s.coldCache(), s.coldParent(), 1_500, 500, 6_000, true, true, s.siblings(), notes, 5,
-            s.reports(), s.reportFields(), 6, true, true, true, false, 500);
+        return new Director.Settings(
+                s.classes(),
+                0,
+                3,
+                1,
+                List.of(0, 3, 3),
+                Bench.PARENT,
+                Bench.ORIGIN,
+                sizes,
+                false,
+                0,
+                2,
+                8,
+                1_000,
+                s.coldCache(),
+                s.coldParent(),
+                1_500,
+                500,
+                6_000,
+                true,
+                true,
+                s.siblings(),
+                notes,
+                5,
+                s.reports(),
+                s.reportFields(),
+                6,
+                true,
+                true,
+                true,
+                false,
+                500);
     }
 
     private Director.Node node(long id, boolean late) {
         boolean cache = id <= caches;
         State state = random.nextInt(8) == 0 ? State.values()[random.nextInt(3)] : State.READY;
         int kind = cache ? (int) (id % 2) : id <= caches + parents ? Bench.PARENT : Bench.ORIGIN;
-        return new Director.Node(id, cache ? 1 + (int) (id % 2) : 0, kind, (int) id % 2, state,
-            0.5 + id % 7, late && random.nextInt(3) == 0 ? now : 0);
+        return new Director.Node(
+                id,
+                cache ? 1 + (int) (id % 2) : 0,
+                kind,
+                (int) id % 2,
+                state,
+                0.5 + id % 7,
+                late && random.nextInt(3) == 0 ? now : 0);
     }
 
     private void list(ListKind kind, boolean late) {
@@ -84,8 +130,16 @@
     private void answer(Get g) {
         Result result = RESULTS[random.nextInt(RESULTS.length)];
         Note note = NOTES[random.nextInt(NOTES.length)];
-        tell(new Director.Outcome(g.request(), attempts.merge(g.request(), 1, Integer::sum) - 1, g.node(), result,
-            random.nextDouble(2_000), result == Result.OK, note, 10, List.of((float) random.nextDouble())));
+        tell(new Director.Outcome(
+                g.request(),
+                attempts.merge(g.request(), 1, Integer::sum) - 1,
+                g.node(),
+                result,
+                random.nextDouble(2_000),
+                result == Result.OK,
+                note,
+                10,
+                List.of((float) random.nextDouble())));
     }
 
     private long play(long seed, boolean sizes, Director.Notes notes) {
@@ -101,13 +155,22 @@
             if (what == 0) {
                 list(ListKind.FULL, true);
             } else if (what <= 3) {
-                tell(new Director.Members(ListKind.DELTA,
-                    List.of(node(1 + random.nextInt(caches + parents + 1), true))));
+                tell(new Director.Members(
+                        ListKind.DELTA, List.of(node(1 + random.nextInt(caches + parents + 1), true))));
             } else if (what == 4) {
                 tell(new Director.Purged(5, random.nextInt(40), random.nextDouble(400)));
             } else if (what < 34) {
-                tell(new Director.Request(step, random.nextInt(4), 0, 1L + random.nextInt(60), random.nextInt(2), 5,
-                    500 + random.nextInt(5_000), random.nextInt(2) * 400, false, false));
+                tell(new Director.Request(
+                        step,
+                        random.nextInt(4),
+                        0,
+                        1L + random.nextInt(60),
+                        random.nextInt(2),
+                        5,
+                        500 + random.nextInt(5_000),
+                        random.nextInt(2) * 400,
+                        false,
+                        false));
             } else if (!out.isEmpty()) {
                 out.remove(random.nextInt(out.size())).run();
             }
@@ -116,9 +179,14 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"1, 8, 2, false, ALL, 1702455058", "2, 8, 3, true, HIT, 771742684",
-        "3, 40, 12, true, NONE, 144099395", "4, 40, 12, false, HIT, 2749148825",
-        "5, 200, 60, true, ALL, 4046850814", "6, 200, 60, false, HIT, 2739098317"})
+    @CsvSource({
+        "1, 8, 2, false, ALL, 1702455058",
+        "2, 8, 3, true, HIT, 771742684",
+        "3, 40, 12, true, NONE, 144099395",
+        "4, 40, 12, false, HIT, 2749148825",
+        "5, 200, 60, true, ALL, 4046850814",
+        "6, 200, 60, false, HIT, 2739098317"
+    })
     void asBefore(long seed, int caches, int parents, boolean sizes, Director.Notes notes, long checksum) {
         this.caches = caches;
         this.parents = parents;
--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -16,9 +16,9 @@
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.LoopClock;
 import barleyspur.doorman.SocketPolls;
-import barleyspur.lifecycle.Lifecycle;
 import barleyspur.fleet.net.FleetPort;
 import barleyspur.front.thrift.ThriftFront;
+import barleyspur.lifecycle.Lifecycle;
 import barleyspur.log.LogEvent;
 import barleyspur.retune.ClassTable;
 import barleyspur.transport.Connector;
@@ -52,6 +52,7 @@
      * in a crowd up to 32 are accepted, or closed but not yet given back, between two looks.
      */
     private static final int SHARES = 3;
+
     private static final int OWN_SOCKETS = 64;
     private static final long MEGABYTE = 1 << 20;
     /** The part of the memory that unread answers may fill: the buffers that hold them were seen to take thrice that. */
@@ -78,8 +79,15 @@
     private Configuration configuration;
     private final OwnSettings own;
     /** Reads configurations one after another, off the event loop, for as long as there are any to read. */
-    private final ThreadPoolExecutor reloads = new ThreadPoolExecutor(0, 1, 1, TimeUnit.SECONDS,
-        new ArrayBlockingQueue<>(1), new DefaultThreadFactory("reload", true), new ThreadPoolExecutor.DiscardPolicy());
+    private final ThreadPoolExecutor reloads = new ThreadPoolExecutor(
+            0,
+            1,
+            1,
+            TimeUnit.SECONDS,
+            new ArrayBlockingQueue<>(1),
+            new DefaultThreadFactory("reload", true),
+            new ThreadPoolExecutor.DiscardPolicy());
+
     private final SocketPolls polls = new SocketPolls();
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, polls.ioHandlers());
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -112,34 +120,66 @@
         Configuration.Limits limits = configuration.limits();
         Director.Settings settings = configuration.settings();
         clock = clocks.apply(group.next(), polls);
-        DepotClient depots = new DepotClient(Connector.tcp(group, limits.connectTimeoutMs()), clock,
-            new DepotClient.Limits(limits.streams(), limits.idleMs(), limits.sockets() / SHARES),
-            settings.reportFields());
+        DepotClient depots = new DepotClient(
+                Connector.tcp(group, limits.connectTimeoutMs()),
+                clock,
+                new DepotClient.Limits(limits.streams(), limits.idleMs(), limits.sockets() / SHARES),
+                settings.reportFields());
         Director director = new Decide(settings, configuration.seed());
         // Not the configuration's seed: doormans, and lives of one, may have it alike, and must be told apart.
         long life = own.fleet() == null ? 0 : new SecureRandom().nextLong();
-        FleetPort port = own.fleet() == null ? null : new FleetPort(group, clock, own.fleet(), lifecycle, configuration.name(),
-            configuration.names().zones().get(settings.zone()), version(), configuration.digest(),
-            System.currentTimeMillis(), life);
+        FleetPort port = own.fleet() == null
+                ? null
+                : new FleetPort(
+                        group,
+                        clock,
+                        own.fleet(),
+                        lifecycle,
+                        configuration.name(),
+                        configuration.names().zones().get(settings.zone()),
+                        version(),
+                        configuration.digest(),
+                        System.currentTimeMillis(),
+                        life);
         fleet = port;
-        budgets = own.budgets() == null ? null : new BudgetPort(port, clock, own.budgets().terms(), configuration.name(),
-            life + 1);
-        doorman = new Doorman(settings, limits.maxOpen(), director, clock, budgets == null ? depots
-            : new GuardedDepots(depots, budgets, clock, own.budgets().terms(),
-                own.budgets().guarded(configuration.names().kinds())));
-        commands = new CommandReader(configuration.names().zones(), configuration.names().kinds(), doorman);
-        channel = new CommandChannel(Connector.tcp(group, CommandChannel.CONNECT_TIMEOUT_MS),
-            configuration.channel(), clock, commands);
+        budgets = own.budgets() == null
+                ? null
+                : new BudgetPort(port, clock, own.budgets().terms(), configuration.name(), life + 1);
+        doorman = new Doorman(
+                settings,
+                limits.maxOpen(),
+                director,
+                clock,
+                budgets == null
+                        ? depots
+                        : new GuardedDepots(
+                                depots,
+                                budgets,
+                                clock,
+                                own.budgets().terms(),
+                                own.budgets().guarded(configuration.names().kinds())));
+        commands = new CommandReader(
+                configuration.names().zones(), configuration.names().kinds(), doorman);
+        channel = new CommandChannel(
+                Connector.tcp(group, CommandChannel.CONNECT_TIMEOUT_MS), configuration.channel(), clock, commands);
         classes = ClassTable.of(configuration.names().classes(), settings.classes());
-        front = new ThriftFront(group, doorman, clock, classes,
-            Math.max(limits.sockets() / SHARES + 1, limits.sockets() - limits.sockets() / SHARES - OWN_SOCKETS),
-            limits.memoryMb() * MEGABYTE / UNREAD_SHARE, depots::pauseReading, lifecycle, configuration.mgmt() != null);
+        front = new ThriftFront(
+                group,
+                doorman,
+                clock,
+                classes,
+                Math.max(limits.sockets() / SHARES + 1, limits.sockets() - limits.sockets() / SHARES - OWN_SOCKETS),
+                limits.memoryMb() * MEGABYTE / UNREAD_SHARE,
+                depots::pauseReading,
+                lifecycle,
+                configuration.mgmt() != null);
         if (configuration.mgmt() == null) {
             admin = null;
             handOff = null;
         } else {
             // Only a platform that gives a second address upgrades a doorman beside itself.
-            Routes.Builder routes = new LifecycleCalls(lifecycle, clock, this::lifecycleChanged).addTo(Routes.builder());
+            Routes.Builder routes =
+                    new LifecycleCalls(lifecycle, clock, this::lifecycleChanged).addTo(Routes.builder());
             if (fleet != null) {
                 fleet.addTo(routes);
             }
@@ -165,32 +205,43 @@
 
     /** Rehearses, learns what is known, then listens; throws where the address can't be had. */
     public void start() throws IOException, InterruptedException, ExecutionException {
-        long answered = group.submit(() -> new Rehearsal(group, configuration).play(REHEARSED)).get();
+        long answered = group.submit(() -> new Rehearsal(group, configuration).play(REHEARSED))
+                .get();
         LogEvent.log(LOG.atInfo(), "rehearsed", "requests", REHEARSED, "bytes", answered);
         group.submit(() -> {
-            commands.known(configuration.known());
-            channel.start();
-        }).sync();
+                    commands.known(configuration.known());
+                    channel.start();
+                })
+                .sync();
         listen(front.listen(configuration.listen()), configuration.listen());
         group.submit(() -> {
-            lifecycle.serving(clock.nowMs());
-            if (fleet != null) {
-                fleet.start();
-            }
-        }).sync();
+                    lifecycle.serving(clock.nowMs());
+                    if (fleet != null) {
+                        fleet.start();
+                    }
+                })
+                .sync();
         if (admin != null) {
             listen(admin.listen(configuration.mgmt()), configuration.mgmt());
             handOff.announce(ProcessHandle.current().pid());
         }
-        LogEvent.log(LOG.atInfo(), "serves", "name", configuration.name(), "address", configuration.listen(), "mgmt",
-            configuration.mgmt());
+        LogEvent.log(
+                LOG.atInfo(),
+                "serves",
+                "name",
+                configuration.name(),
+                "address",
+                configuration.listen(),
+                "mgmt",
+                configuration.mgmt());
     }
 
     private void listen(ChannelFuture future, InetSocketAddress address) throws IOException, InterruptedException {
         ChannelFuture bound = future.await();
         if (!bound.isSuccess()) {
             end();
-            throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage());
+            throw new IOException(
+                    "can't listen on " + address + ": " + bound.cause().getMessage());
         }
     }
 
@@ -217,7 +268,8 @@
     private void apply(OwnSettings next) {
         List<String> fixed = own.fixedChanges(next);
         if (!fixed.isEmpty()) {
-            LogEvent.log(LOG.atWarn(), "reload: changes that count from the next start on", "keys", String.join(",", fixed));
+            LogEvent.log(
+                    LOG.atWarn(), "reload: changes that count from the next start on", "keys", String.join(",", fixed));
         }
         if (budgets != null && next.budgets() != null) {
             budgets.retune(next.budgets().terms());
@@ -227,18 +279,27 @@
     private void apply(Configuration next) {
         List<String> fixed = configuration.fixedChanges(next);
         if (!fixed.isEmpty()) {
-            LogEvent.log(LOG.atWarn(), "reload: changes that count from the next start on", "keys",
-                String.join(",", fixed));
+            LogEvent.log(
+                    LOG.atWarn(), "reload: changes that count from the next start on", "keys", String.join(",", fixed));
         }
-        ClassTable.Retune retune = classes.retune(next.names().classes(), next.settings().classes());
+        ClassTable.Retune retune =
+                classes.retune(next.names().classes(), next.settings().classes());
         int attempts = next.settings().maxAttempts();
         if (!retune.same() || attempts != configuration.settings().maxAttempts()) {
             classes = retune.table();
             doorman.retune(configuration.settings().retuned(classes.classes(), attempts));
             front.retune(classes);
-            LogEvent.log(LOG.atInfo(), "reload: classes retuned", "added", String.join(",", retune.added()),
-                "changed", String.join(",", retune.changed()), "dropped", String.join(",", retune.dropped()),
-                "attempts", attempts);
+            LogEvent.log(
+                    LOG.atInfo(),
+                    "reload: classes retuned",
+                    "added",
+                    String.join(",", retune.added()),
+                    "changed",
+                    String.join(",", retune.changed()),
+                    "dropped",
+                    String.join(",", retune.dropped()),
+                    "attempts",
+                    attempts);
         }
         LOG.info("reload: done");
         configuration = configuration.retuned(next);
@@ -251,7 +312,9 @@
      * as what is open is answered. The note is read here, off the event loop.
      */
     public void drain() {
-        long successor = handOff == null ? -1 : handOff.successorOf(ProcessHandle.current().pid());
+        long successor = handOff == null
+                ? -1
+                : handOff.successorOf(ProcessHandle.current().pid());
         try {
             group.execute(() -> leave(successor));
         } catch (RejectedExecutionException e) {
--- a/doorman/src/main/java/barleyspur/Rehearsal.java
+++ b/doorman/src/main/java/barleyspur/Rehearsal.java
@@ -7,8 +7,8 @@
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.Listing;
-import barleyspur.lifecycle.Lifecycle;
 import barleyspur.front.thrift.ThriftFront;
+import barleyspur.lifecycle.Lifecycle;
 import barleyspur.retune.ClassTable;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -38,10 +38,10 @@
     static final int BODY = 8_000;
     private static final double STEP_MS = 3;
 
-    private record Task(double at, long order, AtomicReference<Runnable> run) { }
+    private record Task(double at, long order, AtomicReference<Runnable> run) {}
 
-    private final PriorityQueue<Task> timers = new PriorityQueue<>(
-        Comparator.comparingDouble(Task::at).thenComparingLong(Task::order));
+    private final PriorityQueue<Task> timers =
+            new PriorityQueue<>(Comparator.comparingDouble(Task::at).thenComparingLong(Task::order));
     private final EventLoopGroup group;
     private final Configuration configuration;
     private final List<EmbeddedChannel> depots = new ArrayList<>();
@@ -69,19 +69,29 @@
     long play(int requests) {
         long answered = 0;
         Director.Settings settings = configuration.settings();
-        DepotClient client = new DepotClient((address, handlers) -> {
-            EmbeddedChannel depot = new EmbeddedChannel(handlers);
-            depots.add(depot);
-            return depot.newSucceededFuture();
-        }, this, new DepotClient.Limits(configuration.limits().streams(), Integer.MAX_VALUE, CACHES * 8),
-            settings.reportFields());
+        DepotClient client = new DepotClient(
+                (address, handlers) -> {
+                    EmbeddedChannel depot = new EmbeddedChannel(handlers);
+                    depots.add(depot);
+                    return depot.newSucceededFuture();
+                },
+                this,
+                new DepotClient.Limits(configuration.limits().streams(), Integer.MAX_VALUE, CACHES * 8),
+                settings.reportFields());
         Doorman doorman = new Doorman(settings, requests, new Decide(settings, 1), this, client);
         doorman.listed(true, listings(settings));
         Lifecycle lifecycle = new Lifecycle();
         lifecycle.serving(now);
-        ThriftFront front = new ThriftFront(group, doorman, this,
-            ClassTable.of(configuration.names().classes(), settings.classes()), CLIENTS,
-            Long.MAX_VALUE, full -> { }, lifecycle, false);
+        ThriftFront front = new ThriftFront(
+                group,
+                doorman,
+                this,
+                ClassTable.of(configuration.names().classes(), settings.classes()),
+                CLIENTS,
+                Long.MAX_VALUE,
+                full -> {},
+                lifecycle,
+                false);
         List<EmbeddedChannel> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             clients.add(new EmbeddedChannel(front.acceptor()));
@@ -92,8 +102,9 @@
                 answer(depot, i);
             }
             pass();
-            for (ByteBuf part = clients.get(i % CLIENTS).readOutbound(); part != null;
-                 part = clients.get(i % CLIENTS).readOutbound()) {
+            for (ByteBuf part = clients.get(i % CLIENTS).readOutbound();
+                    part != null;
+                    part = clients.get(i % CLIENTS).readOutbound()) {
                 answered += part.readableBytes();
                 part.release();
             }
@@ -117,8 +128,8 @@
         List<Listing> listings = new ArrayList<>();
         for (int i = 0; i < CACHES + 2; i++) {
             int kind = i < CACHES ? 0 : i == CACHES ? settings.parentKind() : settings.originKind();
-            listings.add(new Listing("s-" + i, new InetSocketAddress(1), settings.zone(), kind, 0,
-                Director.State.READY, 1, 0));
+            listings.add(new Listing(
+                    "s-" + i, new InetSocketAddress(1), settings.zone(), kind, 0, Director.State.READY, 1, 0));
         }
         return listings;
     }
@@ -127,10 +138,22 @@
     private ByteBuf dispatch(int number) {
         int category = number % configuration.names().classes().size();
         String object = hex(number * number % 97);
-        Map<String, String> fields = Map.of("c", configuration.names().classes().get(category),
-            "i", hex(number), "d", Integer.toString((int) configuration.settings().classes()
-                .get(category).deadlineMs()), "o", object, "seg", Integer.toString(number % PARTS), "bucket", "1",
-            "m", "100.5");
+        Map<String, String> fields = Map.of(
+                "c",
+                configuration.names().classes().get(category),
+                "i",
+                hex(number),
+                "d",
+                Integer.toString(
+                        (int) configuration.settings().classes().get(category).deadlineMs()),
+                "o",
+                object,
+                "seg",
+                Integer.toString(number % PARTS),
+                "bucket",
+                "1",
+                "m",
+                "100.5");
         ByteBuf frame = Unpooled.buffer().writeInt(0).writeInt(0x80010001);
         text(frame, "dispatch").writeInt(number / CLIENTS + 1);
         frame.writeByte(13).writeShort(1).writeByte(11).writeByte(11).writeInt(fields.size());
@@ -156,9 +179,13 @@
                 String id = head.substring(20, 36);
                 boolean lack = number % 50 == 0;
                 ByteBuf answer = Unpooled.buffer();
-                ByteBufUtil.writeAscii(answer, "*4\r\n$16\r\n" + id + "\r\n$4\r\n" + (lack ? "LACK" : "DONE")
-                    + "\r\n$40\r\nhow=h,digest=4be0c1927d55a6f3,dated=1000\r\n$" + (lack ? 0 : BODY) + "\r\n");
-                depot.writeInbound(answer.writeZero(lack ? 0 : BODY).writeByte('\r').writeByte('\n'));
+                ByteBufUtil.writeAscii(
+                        answer,
+                        "*4\r\n$16\r\n" + id + "\r\n$4\r\n" + (lack ? "LACK" : "DONE")
+                                + "\r\n$40\r\nhow=h,digest=4be0c1927d55a6f3,dated=1000\r\n$" + (lack ? 0 : BODY)
+                                + "\r\n");
+                depot.writeInbound(
+                        answer.writeZero(lack ? 0 : BODY).writeByte('\r').writeByte('\n'));
             }
         }
     }
--- a/doorman/src/main/java/barleyspur/admin/AdminConnection.java
+++ b/doorman/src/main/java/barleyspur/admin/AdminConnection.java
@@ -43,8 +43,8 @@
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         closing = new LingeringClose(channel, clock);
-        late = clock.after(CALL_MS, () -> answer(HttpAnswer.problem(408, "no whole call within " + (long) CALL_MS
-            + " ms")));
+        late = clock.after(
+                CALL_MS, () -> answer(HttpAnswer.problem(408, "no whole call within " + (long) CALL_MS + " ms")));
         ctx.fireChannelActive();
     }
 
@@ -59,8 +59,8 @@
         } finally {
             request.body().release();
         }
-        LogEvent.log(LOG.atDebug(), "call", "method", request.method(), "path", request.path(), "status",
-            answer.status());
+        LogEvent.log(
+                LOG.atDebug(), "call", "method", request.method(), "path", request.path(), "status", answer.status());
         answer(answer);
     }
 
@@ -92,8 +92,15 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof HttpFault fault) {
-            LogEvent.log(LOG.atWarn(), "call refused", "caller", ctx.channel().remoteAddress(), "status", fault.status(),
-                "cause", fault.getMessage());
+            LogEvent.log(
+                    LOG.atWarn(),
+                    "call refused",
+                    "caller",
+                    ctx.channel().remoteAddress(),
+                    "status",
+                    fault.status(),
+                    "cause",
+                    fault.getMessage());
             answer(HttpAnswer.problem(fault.status(), fault.getMessage()));
         } else if (cause instanceof IOException) {
             ctx.close();
--- a/doorman/src/main/java/barleyspur/admin/AdminServer.java
+++ b/doorman/src/main/java/barleyspur/admin/AdminServer.java
@@ -27,6 +27,7 @@
     static final int MAX_HEAD = 8 * 1024;
     /** A call's body: settings of later parts of the API will come in it. */
     static final int MAX_BODY = 64 * 1024;
+
     private static final int BACKLOG = 64;
 
     private final EventLoopGroup group;
@@ -34,6 +35,7 @@
     private final Routes routes;
     /** Connections without a whole call yet, the oldest first. */
     private final Set<Channel> waiting = new LinkedHashSet<>();
+
     private int open;
 
     /** A server of these routes that does not listen yet. */
@@ -45,12 +47,14 @@
 
     /** Starts to listen. */
     public ChannelFuture listen(InetSocketAddress address) {
-        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(acceptor())
-            .bind(address);
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(acceptor())
+                .bind(address);
     }
 
     /** Makes a newly accepted channel a caller's. */
@@ -77,8 +81,8 @@
         open++;
         waiting.add(channel);
         channel.closeFuture().addListener(closed -> open--);
-        channel.pipeline().addLast(new HttpRequestDecoder(MAX_HEAD, MAX_BODY), new AdminConnection(this, routes,
-            clock));
+        channel.pipeline()
+                .addLast(new HttpRequestDecoder(MAX_HEAD, MAX_BODY), new AdminConnection(this, routes, clock));
     }
 
     /** The channel has its call, or is gone: it no longer waits. */
--- a/doorman/src/main/java/barleyspur/admin/LifecycleCalls.java
+++ b/doorman/src/main/java/barleyspur/admin/LifecycleCalls.java
@@ -32,10 +32,9 @@
 
     /** Adds the calls to {@code routes}. */
     public Routes.Builder addTo(Routes.Builder routes) {
-        return routes
-            .add("GET", "/admin/health", call -> state(lifecycle.ready() ? OK : UNAVAILABLE))
-            .add("PUT", "/admin/quiesce", call -> quiesce())
-            .add("PUT", "/admin/resume", call -> resume());
+        return routes.add("GET", "/admin/health", call -> state(lifecycle.ready() ? OK : UNAVAILABLE))
+                .add("PUT", "/admin/quiesce", call -> quiesce())
+                .add("PUT", "/admin/resume", call -> resume());
     }
 
     private HttpAnswer quiesce() {
@@ -58,7 +57,9 @@
     }
 
     private HttpAnswer state(int status) {
-        return HttpAnswer.json(status, "{\"ready\":" + lifecycle.ready() + ",\"phase\":\""
-            + lifecycle.phase().word() + "\"}");
+        return HttpAnswer.json(
+                status,
+                "{\"ready\":" + lifecycle.ready() + ",\"phase\":\""
+                        + lifecycle.phase().word() + "\"}");
     }
 }
--- a/doorman/src/main/java/barleyspur/admin/Routes.java
+++ b/doorman/src/main/java/barleyspur/admin/Routes.java
@@ -20,7 +20,7 @@
         HttpAnswer answer(HttpRequest request);
     }
 
-    private record Route(String method, String path, Handler handler) { }
+    private record Route(String method, String path, Handler handler) {}
 
     private final List<Route> routes;
 
@@ -70,6 +70,6 @@
             return HttpAnswer.problem(404, "no call " + path);
         }
         return HttpAnswer.problem(405, path + " is called by " + String.join(", ", allowed))
-            .with("Allow", String.join(", ", allowed));
+                .with("Allow", String.join(", ", allowed));
     }
 }
--- a/doorman/src/main/java/barleyspur/admin/http/HttpAnswer.java
+++ b/doorman/src/main/java/barleyspur/admin/http/HttpAnswer.java
@@ -12,11 +12,19 @@
  */
 public record HttpAnswer(int status, Map<String, String> headers, String contentType, String body) {
 
-    private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"), Map.entry(400, "Bad Request"),
-        Map.entry(404, "Not Found"), Map.entry(405, "Method Not Allowed"), Map.entry(408, "Request Timeout"), Map.entry(409, "Conflict"),
-        Map.entry(413, "Content Too Large"), Map.entry(431, "Request Header Fields Too Large"),
-        Map.entry(500, "Internal Server Error"), Map.entry(501, "Not Implemented"),
-        Map.entry(503, "Service Unavailable"), Map.entry(505, "HTTP Version Not Supported"));
+    private static final Map<Integer, String> REASONS = Map.ofEntries(
+            Map.entry(200, "OK"),
+            Map.entry(400, "Bad Request"),
+            Map.entry(404, "Not Found"),
+            Map.entry(405, "Method Not Allowed"),
+            Map.entry(408, "Request Timeout"),
+            Map.entry(409, "Conflict"),
+            Map.entry(413, "Content Too Large"),
+            Map.entry(431, "Request Header Fields Too Large"),
+            Map.entry(500, "Internal Server Error"),
+            Map.entry(501, "Not Implemented"),
+            Map.entry(503, "Service Unavailable"),
+            Map.entry(505, "HTTP Version Not Supported"));
 
     /** An answer whose body is one JSON object. */
     public static HttpAnswer json(int status, String body) {
@@ -38,11 +46,19 @@
     /** The bytes on the wire. */
     public ByteBuf encode(ByteBufAllocator alloc) {
         byte[] content = body.getBytes(StandardCharsets.UTF_8);
-        StringBuilder head = new StringBuilder(128).append("HTTP/1.1 ").append(status).append(' ')
-            .append(REASONS.getOrDefault(status, "Status")).append("\r\n");
-        headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
-        head.append("Content-Type: ").append(contentType).append("\r\nContent-Length: ").append(content.length)
-            .append("\r\nConnection: close\r\n\r\n");
+        StringBuilder head = new StringBuilder(128)
+                .append("HTTP/1.1 ")
+                .append(status)
+                .append(' ')
+                .append(REASONS.getOrDefault(status, "Status"))
+                .append("\r\n");
+        headers.forEach(
+                (name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+        head.append("Content-Type: ")
+                .append(contentType)
+                .append("\r\nContent-Length: ")
+                .append(content.length)
+                .append("\r\nConnection: close\r\n\r\n");
         byte[] start = head.toString().getBytes(StandardCharsets.ISO_8859_1);
         ByteBuf out = alloc.buffer(start.length + content.length);
         return out.writeBytes(start).writeBytes(content);
--- a/doorman/src/main/java/barleyspur/admin/http/HttpRequestDecoder.java
+++ b/doorman/src/main/java/barleyspur/admin/http/HttpRequestDecoder.java
@@ -30,6 +30,7 @@
     private final int maxBody;
     /** How much of what is left is known to hold no end of the head. */
     private int searched;
+
     private String method;
     private String target;
     private Map<String, String> headers;
--- a/doorman/src/main/java/barleyspur/budget/Budgets.java
+++ b/doorman/src/main/java/barleyspur/budget/Budgets.java
@@ -16,6 +16,7 @@
     private final Holder holder;
     /** Null where this process is no voter. */
     private final Voter voter;
+
     private final Candidate candidate;
     private Divider divider;
     private final String name;
@@ -29,7 +30,8 @@
      * @param nonce   of this process's life, which no other process has
      * @param seed    of ballots, numbers and jitter: drawn anew for each life
      */
-    public Budgets(Terms terms, String name, String address, long nonce, long seed, double nowMs, Consumer<Action> out) {
+    public Budgets(
+            Terms terms, String name, String address, long nonce, long seed, double nowMs, Consumer<Action> out) {
         s = new Shared(terms, address, seed, out);
         s.now = nowMs;
         lastMs = nowMs;
@@ -59,7 +61,9 @@
         enter(nowMs);
         Terms.Budget b = s.budgets.computeIfPresent(next.name(), (k, before) -> before.retuned(next));
         if (b != null) {
-            holder.shares().values().stream().filter(x -> x.budget.name().equals(b.name())).forEach(x -> x.retune(b, s.now));
+            holder.shares().values().stream()
+                    .filter(x -> x.budget.name().equals(b.name()))
+                    .forEach(x -> x.retune(b, s.now));
             if (divider != null) {
                 divider.retune(b);
             }
@@ -171,13 +175,27 @@
         s.now = Math.max(lastMs, nowMs);
         List<Ledger.Own> own = new ArrayList<>();
         for (Share share : holder.shares().values()) {
-            own.add(new Ledger.Own(share.name(), share.budget.kind(), share.budget.whole(), share.floor(s.now),
-                share.held(s.now), Math.max(0, share.endMs - s.now), share.using(), share.demand(), share.beyondBounds()[0],
-                share.beyondBounds()[1]));
+            own.add(new Ledger.Own(
+                    share.name(),
+                    share.budget.kind(),
+                    share.budget.whole(),
+                    share.floor(s.now),
+                    share.held(s.now),
+                    Math.max(0, share.endMs - s.now),
+                    share.using(),
+                    share.demand(),
+                    share.beyondBounds()[0],
+                    share.beyondBounds()[1]));
         }
         boolean divides = candidate != null && candidate.divides();
-        return new Ledger(divides, divides ? candidate.term() : 0, divides ? candidate.endMs() - s.now : 0,
-            holder.target().isEmpty() && voter != null ? voter.promised() : holder.target(), holder.asksInVain(),
-            voter != null && voter.isSilent(), own, divides && divider != null ? divider.rows() : List.of());
+        return new Ledger(
+                divides,
+                divides ? candidate.term() : 0,
+                divides ? candidate.endMs() - s.now : 0,
+                holder.target().isEmpty() && voter != null ? voter.promised() : holder.target(),
+                holder.asksInVain(),
+                voter != null && voter.isSilent(),
+                own,
+                divides && divider != null ? divider.rows() : List.of());
     }
 }
--- a/doorman/src/main/java/barleyspur/budget/Candidate.java
+++ b/doorman/src/main/java/barleyspur/budget/Candidate.java
@@ -15,6 +15,7 @@
     private static final int RENEWALS = 4;
     /** A candidate that has no majority by then releases its votes, and waits. */
     private static final double TRY_SHARE = 0.25;
+
     private static final int REMEMBERED = 8;
 
     private final Shared s;
@@ -119,7 +120,11 @@
     boolean onVote(String from, Word.Vote vote) {
         Double sent = sentMs.get(vote.number());
         boolean lapsed = divides && s.now >= endMs;
-        if (vote.ballot() != ballot || ballot == 0 || lapsed || sent == null || !s.terms.voters().contains(from)) {
+        if (vote.ballot() != ballot
+                || ballot == 0
+                || lapsed
+                || sent == null
+                || !s.terms.voters().contains(from)) {
             return false;
         }
         if (!vote.yes()) {
--- a/doorman/src/main/java/barleyspur/budget/Divider.java
+++ b/doorman/src/main/java/barleyspur/budget/Divider.java
@@ -17,14 +17,16 @@
 
     /** Holders' demand is looked at anew this often within a lease, and on who is new at once. */
     private static final int LOOKS = 400;
+
     private static final int FORGET_LEASES = 3;
     /** Clocks' rates are compared over so long, and datagrams may take so long meanwhile. */
     private static final double PACE_MS = 20_000;
+
     private static final double PACE_SLACK_MS = 500;
     private static final int MOST_PACES = 20_000;
 
     /** A share that may still be used. */
-    private record Out(long number, long amount, double endMs) { }
+    private record Out(long number, long amount, double endMs) {}
 
     /** One process that holds, or held, a share of a budget. */
     private static final class Claimant {
@@ -36,6 +38,7 @@
         double usingEndMs = Double.NEGATIVE_INFINITY;
         /** The most that it reported from dividers before. */
         long adopted;
+
         long most;
         long wants;
         long whole;
@@ -44,6 +47,7 @@
         long target;
         /** What it had less than its part lately, in unit-ms: who has most comes first for units that can't be split. */
         double credit;
+
         boolean gone;
 
         Claimant(String name, String address) {
@@ -73,6 +77,7 @@
         boolean changed;
         /** Of an amount: which one, 0 before any of it was given, and when it is over. */
         long opening;
+
         double openEndMs;
 
         Pool(Terms.Budget budget) {
@@ -86,6 +91,7 @@
     private final Map<String, Pool> pools = new HashMap<>();
     /** By process: when both clocks' times were last noted, ours and theirs. */
     private final Map<Long, double[]> pace = new HashMap<>();
+
     private double sweptMs;
 
     Divider(Shared s, long term) {
@@ -107,8 +113,10 @@
         if (ours >= PACE_MS) {
             double off = Math.abs(theirMs - first[1] - ours);
             if (off > 2 * Terms.DRIFT * ours + PACE_SLACK_MS) {
-                s.emit(new Action.Warn("a clock drifts beyond the bound: shares may overlap", "", name + " " + Math.round(off)
-                    + " ms in " + Math.round(ours)));
+                s.emit(new Action.Warn(
+                        "a clock drifts beyond the bound: shares may overlap",
+                        "",
+                        name + " " + Math.round(off) + " ms in " + Math.round(ours)));
             }
             pace.put(nonce, new double[] {s.now, theirMs});
         }
@@ -153,7 +161,7 @@
         h.heardMs = s.now;
         boolean mine = c.term() == term;
         double endMs = Double.NEGATIVE_INFINITY;
-        for (Iterator<Out> it = h.out.iterator(); it.hasNext();) {
+        for (Iterator<Out> it = h.out.iterator(); it.hasNext(); ) {
             Out o = it.next();
             if (o.number <= c.took()) {
                 endMs = Math.max(endMs, o.endMs);
@@ -175,7 +183,8 @@
         }
         boolean other = b.kind() == Kind.RATE || b.kind() == Kind.AMOUNT && c.opening() != pool.opening;
         h.using = other ? 0 : Math.max(0, c.using());
-        // A liar that claims to use more than it ever had gets nothing by it. What is in use beyond a share that a divider
+        // A liar that claims to use more than it ever had gets nothing by it. What is in use beyond a share that a
+        // divider
         // before cut down is within what waits, and ends before that does.
         h.using = Math.min(h.using, Math.max(h.most, c.held()));
         h.usingEndMs = switch (b.kind()) {
@@ -197,7 +206,8 @@
     private void adopt(Pool pool, Claimant h, Word.Claim c) {
         double until = waitsUntilMs(pool.budget);
         if (s.now >= until) {
-            s.emit(new Action.Warn("a share of an earlier divider outlives its lease: a bound is broken", c.budget(), h.name));
+            s.emit(new Action.Warn(
+                    "a share of an earlier divider outlives its lease: a bound is broken", c.budget(), h.name));
             until = s.now + c.leftMs() * Terms.WAIT;
         }
         if (pool.budget.kind() == Kind.AMOUNT && pool.opening == 0) {
@@ -227,7 +237,8 @@
         for (Claimant other : pool.claimants.values()) {
             others += other == h ? 0 : other.committed(s.now);
         }
-        if (pool.changed && s.now - pool.lookedMs >= b.leaseMs() / LOOKS || s.now - pool.lookedMs >= b.leaseMs() / Holder.ASKS) {
+        if (pool.changed && s.now - pool.lookedMs >= b.leaseMs() / LOOKS
+                || s.now - pool.lookedMs >= b.leaseMs() / Holder.ASKS) {
             look(pool, limit);
         }
         long amount = Math.max(0, Math.min(h.target, limit - others));
@@ -298,7 +309,7 @@
         if (pace.size() > MOST_PACES) {
             pace.clear();
         }
-        for (Iterator<Pool> it = pools.values().iterator(); it.hasNext();) {
+        for (Iterator<Pool> it = pools.values().iterator(); it.hasNext(); ) {
             Pool pool = it.next();
             double old = s.now - FORGET_LEASES * pool.budget.leaseMs();
             if (pool.claimants.values().removeIf(h -> h.heardMs < old && h.committed(s.now) == 0 && h.adopted == 0)) {
@@ -307,8 +318,9 @@
             if (s.now >= waitsUntilMs(pool.budget)) {
                 pool.claimants.values().forEach(h -> h.adopted = 0);
             }
-            if (pool.askedMs < old && pool.claimants.values().stream().allMatch(h -> h.committed(s.now) == 0)
-                && s.now >= waitsUntilMs(pool.budget)) {
+            if (pool.askedMs < old
+                    && pool.claimants.values().stream().allMatch(h -> h.committed(s.now) == 0)
+                    && s.now >= waitsUntilMs(pool.budget)) {
                 it.remove();
             }
         }
@@ -337,12 +349,22 @@
                 long committed = h.committed(s.now);
                 out += committed;
                 double end = h.out.stream().mapToDouble(Out::endMs).max().orElse(Math.max(s.now, h.usingEndMs));
-                holdings.add(new Ledger.Holding(h.name, h.address, committed, h.target, h.wants, h.using, h.weight,
-                    Math.max(0, end - s.now), s.now - h.heardMs, h.gone));
+                holdings.add(new Ledger.Holding(
+                        h.name,
+                        h.address,
+                        committed,
+                        h.target,
+                        h.wants,
+                        h.using,
+                        h.weight,
+                        Math.max(0, end - s.now),
+                        s.now - h.heardMs,
+                        h.gone));
             }
             long limit = limit(pool);
-            String why = s.now < waitsUntilMs(pool.budget) ? "waits for what dividers before gave out"
-                : out > limit ? "the whole was lowered: more than it is still out" : "";
+            String why = s.now < waitsUntilMs(pool.budget)
+                    ? "waits for what dividers before gave out"
+                    : out > limit ? "the whole was lowered: more than it is still out" : "";
             rows.add(new Ledger.Row(e.getKey(), pool.budget.kind(), pool.budget.whole(), limit, out, why, holdings));
         }
         return rows;
--- a/doorman/src/main/java/barleyspur/budget/Division.java
+++ b/doorman/src/main/java/barleyspur/budget/Division.java
@@ -6,7 +6,7 @@
  */
 final class Division {
 
-    private Division() { }
+    private Division() {}
 
     /**
      * Divides {@code total} units.
--- a/doorman/src/main/java/barleyspur/budget/Holder.java
+++ b/doorman/src/main/java/barleyspur/budget/Holder.java
@@ -17,6 +17,7 @@
     static final int ASKS = 4;
     /** A doorman that is short, has lost the divider, or has just been cut down asks so much sooner. */
     static final double HASTE = 5;
+
     private static final double LEAST_MS = 20;
     private static final int FIRST_NUMBER_BITS = 16;
     /** Claims that fit into a datagram beside what the fleet says of the sender. */
@@ -24,7 +25,7 @@
     /** Asks whose grants may still come; older ones' shares are over. */
     private static final int REMEMBERED = 2 * ASKS * (int) HASTE;
 
-    private record Sent(long number, double atMs) { }
+    private record Sent(long number, double atMs) {}
 
     private final Shared s;
     private final Map<String, Share> shares = new TreeMap<>();
@@ -32,6 +33,7 @@
     private final double startedMs;
     /** Where asks go: the divider as it was last heard of, or a voter that may know. */
     private String target = "";
+
     private int nextVoter;
     private double answeredMs;
     private double triedMs = Double.NEGATIVE_INFINITY;
@@ -42,6 +44,7 @@
     private long number;
     /** The term of the divider that was last heard. */
     private long heard;
+
     private boolean left;
 
     Holder(Shared s) {
@@ -80,7 +83,7 @@
 
     void tick() {
         List<Word.Claim> claims = new ArrayList<>();
-        for (Iterator<Share> it = shares.values().iterator(); it.hasNext();) {
+        for (Iterator<Share> it = shares.values().iterator(); it.hasNext(); ) {
             Share share = it.next();
             if (s.now >= share.nextLookMs) {
                 // Demand that jumps is told at once, so that what it leaves behind can be used by others.
@@ -118,8 +121,18 @@
             asks.remove(0);
         }
         share.reported = share.wants(s.now);
-        return new Word.Claim(share.name, share.number, took, share.term, held, share.using(), share.reported,
-            share.budget.weight(), share.budget.whole(), share.opening, Math.max(0, share.endMs - s.now));
+        return new Word.Claim(
+                share.name,
+                share.number,
+                took,
+                share.term,
+                held,
+                share.using(),
+                share.reported,
+                share.budget.weight(),
+                share.budget.whole(),
+                share.opening,
+                Math.max(0, share.endMs - s.now));
     }
 
     private void send(List<Word.Claim> claims) {
@@ -131,7 +144,13 @@
             target = nextTarget();
         }
         for (int i = 0; i < claims.size(); i += CLAIMS) {
-            s.send(target, new Word.Ask(s.digest, heard, s.now, List.copyOf(claims.subList(i, Math.min(claims.size(), i + CLAIMS)))));
+            s.send(
+                    target,
+                    new Word.Ask(
+                            s.digest,
+                            heard,
+                            s.now,
+                            List.copyOf(claims.subList(i, Math.min(claims.size(), i + CLAIMS)))));
         }
     }
 
--- a/doorman/src/main/java/barleyspur/budget/Share.java
+++ b/doorman/src/main/java/barleyspur/budget/Share.java
@@ -19,6 +19,7 @@
     Terms.Budget budget;
     /** When this process may use floors: whoever had its place before may have used them until then. */
     private final double floorFromMs;
+
     long amount;
     double endMs = Double.NEGATIVE_INFINITY;
     long took;
@@ -193,8 +194,13 @@
             demand = switch (budget.kind()) {
                 case RATE -> rate(elapsed);
                 // Up at once, down by and by.
-                case PLACES -> Math.max(Math.max(peak, using) + refused * (released == 0 ? elapsed : Math.min(elapsed, heldMs
-                    / released)) / elapsed, demand * Math.pow(FADES, elapsed / (budget.leaseMs() / Holder.ASKS)));
+                case PLACES ->
+                    Math.max(
+                            Math.max(peak, using)
+                                    + refused
+                                            * (released == 0 ? elapsed : Math.min(elapsed, heldMs / released))
+                                            / elapsed,
+                            demand * Math.pow(FADES, elapsed / (budget.leaseMs() / Holder.ASKS)));
                 case AMOUNT -> using + taken + refused;
             };
             demand = demand < 0.05 ? 0 : demand;
@@ -213,7 +219,9 @@
         double came = taken + refused;
         double expected = demand * elapsed / MS_PER_S;
         double seen = came * MS_PER_S / elapsed;
-        return Math.abs(came - expected) > CHANCE * Math.sqrt(expected + 1) ? seen : demand + LOOK_SHARE * (seen - demand);
+        return Math.abs(came - expected) > CHANCE * Math.sqrt(expected + 1)
+                ? seen
+                : demand + LOOK_SHARE * (seen - demand);
     }
 
     /** Whether what is wanted differs so much from what was told that the divider should know. */
--- a/doorman/src/main/java/barleyspur/budget/Shared.java
+++ b/doorman/src/main/java/barleyspur/budget/Shared.java
@@ -16,11 +16,13 @@
     final Map<String, Terms.Budget> budgets;
     /** This process's own address. */
     final String self;
+
     final SplittableRandom random;
     final double shortestLeaseMs;
     private final Consumer<Action> out;
     /** What this process says to itself. */
     final ArrayDeque<Word> own = new ArrayDeque<>();
+
     double now;
     private Set<String> there = Set.of();
 
@@ -31,7 +33,10 @@
         this.self = self;
         this.random = new SplittableRandom(seed);
         this.out = out;
-        shortestLeaseMs = terms.budgets().values().stream().mapToDouble(Terms.Budget::leaseMs).min().orElse(1);
+        shortestLeaseMs = terms.budgets().values().stream()
+                .mapToDouble(Terms.Budget::leaseMs)
+                .min()
+                .orElse(1);
     }
 
     /** How long a process that has just started promises nothing: as long as a promise made from here before may last. */
--- a/doorman/src/main/java/barleyspur/budget/Terms.java
+++ b/doorman/src/main/java/barleyspur/budget/Terms.java
@@ -15,8 +15,8 @@
  * @param slackMs the longest pause between a check and the send after it that costs nothing
  * @param budgets by name
  */
-public record Terms(List<String> voters, int largest, double termMs, double holdMs, double slackMs,
-                    Map<String, Budget> budgets) {
+public record Terms(
+        List<String> voters, int largest, double termMs, double holdMs, double slackMs, Map<String, Budget> budgets) {
 
     /** The rate by which a clock may run fast or slow. */
     public static final double DRIFT = 0.01;
@@ -74,8 +74,12 @@
     /** Of all that has to be the same at all doormans: who differs is not listened to. Wholes and weights may differ. */
     public long digest() {
         StringBuilder text = new StringBuilder(voters + " " + largest + " " + termMs + " " + holdMs);
-        new TreeMap<>(budgets).values().forEach(b -> text.append(' ').append(b.name).append(b.kind).append(b.floor)
-            .append(' ').append(b.leaseMs));
+        new TreeMap<>(budgets).values().forEach(b -> text.append(' ')
+                .append(b.name)
+                .append(b.kind)
+                .append(b.floor)
+                .append(' ')
+                .append(b.leaseMs));
         return LongHashFunction.xx3().hashChars(text) >>> 12;
     }
 }
--- a/doorman/src/main/java/barleyspur/budget/net/BudgetPort.java
+++ b/doorman/src/main/java/barleyspur/budget/net/BudgetPort.java
@@ -43,6 +43,7 @@
     private final Map<String, Terms.Budget> retuned = new HashMap<>();
     /** Null until others can reach this process: only then its silence counts. */
     private Budgets budgets;
+
     private Clock.Timer timer;
     private double timerAtMs = Double.POSITIVE_INFINITY;
     private boolean left;
@@ -64,8 +65,13 @@
 
     /** Adds its call to the second address's. */
     public void addTo(Routes.Builder routes) {
-        routes.add("GET", "/admin/budget", call -> HttpAnswer.json(OK, BudgetCalls.json(name, budgets == null ? null
-            : budgets.ledger(clock.nowMs())).toString()));
+        routes.add(
+                "GET",
+                "/admin/budget",
+                call -> HttpAnswer.json(
+                        OK,
+                        BudgetCalls.json(name, budgets == null ? null : budgets.ledger(clock.nowMs()))
+                                .toString()));
     }
 
     // ---- taking ----------------------------------------------------------------------------------------
@@ -99,7 +105,8 @@
             retuned.put(budget, b);
             if (budgets != null && terms.budgets().containsKey(budget)) {
                 budgets.retune(clock.nowMs(), b);
-                LogEvent.log(LOG.atInfo(), "budget retuned", "budget", budget, "whole", b.whole(), "weight", b.weight());
+                LogEvent.log(
+                        LOG.atInfo(), "budget retuned", "budget", budget, "whole", b.whole(), "weight", b.weight());
             }
         });
     }
@@ -181,10 +188,31 @@
                 fleet.carry(a.address(), body);
             }
         } else if (action instanceof Action.Holds a) {
-            LogEvent.log(LOG.atDebug(), "share", "mono", mono, "budget", a.budget(), "amount", a.amount(), "until",
-                mono + a.untilMs() - clock.nowMs(), "using", a.using(), "term", a.term());
+            LogEvent.log(
+                    LOG.atDebug(),
+                    "share",
+                    "mono",
+                    mono,
+                    "budget",
+                    a.budget(),
+                    "amount",
+                    a.amount(),
+                    "until",
+                    mono + a.untilMs() - clock.nowMs(),
+                    "using",
+                    a.using(),
+                    "term",
+                    a.term());
         } else if (action instanceof Action.Divides a) {
-            LogEvent.log(LOG.atInfo(), a.on() ? "divides" : "divides no more", "mono", mono, "term", a.term(), "why", a.why());
+            LogEvent.log(
+                    LOG.atInfo(),
+                    a.on() ? "divides" : "divides no more",
+                    "mono",
+                    mono,
+                    "term",
+                    a.term(),
+                    "why",
+                    a.why());
         } else if (action instanceof Action.Warn a) {
             capped.warn(a.event(), "budget", a.budget(), "detail", a.detail());
         }
--- a/doorman/src/main/java/barleyspur/budget/net/GuardedDepots.java
+++ b/doorman/src/main/java/barleyspur/budget/net/GuardedDepots.java
@@ -26,6 +26,7 @@
     private final double holdMs;
     /** Those whose places come first: they alone can be given back. */
     private final List<Terms.Budget> budgets = new ArrayList<>();
+
     private final Map<String, Integer> guarded;
     private final Map<Long, Listing> listings = new HashMap<>();
 
@@ -36,8 +37,10 @@
         this.clock = clock;
         this.guarded = Map.copyOf(guarded);
         holdMs = terms.holdMs();
-        terms.budgets().values().stream().filter(b -> guarded.containsKey(b.name()))
-            .sorted((a, b) -> Boolean.compare(b.kind() == Kind.PLACES, a.kind() == Kind.PLACES)).forEach(budgets::add);
+        terms.budgets().values().stream()
+                .filter(b -> guarded.containsKey(b.name()))
+                .sorted((a, b) -> Boolean.compare(b.kind() == Kind.PLACES, a.kind() == Kind.PLACES))
+                .forEach(budgets::add);
     }
 
     /** One attempt, and what was taken for it. */
--- a/doorman/src/main/java/barleyspur/budget/net/WordCodec.java
+++ b/doorman/src/main/java/barleyspur/budget/net/WordCodec.java
@@ -19,6 +19,7 @@
 
     /** Written into each word: the oldest format whose readers understand it. */
     private static final int FORMAT = 1;
+
     private static final int VOTE_ASK = 1;
     private static final int VOTE = 2;
     private static final int RELEASE = 3;
@@ -49,20 +50,28 @@
     /** A word as one or more messages of at most {@code room} bytes; what is too long by itself is left out. */
     List<byte[]> encode(Word word, int room) {
         if (word instanceof Word.Ask w) {
-            return split(w.claims(), room, items -> g -> {
-                head(g, 6, ASK);
-                g.writeNumber(w.terms());
-                g.writeNumber(w.heard());
-                g.writeNumber((long) w.atMs());
-                write(g, items);
-            }, c -> g -> claim(g, c));
+            return split(
+                    w.claims(),
+                    room,
+                    items -> g -> {
+                        head(g, 6, ASK);
+                        g.writeNumber(w.terms());
+                        g.writeNumber(w.heard());
+                        g.writeNumber((long) w.atMs());
+                        write(g, items);
+                    },
+                    c -> g -> claim(g, c));
         } else if (word instanceof Word.Grants w) {
-            return split(w.grants(), room, items -> g -> {
-                head(g, 5, GRANTS);
-                g.writeNumber(w.terms());
-                g.writeNumber(w.term());
-                write(g, items);
-            }, c -> g -> grant(g, c));
+            return split(
+                    w.grants(),
+                    room,
+                    items -> g -> {
+                        head(g, 5, GRANTS);
+                        g.writeNumber(w.terms());
+                        g.writeNumber(w.term());
+                        write(g, items);
+                    },
+                    c -> g -> grant(g, c));
         }
         return List.of(bytes(g -> {
             if (word instanceof Word.VoteAsk w) {
@@ -212,8 +221,18 @@
     }
 
     private Word.Claim claim(JsonParser p) throws IOException, Unreadable {
-        return new Word.Claim(text(p), unsigned(p), unsigned(p), number(p), unsigned(p), unsigned(p), unsigned(p),
-            unsigned(p) / WEIGHTS, unsigned(p), number(p), unsigned(p));
+        return new Word.Claim(
+                text(p),
+                unsigned(p),
+                unsigned(p),
+                number(p),
+                unsigned(p),
+                unsigned(p),
+                unsigned(p),
+                unsigned(p) / WEIGHTS,
+                unsigned(p),
+                number(p),
+                unsigned(p));
     }
 
     private Word.Grant grant(JsonParser p) throws IOException, Unreadable {
--- a/doorman/src/main/java/barleyspur/channel/CommandChannel.java
+++ b/doorman/src/main/java/barleyspur/channel/CommandChannel.java
@@ -23,6 +23,7 @@
     private static final int MAX_LINE = 4 << 20;
     /** How long a connect may take, so that another is tried in time. */
     public static final int CONNECT_TIMEOUT_MS = 500;
+
     static final double AGAIN_MS = 200;
     /** Heartbeats come each second. What a stopped channel has to tell counts as told 4 s after it stopped. */
     static final double SILENCE_MS = 2_000;
@@ -34,6 +35,7 @@
     private InetSocketAddress address;
     /** The connection that counts; what others still say or do is no matter. */
     private Connection current;
+
     private boolean closed;
 
     /** A channel to {@code address}, not yet connected; what it tells goes to {@code reader}. */
--- a/doorman/src/main/java/barleyspur/channel/CommandReader.java
+++ b/doorman/src/main/java/barleyspur/channel/CommandReader.java
@@ -79,12 +79,17 @@
             } else if (command.has("drop")) {
                 drop(command.getJSONObject("drop"));
             } else {
-                LogEvent.log(LOG.atWarn(), "command passed over", "command", command.opt("cursor"), "cause",
-                    "neither nodes nor drop");
+                LogEvent.log(
+                        LOG.atWarn(),
+                        "command passed over",
+                        "command",
+                        command.opt("cursor"),
+                        "cause",
+                        "neither nodes nor drop");
             }
         } catch (JSONException | IllegalArgumentException e) {
-            LogEvent.log(LOG.atWarn(), "command passed over", "command", command.opt("cursor"), "cause",
-                e.getMessage());
+            LogEvent.log(
+                    LOG.atWarn(), "command passed over", "command", command.opt("cursor"), "cause", e.getMessage());
         }
     }
 
@@ -102,15 +107,22 @@
     }
 
     private Listing listing(JSONObject target) {
-        State state = switch (target.getString("state")) {
-            case "in_service" -> State.READY;
-            case "terminating" -> State.DRAINING;
-            case "terminated" -> State.GONE;
-            default -> throw new IllegalArgumentException("state " + target.getString("state") + " is unknown");
-        };
-        return new Listing(target.getString("uid"), Configuration.address("endpoint", target.getString("endpoint")),
-            place("az", zones, target.getString("az")), place("model", kinds, target.getString("model")),
-            target.optInt("pod_group"), state, target.optDouble("capacity_hint", 0), target.optDouble("boot_ms", 0));
+        State state =
+                switch (target.getString("state")) {
+                    case "in_service" -> State.READY;
+                    case "terminating" -> State.DRAINING;
+                    case "terminated" -> State.GONE;
+                    default -> throw new IllegalArgumentException("state " + target.getString("state") + " is unknown");
+                };
+        return new Listing(
+                target.getString("uid"),
+                Configuration.address("endpoint", target.getString("endpoint")),
+                place("az", zones, target.getString("az")),
+                place("model", kinds, target.getString("model")),
+                target.optInt("pod_group"),
+                state,
+                target.optDouble("capacity_hint", 0),
+                target.optDouble("boot_ms", 0));
     }
 
     private static int place(String key, List<String> names, String name) {
--- a/doorman/src/main/java/barleyspur/cli/BudgetCommand.java
+++ b/doorman/src/main/java/barleyspur/cli/BudgetCommand.java
@@ -13,12 +13,16 @@
 
     private static final String NONE = "has no budgets: its settings have no block budgets";
 
-    private BudgetCommand() { }
+    private BudgetCommand() {}
 
     static Command budget() {
-        return new Command("budget", "status|why NAME", "Show what a running doorman may use of the fleet's budgets and, "
-            + "where it divides them, who holds how much, until when, and what is held back and why.", new Options()
-            .addOption(SecondAddress.option()).addOption(Command.flag("json", "print JSON")), BudgetCommand::run);
+        return new Command(
+                "budget",
+                "status|why NAME",
+                "Show what a running doorman may use of the fleet's budgets and, "
+                        + "where it divides them, who holds how much, until when, and what is held back and why.",
+                new Options().addOption(SecondAddress.option()).addOption(Command.flag("json", "print JSON")),
+                BudgetCommand::run);
     }
 
     private static int run(CommandLine line) throws Command.Unusable, IOException {
@@ -47,12 +51,20 @@
             System.out.println(ledger.toString(2));
             return lost ? Command.FAILED : Command.OK;
         }
-        System.out.printf("%s %s%s%n", ledger.getString("self"), ledger.getBoolean("divides") ? "divides, for another "
-            + ledger.getLong("term_left_ms") + " ms unless the voters renew it" : lost ? "HEARS NO DIVIDER"
-            : ledger.getJSONArray("own").isEmpty() ? "has asked for nothing" + (ledger.getString("divider").isEmpty() ? ""
-                : "; the divider is at " + ledger.getString("divider"))
-            : "asks the divider at " + ledger.getString("divider"), ledger.getBoolean("silent")
-            ? "; it has just started, and neither votes nor uses floors yet" : "");
+        System.out.printf(
+                "%s %s%s%n",
+                ledger.getString("self"),
+                ledger.getBoolean("divides")
+                        ? "divides, for another " + ledger.getLong("term_left_ms") + " ms unless the voters renew it"
+                        : lost
+                                ? "HEARS NO DIVIDER"
+                                : ledger.getJSONArray("own").isEmpty()
+                                        ? "has asked for nothing"
+                                                + (ledger.getString("divider").isEmpty()
+                                                        ? ""
+                                                        : "; the divider is at " + ledger.getString("divider"))
+                                        : "asks the divider at " + ledger.getString("divider"),
+                ledger.getBoolean("silent") ? "; it has just started, and neither votes nor uses floors yet" : "");
         for (Object o : ledger.getJSONArray("own")) {
             System.out.println("  " + own((JSONObject) o));
         }
@@ -63,25 +75,45 @@
     }
 
     private static String own(JSONObject o) {
-        return String.format("%-24s %-6s holds %d%s of %d for %.1f s, %s %d, demand %.1f%s", o.getString("budget"),
-            o.getString("kind"), o.getLong("amount"), o.getLong("floor") > 0 ? " and a floor of " + o.getLong("floor") : "",
-            o.getLong("whole"), o.getLong("left_ms") / 1e3, o.getString("kind").equals("amount") ? "spent" : "using",
-            o.getLong("using"), o.getDouble("demand"), o.getLong("overslept") + o.getLong("overheld") == 0 ? ""
-                : "; BEYOND BOUNDS: " + o.getLong("overslept") + " sends after a pause, " + o.getLong("overheld")
-                    + " places held too long");
+        return String.format(
+                "%-24s %-6s holds %d%s of %d for %.1f s, %s %d, demand %.1f%s",
+                o.getString("budget"),
+                o.getString("kind"),
+                o.getLong("amount"),
+                o.getLong("floor") > 0 ? " and a floor of " + o.getLong("floor") : "",
+                o.getLong("whole"),
+                o.getLong("left_ms") / 1e3,
+                o.getString("kind").equals("amount") ? "spent" : "using",
+                o.getLong("using"),
+                o.getDouble("demand"),
+                o.getLong("overslept") + o.getLong("overheld") == 0
+                        ? ""
+                        : "; BEYOND BOUNDS: " + o.getLong("overslept") + " sends after a pause, "
+                                + o.getLong("overheld") + " places held too long");
     }
 
     private static void row(JSONObject row, boolean all) {
         JSONArray holdings = row.getJSONArray("holdings");
-        System.out.printf("divides %s: %d of %d out among %d%s%n", row.getString("budget"), row.getLong("out"),
-            row.getLong("limit"), holdings.length(), row.getString("why").isEmpty() ? "" : "; " + row.getString("why"));
+        System.out.printf(
+                "divides %s: %d of %d out among %d%s%n",
+                row.getString("budget"),
+                row.getLong("out"),
+                row.getLong("limit"),
+                holdings.length(),
+                row.getString("why").isEmpty() ? "" : "; " + row.getString("why"));
         for (Object o : holdings) {
             JSONObject h = (JSONObject) o;
             if (all || h.getLong("committed") > 0) {
-                System.out.printf("    %-12s may use %d for %.1f s, is to have %d, wants %d, uses %d, heard %.1f s ago%s%n",
-                    h.getString("doorman"), h.getLong("committed"), h.getLong("left_ms") / 1e3, h.getLong("target"),
-                    h.getLong("wants"), h.getLong("using"), h.getLong("heard_ms") / 1e3, h.getBoolean("gone")
-                        ? ", has left" : "");
+                System.out.printf(
+                        "    %-12s may use %d for %.1f s, is to have %d, wants %d, uses %d, heard %.1f s ago%s%n",
+                        h.getString("doorman"),
+                        h.getLong("committed"),
+                        h.getLong("left_ms") / 1e3,
+                        h.getLong("target"),
+                        h.getLong("wants"),
+                        h.getLong("using"),
+                        h.getLong("heard_ms") / 1e3,
+                        h.getBoolean("gone") ? ", has left" : "");
             }
         }
     }
@@ -108,7 +140,7 @@
         }
         if (!known) {
             System.err.println("barleyspur: " + ledger.getString("self") + " neither uses nor divides a budget " + name
-                + (ledger.getBoolean("divides") ? "" : "; the divider is at " + ledger.getString("divider")));
+                    + (ledger.getBoolean("divides") ? "" : "; the divider is at " + ledger.getString("divider")));
         }
         return known ? Command.OK : Command.FAILED;
     }
--- a/doorman/src/main/java/barleyspur/cli/Cli.java
+++ b/doorman/src/main/java/barleyspur/cli/Cli.java
@@ -26,7 +26,8 @@
     /** No exit code: the process goes on in its other threads. */
     static final int RUNNING = -1;
 
-    private static final String HELP = """
+    private static final String HELP =
+            """
         usage: barleyspur COMMAND [OPTIONS]
           serve     run one doorman, as RELAY_CONFIG says, until SIGTERM; SIGHUP rereads it
           check     read and check the configuration that RELAY_CONFIG names
@@ -42,7 +43,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("cli");
 
-    private Cli() { }
+    private Cli() {}
 
     static int run(String[] args) {
         String name = args.length == 0 ? "" : args[0];
@@ -50,25 +51,48 @@
             System.out.print(HELP);
             return Command.OK;
         }
-        Command command = switch (name) {
-            case "serve" -> new Command(name, "", "Run one doorman until SIGTERM.", new Options().addOption(
-                Command.value("settings", "FILE", "an HCL file of our own settings; none: all that it could switch on "
-                    + "is off")), Cli::serve);
-            case "check" -> new Command(name, "", "Read and check the configuration that RELAY_CONFIG names.",
-                new Options().addOption(Command.value("expect", "FILE", "check it against these routing expectations "
-                    + "too")).addOption(Command.value("settings", "FILE", "check these settings of our own too")),
-                Cli::check);
-            case "expect" -> ExpectCommand.expect();
-            case "explain" -> ExpectCommand.explain();
-            case "fleet" -> FleetCommand.fleet();
-            case "budget" -> BudgetCommand.budget();
-            case "rehearse" -> Command.of(name, "Start and end a doorman on loopback.", line -> rehearse());
-            case "simhost" -> Command.of(name, "Run the decisions on the simulator's wire, on standard input and "
-                + "output.", line -> Adapter.run(new FileInputStream(FileDescriptor.in),
-                    new FileOutputStream(FileDescriptor.out)));
-            case "version" -> Command.of(name, "Print the version.", line -> version());
-            default -> null;
-        };
+        Command command =
+                switch (name) {
+                    case "serve" ->
+                        new Command(
+                                name,
+                                "",
+                                "Run one doorman until SIGTERM.",
+                                new Options()
+                                        .addOption(Command.value(
+                                                "settings",
+                                                "FILE",
+                                                "an HCL file of our own settings; none: all that it could switch on "
+                                                        + "is off")),
+                                Cli::serve);
+                    case "check" ->
+                        new Command(
+                                name,
+                                "",
+                                "Read and check the configuration that RELAY_CONFIG names.",
+                                new Options()
+                                        .addOption(Command.value(
+                                                "expect",
+                                                "FILE",
+                                                "check it against these routing expectations " + "too"))
+                                        .addOption(Command.value(
+                                                "settings", "FILE", "check these settings of our own too")),
+                                Cli::check);
+                    case "expect" -> ExpectCommand.expect();
+                    case "explain" -> ExpectCommand.explain();
+                    case "fleet" -> FleetCommand.fleet();
+                    case "budget" -> BudgetCommand.budget();
+                    case "rehearse" -> Command.of(name, "Start and end a doorman on loopback.", line -> rehearse());
+                    case "simhost" ->
+                        Command.of(
+                                name,
+                                "Run the decisions on the simulator's wire, on standard input and " + "output.",
+                                line -> Adapter.run(
+                                        new FileInputStream(FileDescriptor.in),
+                                        new FileOutputStream(FileDescriptor.out)));
+                    case "version" -> Command.of(name, "Print the version.", line -> version());
+                    default -> null;
+                };
         if (command == null) {
             System.err.println("barleyspur: " + (name.isEmpty() ? "a command is missing" : "unknown command " + name));
             System.err.print(HELP);
@@ -90,8 +114,9 @@
 
     private static OwnSettings settings(CommandLine line) throws Command.Unusable {
         try {
-            return line.hasOption("settings") ? OwnSettings.load(Path.of(line.getOptionValue("settings")))
-                : OwnSettings.none();
+            return line.hasOption("settings")
+                    ? OwnSettings.load(Path.of(line.getOptionValue("settings")))
+                    : OwnSettings.none();
         } catch (Hcl.Invalid e) {
             throw Command.Unusable.input("settings: " + e.getMessage());
         }
@@ -111,8 +136,9 @@
         if (line.hasOption("expect")) {
             List<String> broken;
             try {
-                broken = ExpectationCheck.broken(Path.of(System.getenv("RELAY_CONFIG")),
-                    new OwnSettings.Expectations(List.of(Path.of(line.getOptionValue("expect"))), 200, 1));
+                broken = ExpectationCheck.broken(
+                        Path.of(System.getenv("RELAY_CONFIG")),
+                        new OwnSettings.Expectations(List.of(Path.of(line.getOptionValue("expect"))), 200, 1));
             } catch (Configuration.Invalid | Hcl.Invalid e) {
                 throw Command.Unusable.input(e.getMessage());
             }
@@ -184,16 +210,20 @@
             if (!Signals.on("HUP", () -> node.reload(() -> reread(settings), () -> rereadOwn(line, settings)))) {
                 LOG.warn("SIGHUP is ignored by who started this process: the configuration is never read anew");
             }
-            // On SIGTERM the process stays until its hooks have ended, so the hook waits for the drain. Before the start,
+            // On SIGTERM the process stays until its hooks have ended, so the hook waits for the drain. Before the
+            // start,
             // so that there is no moment with clients and without it.
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                node.drain();
-                try {
-                    node.awaitEnd();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }, "drain"));
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(
+                            () -> {
+                                node.drain();
+                                try {
+                                    node.awaitEnd();
+                                } catch (InterruptedException e) {
+                                    Thread.currentThread().interrupt();
+                                }
+                            },
+                            "drain"));
             node.start();
             return RUNNING;
         } catch (RejectedExecutionException e) {
--- a/doorman/src/main/java/barleyspur/cli/Command.java
+++ b/doorman/src/main/java/barleyspur/cli/Command.java
@@ -18,6 +18,7 @@
 
     /** Good, found wrong or failed, and a command line or input that can't be used. */
     static final int OK = 0;
+
     static final int FAILED = 1;
     static final int USAGE = 2;
 
@@ -51,7 +52,12 @@
 
     /** An option with a value. */
     static Option value(String name, String value, String about) {
-        return Option.builder().longOpt(name).hasArg().argName(value).desc(about).get();
+        return Option.builder()
+                .longOpt(name)
+                .hasArg()
+                .argName(value)
+                .desc(about)
+                .get();
     }
 
     /** An option without one. */
@@ -87,9 +93,15 @@
     }
 
     private void help() throws IOException {
-        HelpFormatter.builder().setShowSince(false).get()
-            .printHelp("barleyspur " + name + " [OPTIONS]" + (arguments.isEmpty() ? "" : " " + arguments), about,
-                options, "", false);
+        HelpFormatter.builder()
+                .setShowSince(false)
+                .get()
+                .printHelp(
+                        "barleyspur " + name + " [OPTIONS]" + (arguments.isEmpty() ? "" : " " + arguments),
+                        about,
+                        options,
+                        "",
+                        false);
     }
 
     /** A whole number from an option. */
--- a/doorman/src/main/java/barleyspur/cli/ExpectCommand.java
+++ b/doorman/src/main/java/barleyspur/cli/ExpectCommand.java
@@ -30,33 +30,50 @@
     /** Steps of a counterexample that are printed; explain tells all. */
     private static final int MOST_STEPS = 40;
 
-    private ExpectCommand() { }
+    private ExpectCommand() {}
 
     static Command expect() {
         Options options = new Options()
-            .addOption(Command.value("config", "FILE", "the configuration to check, as RELAY_CONFIG has it; else the "
-                + "file that RELAY_CONFIG names"))
-            .addOption(Command.value("fleet", "FILE", "an HCL file whose fleets stand in for the configuration's own"))
-            .addOption(Command.value("seed", "N", "of all that is drawn, 1"))
-            .addOption(Command.value("budget", "SECONDS", "how long to play, " + BUDGET_S + " s"))
-            .addOption(Command.value("cases", "N", "how many scenarios to play instead, the same on any machine"))
-            .addOption(Command.value("depth", "N", "play all orders of up to so many events, as the files say or 1"))
-            .addOption(Command.value("only", "NAME", "check this expectation alone"))
-            .addOption(Command.value("json", "FILE", "write a report there"))
-            .addOption(Command.value("traces", "FOLDER", "write counterexamples there, not to the current folder"))
-            .addOption(Command.flag("strict", "an expectation that no played request met counts as refuted"))
-            .addOption(Option.builder().longOpt("diff").numberOfArgs(2).argName("OLD NEW")
-                .desc("tell what changes in routing between two configurations, request by request").get());
-        return new Command("expect", "FILE.hcl...", "Check routing expectations against the decision module, without "
-            + "traffic. Exit code 0: all hold; 1: one is refuted; 2: the input can't be used.", options,
-            ExpectCommand::check);
+                .addOption(Command.value(
+                        "config",
+                        "FILE",
+                        "the configuration to check, as RELAY_CONFIG has it; else the "
+                                + "file that RELAY_CONFIG names"))
+                .addOption(
+                        Command.value("fleet", "FILE", "an HCL file whose fleets stand in for the configuration's own"))
+                .addOption(Command.value("seed", "N", "of all that is drawn, 1"))
+                .addOption(Command.value("budget", "SECONDS", "how long to play, " + BUDGET_S + " s"))
+                .addOption(Command.value("cases", "N", "how many scenarios to play instead, the same on any machine"))
+                .addOption(
+                        Command.value("depth", "N", "play all orders of up to so many events, as the files say or 1"))
+                .addOption(Command.value("only", "NAME", "check this expectation alone"))
+                .addOption(Command.value("json", "FILE", "write a report there"))
+                .addOption(Command.value("traces", "FOLDER", "write counterexamples there, not to the current folder"))
+                .addOption(Command.flag("strict", "an expectation that no played request met counts as refuted"))
+                .addOption(Option.builder()
+                        .longOpt("diff")
+                        .numberOfArgs(2)
+                        .argName("OLD NEW")
+                        .desc("tell what changes in routing between two configurations, request by request")
+                        .get());
+        return new Command(
+                "expect",
+                "FILE.hcl...",
+                "Check routing expectations against the decision module, without "
+                        + "traffic. Exit code 0: all hold; 1: one is refuted; 2: the input can't be used.",
+                options,
+                ExpectCommand::check);
     }
 
     static Command explain() {
         Options options = new Options().addOption(Command.flag("step", "wait for the enter key after each step"));
-        return new Command("explain", "TRACE", "Replay a counterexample that expect has written, and tell each step. "
-            + "Exit code 0: the expectation holds now; 1: it fails; 2: the trace can't be used.", options,
-            ExpectCommand::retell);
+        return new Command(
+                "explain",
+                "TRACE",
+                "Replay a counterexample that expect has written, and tell each step. "
+                        + "Exit code 0: the expectation holds now; 1: it fails; 2: the trace can't be used.",
+                options,
+                ExpectCommand::retell);
     }
 
     private static Path config(CommandLine line) throws Command.Unusable {
@@ -92,8 +109,8 @@
             ExpectationCheck check = ExpectationCheck.of(site, files, line.hasOption("fleet"));
             String only = line.getOptionValue("only", "");
             if (!only.isEmpty() && !check.names().contains(only)) {
-                throw Command.Unusable.line("--only names " + only + ", which is no expectation here"
-                    + Hcl.near(only, check.names()));
+                throw Command.Unusable.line(
+                        "--only names " + only + ", which is no expectation here" + Hcl.near(only, check.names()));
             }
             if (check.names().isEmpty()) {
                 throw Command.Unusable.input(files.get(0) + ":1: holds no block expectation");
@@ -105,11 +122,11 @@
     }
 
     private static int check(CommandLine line, ExpectationCheck check, String only)
-        throws Command.Unusable, IOException {
+            throws Command.Unusable, IOException {
         long start = System.nanoTime();
         Checker.Book book = check.book(only, (int) Command.number(line, "depth", 0, 1, 6));
-        Checker.Result result = Checker.of(book, progress(start)).run(Command.number(line, "seed", 1, 0,
-            Long.MAX_VALUE / 64), more(line));
+        Checker.Result result = Checker.of(book, progress(start))
+                .run(Command.number(line, "seed", 1, 0, Long.MAX_VALUE / 64), more(line));
         double seconds = (System.nanoTime() - start) / 1e9;
         Path folder = Path.of(line.getOptionValue("traces", "."));
         JSONArray report = new JSONArray();
@@ -117,17 +134,27 @@
             report.put(print(f, check, folder));
         }
         for (Checker.Conflict c : result.conflicts()) {
-            System.out.printf("warning: \"%s\" (%s) and \"%s\" (%s) contradict each other or one is always broken: "
-                + "of %d moments that both speak of, none met both%n", c.one().name(), c.one().place(), c.other().name(), c.other().place(),
-                c.moments());
+            System.out.printf(
+                    "warning: \"%s\" (%s) and \"%s\" (%s) contradict each other or one is always broken: "
+                            + "of %d moments that both speak of, none met both%n",
+                    c.one().name(), c.one().place(), c.other().name(), c.other().place(), c.moments());
         }
         result.covered().forEach(c -> System.out.println("covered: " + c));
-        System.out.printf(Locale.ROOT, "played: %d scenarios, %d requests, %d events decided, in %.1f s%n",
-            result.scenarios(), result.requests(), result.decisions(), seconds);
+        System.out.printf(
+                Locale.ROOT,
+                "played: %d scenarios, %d requests, %d events decided, in %.1f s%n",
+                result.scenarios(),
+                result.requests(),
+                result.decisions(),
+                seconds);
         if (line.hasOption("json")) {
-            JSONObject json = new JSONObject().put("expectations", report).put("scenarios", result.scenarios())
-                .put("requests", result.requests()).put("decisions", result.decisions()).put("seconds", seconds)
-                .put("covered", new JSONArray(result.covered()));
+            JSONObject json = new JSONObject()
+                    .put("expectations", report)
+                    .put("scenarios", result.scenarios())
+                    .put("requests", result.requests())
+                    .put("decisions", result.decisions())
+                    .put("seconds", seconds)
+                    .put("covered", new JSONArray(result.covered()));
             Files.writeString(Path.of(line.getOptionValue("json")), json.toString(1) + "\n");
         }
         return result.good(line.hasOption("strict")) ? Command.OK : Command.FAILED;
@@ -142,8 +169,13 @@
                 double now = (System.nanoTime() - start) / 1e9;
                 if (now - last >= PROGRESS_S) {
                     last = now;
-                    System.err.printf(Locale.ROOT, "%.0f s: %d scenarios, %d events decided, %d expectations refuted%n",
-                        now, scenarios, decisions, refuted);
+                    System.err.printf(
+                            Locale.ROOT,
+                            "%.0f s: %d scenarios, %d events decided, %d expectations refuted%n",
+                            now,
+                            scenarios,
+                            decisions,
+                            refuted);
                 }
             }
 
@@ -155,24 +187,42 @@
     }
 
     private static JSONObject print(Checker.Finding f, ExpectationCheck check, Path folder) throws IOException {
-        System.out.printf("%-8s \"%s\" (%s): held in %d of %d%n", f.verdict().word(), f.expectation().name(),
-            f.expectation().place(), f.held(), f.judged());
-        JSONObject json = new JSONObject().put("name", f.expectation().name()).put("place", f.expectation().place())
-            .put("verdict", f.verdict().word()).put("judged", f.judged()).put("held", f.held());
+        System.out.printf(
+                "%-8s \"%s\" (%s): held in %d of %d%n",
+                f.verdict().word(), f.expectation().name(), f.expectation().place(), f.held(), f.judged());
+        JSONObject json = new JSONObject()
+                .put("name", f.expectation().name())
+                .put("place", f.expectation().place())
+                .put("verdict", f.verdict().word())
+                .put("judged", f.judged())
+                .put("held", f.held());
         Checker.Counterexample c = f.counterexample();
         if (f.verdict() == Checker.Verdict.VACUOUS) {
-            System.out.println("  nothing that was played met it: is it about a class, state or event that does not occur?");
+            System.out.println(
+                    "  nothing that was played met it: is it about a class, state or event that does not occur?");
         }
         if (f.expectation().form() instanceof Expectation.Figures figures) {
-            figures.broken().forEach(b -> System.out.printf(Locale.ROOT, "  %s: settings.%s does not hold; it is %s%n",
-                b.place(), b.text(), b.value()));
+            figures.broken()
+                    .forEach(b -> System.out.printf(
+                            Locale.ROOT,
+                            "  %s: settings.%s does not hold; it is %s%n",
+                            b.place(),
+                            b.text(),
+                            b.value()));
         }
         if (c == null) {
             return json;
         }
-        System.out.printf("  found in scenario %d with %d events, %d requests and %d boxes; now %d, %d and %d, after %d plays%n",
-            f.refutedAtScenario(), c.foundEvents(), c.foundRequests(), c.foundBoxes(), c.scenario().faults().size(),
-            c.scenario().asks().size(), c.scenario().site().boxes().size(), c.plays());
+        System.out.printf(
+                "  found in scenario %d with %d events, %d requests and %d boxes; now %d, %d and %d, after %d plays%n",
+                f.refutedAtScenario(),
+                c.foundEvents(),
+                c.foundRequests(),
+                c.foundBoxes(),
+                c.scenario().faults().size(),
+                c.scenario().asks().size(),
+                c.scenario().site().boxes().size(),
+                c.plays());
         System.out.println("  " + Story.fleet(c.scenario().site()));
         List<Story.Step> steps = Story.of(c.scenario(), f.expectation());
         int end = steps.size();
@@ -190,31 +240,51 @@
         Files.createDirectories(folder);
         Files.writeString(file, check.trace(c));
         System.out.println("  replay it: barleyspur explain " + file);
-        return json.put("trace", file.toString()).put("scenario", f.refutedAtScenario())
-            .put("events", c.scenario().faults().size()).put("requests", c.scenario().asks().size())
-            .put("boxes", c.scenario().site().boxes().size());
+        return json.put("trace", file.toString())
+                .put("scenario", f.refutedAtScenario())
+                .put("events", c.scenario().faults().size())
+                .put("requests", c.scenario().asks().size())
+                .put("boxes", c.scenario().site().boxes().size());
     }
 
     private static int diff(CommandLine line, List<String> files)
-        throws Command.Unusable, Hcl.Invalid, Configuration.Invalid {
+            throws Command.Unusable, Hcl.Invalid, Configuration.Invalid {
         String[] configs = line.getOptionValues("diff");
         Site before = ExpectationCheck.site(Path.of(configs[0]));
         Site after = ExpectationCheck.site(Path.of(configs[1]));
         ExpectationCheck check = ExpectationCheck.of(before, files, false);
         if (!before.classes().equals(after.classes()) || !before.zones().equals(after.zones())) {
-            throw Command.Unusable.input(configs[1] + ": key settings." + (before.classes().equals(after.classes())
-                ? "areas has other stations" : "grades has other classes") + " than " + configs[0]
-                + ": requests can't be compared");
+            throw Command.Unusable.input(configs[1] + ": key settings."
+                    + (before.classes().equals(after.classes())
+                            ? "areas has other stations"
+                            : "grades has other classes")
+                    + " than " + configs[0]
+                    + ": requests can't be compared");
         }
-        Comparison.Result r = Comparison.of(before, after, check.loads(), check.cases(),
-            Command.number(line, "seed", 1, 0, Long.MAX_VALUE / 64), check.book("", 0).depth(), more(line));
+        Comparison.Result r = Comparison.of(
+                before,
+                after,
+                check.loads(),
+                check.cases(),
+                Command.number(line, "seed", 1, 0, Long.MAX_VALUE / 64),
+                check.book("", 0).depth(),
+                more(line));
         for (Comparison.Difference d : r.first()) {
-            System.out.printf(Locale.ROOT, "request %d at %.0f ms (%s, object %x, part %d): other %s%n  before: %s%n  after:  %s%n",
-                d.ask().number(), d.ask().atMs(), d.category(), d.ask().object(), d.ask().part(), d.what(), d.before(),
-                d.after());
+            System.out.printf(
+                    Locale.ROOT,
+                    "request %d at %.0f ms (%s, object %x, part %d): other %s%n  before: %s%n  after:  %s%n",
+                    d.ask().number(),
+                    d.ask().atMs(),
+                    d.category(),
+                    d.ask().object(),
+                    d.ask().part(),
+                    d.what(),
+                    d.before(),
+                    d.after());
         }
-        System.out.printf("%d of %d requests go another way in %d scenarios: %s%n", r.changed(), r.requests(), r.scenarios(),
-            r.kinds());
+        System.out.printf(
+                "%d of %d requests go another way in %d scenarios: %s%n",
+                r.changed(), r.requests(), r.scenarios(), r.kinds());
         return r.changed() == 0 ? Command.OK : Command.FAILED;
     }
 
@@ -240,8 +310,10 @@
                 break;
             }
         }
-        System.out.println(broken ? "\"" + trace.expectation().name() + "\" does not hold"
-            : "\"" + trace.expectation().name() + "\" holds here");
+        System.out.println(
+                broken
+                        ? "\"" + trace.expectation().name() + "\" does not hold"
+                        : "\"" + trace.expectation().name() + "\" holds here");
         return broken ? Command.FAILED : Command.OK;
     }
 }
--- a/doorman/src/main/java/barleyspur/cli/FleetCommand.java
+++ b/doorman/src/main/java/barleyspur/cli/FleetCommand.java
@@ -15,14 +15,19 @@
     private static final String NONE = "has no fleet: its settings have no block fleet";
     private static final long WATCH_EVERY_MS = 500;
 
-    private FleetCommand() { }
+    private FleetCommand() {}
 
     static Command fleet() {
-        return new Command("fleet", "status|watch|why NAME", "Show a running doorman's view of the others: all of it, "
-            + "what changes, or what is known of one and why.", new Options()
-            .addOption(SecondAddress.option())
-            .addOption(Command.flag("json", "print JSON"))
-            .addOption(Command.value("seconds", "N", "watch for so long; else until it is ended")), FleetCommand::run);
+        return new Command(
+                "fleet",
+                "status|watch|why NAME",
+                "Show a running doorman's view of the others: all of it, "
+                        + "what changes, or what is known of one and why.",
+                new Options()
+                        .addOption(SecondAddress.option())
+                        .addOption(Command.flag("json", "print JSON"))
+                        .addOption(Command.value("seconds", "N", "watch for so long; else until it is ended")),
+                FleetCommand::run);
     }
 
     private static int run(CommandLine line) throws Command.Unusable, IOException {
@@ -37,8 +42,11 @@
         }
         URI uri = SecondAddress.uri(line, "/admin/fleet");
         return switch (what) {
-            case "watch" -> watch(uri, line.hasOption("json"), Command.number(line, "seconds", Long.MAX_VALUE / 2_000,
-                1, 1_000_000));
+            case "watch" ->
+                watch(
+                        uri,
+                        line.hasOption("json"),
+                        Command.number(line, "seconds", Long.MAX_VALUE / 2_000, 1, 1_000_000));
             case "why" -> why(SecondAddress.get(uri, NONE), words.get(1), line.hasOption("json"));
             default -> status(SecondAddress.get(uri, NONE), line.hasOption("json"));
         };
@@ -49,10 +57,15 @@
         if (json) {
             System.out.println(view.toString(2));
         } else {
-            System.out.printf("fleet %s as %s sees it: %d members, version %d, digest %s%s%s%n", view.getString("fleet"),
-                view.getString("self"), view.getLong("size"), view.getLong("version"), view.getString("digest"),
-                view.getBoolean("in_doubt") ? ", IN DOUBT" : "",
-                view.getBoolean("name_given_up") ? ", NAME GIVEN UP to a newer process" : "");
+            System.out.printf(
+                    "fleet %s as %s sees it: %d members, version %d, digest %s%s%s%n",
+                    view.getString("fleet"),
+                    view.getString("self"),
+                    view.getLong("size"),
+                    view.getLong("version"),
+                    view.getString("digest"),
+                    view.getBoolean("in_doubt") ? ", IN DOUBT" : "",
+                    view.getBoolean("name_given_up") ? ", NAME GIVEN UP to a newer process" : "");
             for (Object o : view.getJSONArray("members")) {
                 System.out.println("  " + member((JSONObject) o));
             }
@@ -61,10 +74,17 @@
     }
 
     private static String member(JSONObject m) {
-        return String.format("%-12s %-8s %-11s %-21s zone %s, life %d.%d, for %.1f s, %s", m.getString("name"),
-            m.getBoolean("listed") ? m.getString("standing") : m.getString("standing") + " (out)",
-            m.getString("phase"), m.getString("address"), m.getString("zone"), m.getLong("life"),
-            m.getLong("incarnation"), m.getLong("since_ms") / 1e3, reason(m));
+        return String.format(
+                "%-12s %-8s %-11s %-21s zone %s, life %d.%d, for %.1f s, %s",
+                m.getString("name"),
+                m.getBoolean("listed") ? m.getString("standing") : m.getString("standing") + " (out)",
+                m.getString("phase"),
+                m.getString("address"),
+                m.getString("zone"),
+                m.getLong("life"),
+                m.getLong("incarnation"),
+                m.getLong("since_ms") / 1e3,
+                reason(m));
     }
 
     private static String reason(JSONObject m) {
@@ -81,8 +101,8 @@
                 return Command.OK;
             }
         }
-        System.err.println("barleyspur: " + view.getString("self") + " has never heard of " + name
-            + ", or has forgotten it");
+        System.err.println(
+                "barleyspur: " + view.getString("self") + " has never heard of " + name + ", or has forgotten it");
         return Command.FAILED;
     }
 
@@ -95,14 +115,21 @@
             for (Object o : view.getJSONArray("members")) {
                 JSONObject m = (JSONObject) o;
                 String shown = (m.getBoolean("listed") ? "" : "out, ") + m.getString("standing") + ", "
-                    + m.getString("phase") + ", life " + m.getLong("life") + "." + m.getLong("incarnation");
+                        + m.getString("phase") + ", life " + m.getLong("life") + "." + m.getLong("incarnation");
                 now.put(m.getString("name"), shown);
                 if (!shown.equals(before.get(m.getString("name")))) {
                     System.out.println(json ? m.toString() : m.getString("name") + ": " + shown + ", " + reason(m));
                 }
             }
-            before.keySet().stream().filter(n -> !now.containsKey(n)).forEach(n -> System.out.println(json
-                ? new JSONObject().put("name", n).put("forgotten", true).toString() : n + ": forgotten"));
+            before.keySet().stream()
+                    .filter(n -> !now.containsKey(n))
+                    .forEach(n -> System.out.println(
+                            json
+                                    ? new JSONObject()
+                                            .put("name", n)
+                                            .put("forgotten", true)
+                                            .toString()
+                                    : n + ": forgotten"));
             before = now;
             try {
                 Thread.sleep(WATCH_EVERY_MS);
--- a/doorman/src/main/java/barleyspur/cli/SecondAddress.java
+++ b/doorman/src/main/java/barleyspur/cli/SecondAddress.java
@@ -17,11 +17,13 @@
 
     private static final Duration PATIENCE = Duration.ofSeconds(3);
 
-    private SecondAddress() { }
+    private SecondAddress() {}
 
     static Option option() {
-        return Command.value("admin", "ADDRESS", "the doorman's second address, as 127.0.0.1:9101; else the variable "
-            + "RELAY_MGMT");
+        return Command.value(
+                "admin",
+                "ADDRESS",
+                "the doorman's second address, as 127.0.0.1:9101; else the variable " + "RELAY_MGMT");
     }
 
     static URI uri(CommandLine line, String path) throws Command.Unusable {
@@ -29,8 +31,8 @@
         try {
             Configuration.address("--admin", address);
         } catch (IllegalArgumentException e) {
-            throw Command.Unusable.line("neither --admin nor the variable RELAY_MGMT is an address with a port: '"
-                + address + "'");
+            throw Command.Unusable.line(
+                    "neither --admin nor the variable RELAY_MGMT is an address with a port: '" + address + "'");
         }
         return URI.create("http://" + address + path);
     }
@@ -38,13 +40,16 @@
     /** @param missing what it means that there is no such call */
     static JSONObject get(URI uri, String missing) throws IOException {
         try {
-            HttpResponse<String> answer = HttpClient.newBuilder().connectTimeout(PATIENCE).build().send(
-                HttpRequest.newBuilder(uri).timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString());
+            HttpResponse<String> answer = HttpClient.newBuilder()
+                    .connectTimeout(PATIENCE)
+                    .build()
+                    .send(HttpRequest.newBuilder(uri).timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString());
             if (answer.statusCode() == 404) {
                 throw new IOException("the doorman at " + uri.getAuthority() + " " + missing);
             }
             if (answer.statusCode() != 200) {
-                throw new IOException(uri + " answers " + answer.statusCode() + ": " + answer.body().strip());
+                throw new IOException(uri + " answers " + answer.statusCode() + ": "
+                        + answer.body().strip());
             }
             return new JSONObject(answer.body());
         } catch (InterruptedException e) {
@@ -53,8 +58,9 @@
         } catch (JSONException e) {
             throw new IOException(uri + " answers no JSON: " + e.getMessage(), e);
         } catch (IOException e) {
-            throw e.getMessage() != null && e.getMessage().contains(uri.getAuthority()) ? e
-                : new IOException("no answer from " + uri.getAuthority() + ": " + e, e);
+            throw e.getMessage() != null && e.getMessage().contains(uri.getAuthority())
+                    ? e
+                    : new IOException("no answer from " + uri.getAuthority() + ": " + e, e);
         }
     }
 }
--- a/doorman/src/main/java/barleyspur/cli/Signals.java
+++ b/doorman/src/main/java/barleyspur/cli/Signals.java
@@ -8,7 +8,7 @@
  */
 final class Signals {
 
-    private Signals() { }
+    private Signals() {}
 
     /**
      * Runs {@code task}, on a thread of the JVM's, each time the signal comes; false where it never will, since whoever
@@ -18,15 +18,15 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object run = Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler},
-                (proxy, method, arguments) -> {
-                    if (method.getName().equals("handle")) {
-                        task.run();
-                    }
-                    return null;
-                });
-            Object before = signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class)
-                .newInstance(name), run);
+            Object run = Proxy.newProxyInstance(
+                    Signals.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, arguments) -> {
+                        if (method.getName().equals("handle")) {
+                            task.run();
+                        }
+                        return null;
+                    });
+            Object before = signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance(name), run);
             return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("this JVM can't handle SIG" + name, e);
--- a/doorman/src/main/java/barleyspur/config/BudgetSettings.java
+++ b/doorman/src/main/java/barleyspur/config/BudgetSettings.java
@@ -2,7 +2,6 @@
 
 import barleyspur.budget.Kind;
 import barleyspur.budget.Terms;
-import barleyspur.fleet.Sizes;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -22,7 +21,7 @@
      * @param at    the nodes' model, as the platform names it
      * @param place of the key, for errors that only the platform's settings show
      */
-    public record Guard(String at, Hcl.Value place) { }
+    public record Guard(String at, Hcl.Value place) {}
 
     private static final double SECOND = 1_000;
     private static final double MOST_WHOLE = 1e9;
@@ -79,8 +78,8 @@
     public static Terms.Budget budget(Hcl.Block b, int largest, double restMs) throws Hcl.Invalid {
         String name = b.label();
         if (!name.matches("[a-z0-9._-]{1," + LONGEST_NAME + "}")) {
-            throw b.invalid("has a name that is not 1 to " + LONGEST_NAME + " of a-z, 0-9, '.', '_' and '-': \"" + name
-                + "\"");
+            throw b.invalid(
+                    "has a name that is not 1 to " + LONGEST_NAME + " of a-z, 0-9, '.', '_' and '-': \"" + name + "\"");
         }
         Hcl.Value kindAt = FleetSettings.required(b, "kind");
         Kind kind = null;
@@ -95,8 +94,8 @@
         Hcl.Value floorAt = b.value("floor");
         long floor = (long) b.number("floor", 0, 0, MOST_WHOLE);
         if (floor * largest > whole) {
-            throw floorAt.invalid("is " + floor + ": times the largest fleet of " + largest + " that is over the whole of "
-                + whole);
+            throw floorAt.invalid(
+                    "is " + floor + ": times the largest fleet of " + largest + " that is over the whole of " + whole);
         }
         if (floor > 0 && kind == Kind.AMOUNT) {
             throw floorAt.invalid("can't be set aside from an amount: who starts anew doesn't know what was spent");
@@ -104,8 +103,8 @@
         Hcl.Value burstAt = b.value("burst");
         double burst = b.number("burst", Math.max(whole, largest), 1, MOST_WHOLE);
         if (kind == Kind.RATE && burst < largest) {
-            throw (burstAt == null ? wholeAt : burstAt).invalid("makes a burst of " + burst + ", under one unit for each of "
-                + largest + " doormans");
+            throw (burstAt == null ? wholeAt : burstAt)
+                    .invalid("makes a burst of " + burst + ", under one unit for each of " + largest + " doormans");
         }
         if (burstAt != null && kind != Kind.RATE) {
             throw burstAt.invalid("is a rate's, not of " + kindAt.text());
@@ -113,8 +112,10 @@
         double weight = b.number("weight", 1, Terms.LEAST_WEIGHT, Terms.MOST_WEIGHT);
         double lease = FleetSettings.time(b, "lease", 5 * SECOND, 500, 60 * SECOND);
         if (kind == Kind.PLACES && lease < 2 * restMs) {
-            throw (b.value("lease") == null ? kindAt : b.value("lease")).invalid("makes a lease of " + lease
-                + " ms, under twice the time that a place may be held and the slack: " + 2 * restMs + " ms");
+            throw (b.value("lease") == null ? kindAt : b.value("lease"))
+                    .invalid("makes a lease of " + lease
+                            + " ms, under twice the time that a place may be held and the slack: " + 2 * restMs
+                            + " ms");
         }
         return new Terms.Budget(name, kind, whole, burst, floor, weight, lease);
     }
@@ -123,8 +124,9 @@
     void check(List<String> models) throws Hcl.Invalid {
         for (Guard guard : guards.values()) {
             if (!models.contains(guard.at())) {
-                throw guard.place().invalid("is no model of the configuration: " + guard.at() + " is not among "
-                    + String.join(", ", models));
+                throw guard.place()
+                        .invalid("is no model of the configuration: " + guard.at() + " is not among "
+                                + String.join(", ", models));
             }
         }
     }
--- a/doorman/src/main/java/barleyspur/config/Configuration.java
+++ b/doorman/src/main/java/barleyspur/config/Configuration.java
@@ -25,15 +25,23 @@
  * platform gives none; {@code scratch} is the folder that {@code $TMPDIR} names, which an upgrade's two processes
  * share.
  */
-public record Configuration(String name, InetSocketAddress listen, InetSocketAddress channel, InetSocketAddress mgmt,
-                            Path scratch, long seed, JSONObject known, Director.Settings settings, Names names,
-                            Limits limits) {
+public record Configuration(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress channel,
+        InetSocketAddress mgmt,
+        Path scratch,
+        long seed,
+        JSONObject known,
+        Director.Settings settings,
+        Names names,
+        Limits limits) {
 
     /** The names that sockets use for what the settings number. */
-    public record Names(List<String> classes, List<String> zones, List<String> kinds) { }
+    public record Names(List<String> classes, List<String> zones, List<String> kinds) {}
 
     /** The node's own limits, none of which the decisions see. */
-    public record Limits(int sockets, int memoryMb, int maxOpen, int streams, int connectTimeoutMs, int idleMs) { }
+    public record Limits(int sockets, int memoryMb, int maxOpen, int streams, int connectTimeoutMs, int idleMs) {}
 
     /** A configuration that can't be used; the message names the key. */
     public static final class Invalid extends Exception {
@@ -49,6 +57,7 @@
     private static final int LEAST_MEMORY_MB = 32;
     /** The most that a scored day gives. */
     private static final int MEMORY_MB = 192;
+
     private static final int HEX = 16;
     /** How errors name a key: of the file, or of its settings. */
     private static final Pattern NAMED = Pattern.compile("^(key|setting) ([^ ]+)");
@@ -113,9 +122,17 @@
         JSONObject known = known(object(json, "known"));
         try {
             Map<String, String> flat = SettingsReader.flatten(settings);
-            return new Configuration(name, address("listen", listen), address("channel", json.optString("channel")),
-                mgmt.isBlank() ? null : address("mgmt", mgmt), scratch, seed(json), known, SettingsReader.read(flat),
-                names(settings), limits(json, flat));
+            return new Configuration(
+                    name,
+                    address("listen", listen),
+                    address("channel", json.optString("channel")),
+                    mgmt.isBlank() ? null : address("mgmt", mgmt),
+                    scratch,
+                    seed(json),
+                    known,
+                    SettingsReader.read(flat),
+                    names(settings),
+                    limits(json, flat));
         } catch (IllegalArgumentException e) {
             throw new Invalid(e.getMessage());
         }
@@ -140,9 +157,17 @@
      * attempts.
      */
     public Configuration retuned(Configuration next) {
-        return new Configuration(name, listen, next.channel, mgmt, scratch, seed, known,
-            settings.retuned(next.settings.classes(), next.settings.maxAttempts()),
-            new Names(next.names.classes, names.zones, names.kinds), limits);
+        return new Configuration(
+                name,
+                listen,
+                next.channel,
+                mgmt,
+                scratch,
+                seed,
+                known,
+                settings.retuned(next.settings.classes(), next.settings.maxAttempts()),
+                new Names(next.names.classes, names.zones, names.kinds),
+                limits);
     }
 
     /**
@@ -155,15 +180,23 @@
         same.put("listen", listen.equals(next.listen));
         same.put("mgmt", Objects.equals(mgmt, next.mgmt));
         same.put("limits", limits.equals(next.limits));
-        same.put("settings", settings.retuned(List.of(), 0).equals(next.settings.retuned(List.of(), 0))
-            && names.zones.equals(next.names.zones) && names.kinds.equals(next.names.kinds));
-        return same.entrySet().stream().filter(e -> !e.getValue()).map(Map.Entry::getKey).toList();
+        same.put(
+                "settings",
+                settings.retuned(List.of(), 0).equals(next.settings.retuned(List.of(), 0))
+                        && names.zones.equals(next.names.zones)
+                        && names.kinds.equals(next.names.kinds));
+        return same.entrySet().stream()
+                .filter(e -> !e.getValue())
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     /** A digest of the settings, by which operators see whether two doormans run by the same ones. */
     public long digest() {
-        return LongHashFunction.xx3().hashChars(settings.retuned(settings.classes(), settings.maxAttempts()).toString()
-            .replaceFirst("me=[0-9]+", "me"));
+        return LongHashFunction.xx3()
+                .hashChars(settings.retuned(settings.classes(), settings.maxAttempts())
+                        .toString()
+                        .replaceFirst("me=[0-9]+", "me"));
     }
 
     private static JSONObject object(JSONObject json, String key) throws Invalid {
@@ -240,8 +273,13 @@
         if (memoryMb < LEAST_MEMORY_MB) {
             throw new IllegalArgumentException("key limits.memory_mb is under " + LEAST_MEMORY_MB);
         }
-        return new Limits(sockets, memoryMb, positive(flat, "limits.maxOpen", 20_000), positive(flat, "limits.multiplex", 32),
-            positive(flat, "limits.connectTimeoutMs", 400), positive(flat, "limits.connIdleMs", 15_000));
+        return new Limits(
+                sockets,
+                memoryMb,
+                positive(flat, "limits.maxOpen", 20_000),
+                positive(flat, "limits.multiplex", 32),
+                positive(flat, "limits.connectTimeoutMs", 400),
+                positive(flat, "limits.connIdleMs", 15_000));
     }
 
     private static int positive(Map<String, String> flat, String key, int otherwise) {
--- a/doorman/src/main/java/barleyspur/config/ExpectationCheck.java
+++ b/doorman/src/main/java/barleyspur/config/ExpectationCheck.java
@@ -51,16 +51,16 @@
      * @param describedOnly whether the fleets that files describe stand in for the configuration's own
      */
     public static ExpectationCheck of(Site site, List<String> files, boolean describedOnly) throws Hcl.Invalid {
-        return new ExpectationCheck(ExpectationFiles.read(files, ExpectationCheck::text, site), files, site,
-            describedOnly);
+        return new ExpectationCheck(
+                ExpectationFiles.read(files, ExpectationCheck::text, site), files, site, describedOnly);
     }
 
     private static String text(String from, String name) throws Hcl.Invalid {
         try {
             return Files.readString(Path.of(name));
         } catch (IOException e) {
-            throw new Hcl.Invalid(from.replaceFirst(":\\d+$", ""), 1, "file " + name + " can't be read: "
-                + e.getMessage());
+            throw new Hcl.Invalid(
+                    from.replaceFirst(":\\d+$", ""), 1, "file " + name + " can't be read: " + e.getMessage());
         }
     }
 
@@ -71,8 +71,14 @@
 
     /** What the checker is given; {@code only} empty: all expectations; {@code depth} 0: as the files say. */
     public Checker.Book book(String only, int depth) {
-        return new Checker.Book(read.expectations().stream().filter(e -> only.isEmpty() || e.name().equals(only))
-            .toList(), fleets, loads(), read.cases(), depth > 0 ? depth : Math.max(1, read.depth()));
+        return new Checker.Book(
+                read.expectations().stream()
+                        .filter(e -> only.isEmpty() || e.name().equals(only))
+                        .toList(),
+                fleets,
+                loads(),
+                read.cases(),
+                depth > 0 ? depth : Math.max(1, read.depth()));
     }
 
     /** The loads that files lay down, or the usual one. */
@@ -92,16 +98,18 @@
 
     /** The expectations that a configuration breaks, a line each; throws where they or it can't be read. */
     public static List<String> broken(Path config, OwnSettings.Expectations wanted)
-        throws Configuration.Invalid, Hcl.Invalid {
-        ExpectationCheck check = of(site(config), wanted.files().stream().map(Path::toString).toList(), false);
+            throws Configuration.Invalid, Hcl.Invalid {
+        ExpectationCheck check =
+                of(site(config), wanted.files().stream().map(Path::toString).toList(), false);
         int[] left = {wanted.scenarios()};
         BooleanSupplier more = () -> left[0]-- > 0;
         List<String> broken = new ArrayList<>();
-        for (Checker.Finding f : Checker.of(check.book("", 0), Checker.Progress.NONE).run(wanted.seed(), more)
-            .findings()) {
+        for (Checker.Finding f : Checker.of(check.book("", 0), Checker.Progress.NONE)
+                .run(wanted.seed(), more)
+                .findings()) {
             if (f.verdict() == Checker.Verdict.REFUTED) {
-                broken.add("expectation \"" + f.expectation().name() + "\" (" + f.expectation().place()
-                    + ") is refuted: it held in " + f.held() + " of " + f.judged());
+                broken.add("expectation \"" + f.expectation().name() + "\" ("
+                        + f.expectation().place() + ") is refuted: it held in " + f.held() + " of " + f.judged());
             }
         }
         return broken;
--- a/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
+++ b/doorman/src/main/java/barleyspur/config/ExpectationFiles.java
@@ -43,8 +43,13 @@
      * @param depth  how long orders of events are that are all played; 0: not said
      * @param texts  the files' texts by name, for traces
      */
-    public record Read(List<Expectation> expectations, List<Site> fleets, List<Load> loads, List<Case> cases, int depth,
-                       Map<String, String> texts) { }
+    public record Read(
+            List<Expectation> expectations,
+            List<Site> fleets,
+            List<Load> loads,
+            List<Case> cases,
+            int depth,
+            Map<String, String> texts) {}
 
     private final Texts texts;
     private final Site site;
@@ -75,8 +80,13 @@
             reader.file(name, name);
         }
         reader.understand();
-        return new Read(List.copyOf(reader.expectations), List.copyOf(reader.fleets), List.copyOf(reader.loads),
-            List.copyOf(reader.cases), reader.depth, reader.read);
+        return new Read(
+                List.copyOf(reader.expectations),
+                List.copyOf(reader.fleets),
+                List.copyOf(reader.loads),
+                List.copyOf(reader.cases),
+                reader.depth,
+                reader.read);
     }
 
     /** The settings' figures by the names that expectations use. */
@@ -194,7 +204,7 @@
     }
 
     /** A box of a described fleet, before it has a number. */
-    record Box(String uid, int zone, int kind, double size) { }
+    record Box(String uid, int zone, int kind, double size) {}
 
     private String modelOf(Site.Role role) {
         for (int kind = 0; kind < site.kinds().size(); kind++) {
@@ -214,17 +224,26 @@
             if (place < 0) {
                 throw c.invalid("\"" + c.label() + "\" is no class" + Hcl.near(c.label(), site.classes()));
             }
-            classes.set(place, new Load.OfClass(figure(c, "share", classes.get(place).share(), 0, 1e6),
-                figure(c, "work", classes.get(place).workMs(), 0.01, 1e6)));
+            classes.set(
+                    place,
+                    new Load.OfClass(
+                            figure(c, "share", classes.get(place).share(), 0, 1e6),
+                            figure(c, "work", classes.get(place).workMs(), 0.01, 1e6)));
             c.close(List.of());
         }
         Hcl.Value marks = b.value("marks_retries");
         int objects = (int) figure(b, "objects", usual.objects(), 1, 1 << 19);
-        Load read = new Load(b.label(), figure(b, "utilisation", usual.utilisation(), 0.01, 10),
-            figure(b, "length", usual.lengthMs(), 100, 600_000), (int) figure(b, "requests", usual.most(), 1, 1e6),
-            objects, (int) figure(b, "hot", Math.min(objects, usual.hot()), 0, objects),
-            figure(b, "once", usual.onceShare(), 0, 1), (int) figure(b, "retries", usual.retries(), 0, 10),
-            marks != null && marks.flag(), classes);
+        Load read = new Load(
+                b.label(),
+                figure(b, "utilisation", usual.utilisation(), 0.01, 10),
+                figure(b, "length", usual.lengthMs(), 100, 600_000),
+                (int) figure(b, "requests", usual.most(), 1, 1e6),
+                objects,
+                (int) figure(b, "hot", Math.min(objects, usual.hot()), 0, objects),
+                figure(b, "once", usual.onceShare(), 0, 1),
+                (int) figure(b, "retries", usual.retries(), 0, 10),
+                marks != null && marks.flag(),
+                classes);
         b.close(List.of("class"));
         if (classes.stream().allMatch(c -> c.share() == 0)) {
             throw b.invalid("asks for nothing: every class has share 0");
@@ -245,12 +264,17 @@
             Hcl.Value boxes = e.value("boxes");
             boolean all = boxes != null && "all".equals(boxes.value());
             Hcl.Value role = e.value("kind");
-            steps.add(new Case.Step(kind,
-                role == null ? null : find(role, Site.Role.values(), Site.Role::word, "kind"),
-                word(e, "station", "", null), word(e, "box", "", null),
-                all ? Integer.MAX_VALUE : (int) figure(e, "boxes", 1, 1, 1e6), quantity.of(at),
-                delay.least(), delay.most(), figure(e, "lasts", 5_000, 0, 1e9),
-                figure(e, "size", kind.usualSize(), 0, 1e12)));
+            steps.add(new Case.Step(
+                    kind,
+                    role == null ? null : find(role, Site.Role.values(), Site.Role::word, "kind"),
+                    word(e, "station", "", null),
+                    word(e, "box", "", null),
+                    all ? Integer.MAX_VALUE : (int) figure(e, "boxes", 1, 1, 1e6),
+                    quantity.of(at),
+                    delay.least(),
+                    delay.most(),
+                    figure(e, "lasts", 5_000, 0, 1e9),
+                    figure(e, "size", kind.usualSize(), 0, 1e12)));
             e.close(List.of());
         }
         b.close(List.of("event"));
@@ -259,12 +283,12 @@
 
     // ---- expectations ----------------------------------------------------------------------------------
 
-    private static final List<String> FORMS = List.of("must", "never", "share", "eventually", "count",
-        "settings");
+    private static final List<String> FORMS = List.of("must", "never", "share", "eventually", "count", "settings");
 
     private Expectation expectation(Hcl.Block b) throws Hcl.Invalid {
         String about = word(b, "about", "", null);
-        Set<String> fleetNames = new LinkedHashSet<>(fleets.stream().map(Site::name).toList());
+        Set<String> fleetNames =
+                new LinkedHashSet<>(fleets.stream().map(Site::name).toList());
         fleetNames.add(site.name());
         Set<String> inFleets = namesOf(b, "fleets", fleetNames);
         Set<String> inCases = namesOf(b, "cases", cases.stream().map(Case::name).toList());
@@ -273,7 +297,8 @@
         for (Hcl.Block g : b.blocks("given")) {
             given.add(condition(g));
         }
-        List<Hcl.Block> forms = b.blocks().stream().filter(f -> FORMS.contains(f.type())).toList();
+        List<Hcl.Block> forms =
+                b.blocks().stream().filter(f -> FORMS.contains(f.type())).toList();
         Set<String> types = new HashSet<>(forms.stream().map(Hcl.Block::type).toList());
         Expectation.After after = null;
         for (Hcl.Block a : b.blocks("after")) {
@@ -284,7 +309,7 @@
         b.close(known);
         if (types.size() != 1) {
             throw b.invalid("\"" + b.label() + "\" wants blocks of one of must, never, share, eventually, "
-                + "count and settings");
+                    + "count and settings");
         }
         if (b.blocks("after").size() > 1 || forms.size() > 1 && !types.contains("must")) {
             throw b.invalid("\"" + b.label() + "\" may have several given and must blocks, one of all others");
@@ -293,8 +318,8 @@
         if (form instanceof Expectation.Eventually && after == null) {
             throw b.invalid("\"" + b.label() + "\" wants a block after: since when must it come?");
         }
-        Expectation e = new Expectation(b.label(), about, b.place(), inFleets, inCases, atLoads,
-            new Condition.All(given), form, after);
+        Expectation e = new Expectation(
+                b.label(), about, b.place(), inFleets, inCases, atLoads, new Condition.All(given), form, after);
         kinds(b, e);
         return e;
     }
@@ -327,8 +352,8 @@
                     if (figure == null) {
                         throw v.invalid("names no figure of the settings" + Hcl.near(v.key(), names.keySet()));
                     }
-                    figures.add(new Expectation.Figure(figure, quantity.range(v), v.place(), v.key() + " = "
-                        + v.value()));
+                    figures.add(
+                            new Expectation.Figure(figure, quantity.range(v), v.place(), v.key() + " = " + v.value()));
                 }
                 f.close(List.of());
                 return new Expectation.Figures(figures);
@@ -345,9 +370,12 @@
                 }
                 double least = figure(f, "at_least", 0, 0, 1e9);
                 double most = figure(f, "at_most", Double.POSITIVE_INFINITY, 0, Double.POSITIVE_INFINITY);
-                return new Expectation.Count(find(of, Expectation.Of.values(), o -> o.name().toLowerCase(), "of"),
-                    find(per, Expectation.Per.values(), p -> p.name().toLowerCase(), "per"), least, most,
-                    condition(f));
+                return new Expectation.Count(
+                        find(of, Expectation.Of.values(), o -> o.name().toLowerCase(), "of"),
+                        find(per, Expectation.Per.values(), p -> p.name().toLowerCase(), "per"),
+                        least,
+                        most,
+                        condition(f));
             }
         }
     }
@@ -357,8 +385,10 @@
         Set<String> spoken = new HashSet<>();
         tests(e.given(), spoken);
         tests(e.form().that(), spoken);
-        boolean attempts = spoken.contains("attempt") || spoken.contains("target") || spoken.contains("source")
-            || e.form() instanceof Expectation.Count;
+        boolean attempts = spoken.contains("attempt")
+                || spoken.contains("target")
+                || spoken.contains("source")
+                || e.form() instanceof Expectation.Count;
         if (attempts && spoken.contains("answer")) {
             throw b.invalid("\"" + b.label() + "\" speaks of attempts and of answers: they are different moments");
         }
@@ -404,13 +434,16 @@
         List<Condition> tests = new ArrayList<>();
         List<Field> fields = Field.in(b.type());
         for (Hcl.Value v : b.values()) {
-            Field field = fields.stream().filter(f -> f.key().equals(v.key())).findFirst().orElse(null);
+            Field field = fields.stream()
+                    .filter(f -> f.key().equals(v.key()))
+                    .findFirst()
+                    .orElse(null);
             if (field == null) {
                 throw v.invalid("is unknown in block " + b.type()
-                    + Hcl.near(v.key(), fields.stream().map(Field::key).toList()));
+                        + Hcl.near(v.key(), fields.stream().map(Field::key).toList()));
             }
-            tests.add(new Condition.Test(field, matcher(field, v), v.place(), b.type() + "." + v.key() + " = "
-                + v.value()));
+            tests.add(new Condition.Test(
+                    field, matcher(field, v), v.place(), b.type() + "." + v.key() + " = " + v.value()));
         }
         b.close(List.of());
         if (tests.isEmpty()) {
@@ -445,14 +478,19 @@
     private Collection<String> words(Field field) {
         return switch (field) {
             case CLASS -> site.classes();
-            case EFFECT -> Arrays.stream(Director.Effect.values()).map(e -> e.name().toLowerCase()).toList();
+            case EFFECT ->
+                Arrays.stream(Director.Effect.values())
+                        .map(e -> e.name().toLowerCase())
+                        .toList();
             case OBJECTS -> List.of("hot", "ordinary", "once");
-            case TARGET_ROLE, SOURCE_ROLE -> Arrays.stream(Site.Role.values()).map(Site.Role::word).toList();
+            case TARGET_ROLE, SOURCE_ROLE ->
+                Arrays.stream(Site.Role.values()).map(Site.Role::word).toList();
             case TARGET_MODEL, SOURCE_MODEL -> site.kinds();
             case TARGET_STATE, SOURCE_STATE, TARGET_ACTUAL, SOURCE_ACTUAL ->
                 Arrays.stream(Moment.Told.values()).map(Moment.Told::word).toList();
             case TARGET_FAULT, SOURCE_FAULT -> List.of("none", "hang", "slow", "full", "fail");
-            case OUTCOME -> Arrays.stream(Moment.Ending.values()).map(Moment.Ending::word).toList();
+            case OUTCOME ->
+                Arrays.stream(Moment.Ending.values()).map(Moment.Ending::word).toList();
             case REQUEST_STATION, TARGET_STATION, SOURCE_STATION -> {
                 Set<String> stations = new LinkedHashSet<>(site.zones());
                 fleets.forEach(f -> stations.addAll(f.zones()));
@@ -514,8 +552,7 @@
         return figure;
     }
 
-    private static String word(Hcl.Block b, String key, String otherwise, Collection<String> known)
-        throws Hcl.Invalid {
+    private static String word(Hcl.Block b, String key, String otherwise, Collection<String> known) throws Hcl.Invalid {
         Hcl.Value v = b.value(key);
         String word = v == null ? otherwise : v.text();
         if (known != null && !known.contains(word)) {
@@ -560,7 +597,10 @@
     }
 
     private static <T> T find(String text, T[] all, Word<T> word) {
-        return Arrays.stream(all).filter(t -> word.of(t).equals(text)).findFirst().orElse(null);
+        return Arrays.stream(all)
+                .filter(t -> word.of(t).equals(text))
+                .findFirst()
+                .orElse(null);
     }
 
     private static <T> String near(String text, T[] all, Word<T> word) {
--- a/doorman/src/main/java/barleyspur/config/FleetSettings.java
+++ b/doorman/src/main/java/barleyspur/config/FleetSettings.java
@@ -24,8 +24,16 @@
  * @param format        the newest format of datagrams to speak: lower while older programs are being replaced
  * @param clockOffsetMs added to the wall clock when this life is numbered: to rehearse a clock that was stepped
  */
-public record FleetSettings(String name, InetSocketAddress listen, String advertise, List<String> seeds, byte[] key,
-                            double periodMs, double rememberMs, int format, double clockOffsetMs) {
+public record FleetSettings(
+        String name,
+        InetSocketAddress listen,
+        String advertise,
+        List<String> seeds,
+        byte[] key,
+        double periodMs,
+        double rememberMs,
+        int format,
+        double clockOffsetMs) {
 
     private static final int LEAST_KEY = 32;
     private static final int LEAST_DIFFERENT = 8;
@@ -53,9 +61,15 @@
 
     /** Whether nothing of it differs. */
     boolean sameAs(FleetSettings o) {
-        return name.equals(o.name) && listen.equals(o.listen) && advertise.equals(o.advertise) && seeds.equals(o.seeds)
-            && Arrays.equals(key, o.key) && periodMs == o.periodMs && rememberMs == o.rememberMs && format == o.format
-            && clockOffsetMs == o.clockOffsetMs;
+        return name.equals(o.name)
+                && listen.equals(o.listen)
+                && advertise.equals(o.advertise)
+                && seeds.equals(o.seeds)
+                && Arrays.equals(key, o.key)
+                && periodMs == o.periodMs
+                && rememberMs == o.rememberMs
+                && format == o.format
+                && clockOffsetMs == o.clockOffsetMs;
     }
 
     static Hcl.Value required(Hcl.Block b, String key) throws Hcl.Invalid {
@@ -112,14 +126,14 @@
             throw v.invalid("names " + file + ", which can't be read: " + e.getMessage());
         }
         if (key.length() < LEAST_KEY || key.chars().distinct().count() < LEAST_DIFFERENT) {
-            throw v.invalid("names " + file + ", whose key is weak: it has under " + LEAST_KEY + " characters, or under "
-                + LEAST_DIFFERENT + " different ones; head -c 32 /dev/urandom | base64 makes a good one");
+            throw v.invalid(
+                    "names " + file + ", whose key is weak: it has under " + LEAST_KEY + " characters, or under "
+                            + LEAST_DIFFERENT + " different ones; head -c 32 /dev/urandom | base64 makes a good one");
         }
         return key.getBytes(StandardCharsets.UTF_8);
     }
 
-    static double time(Hcl.Block b, String key, double otherwise, double least, double most)
-        throws Hcl.Invalid {
+    static double time(Hcl.Block b, String key, double otherwise, double least, double most) throws Hcl.Invalid {
         Hcl.Value v = b.value(key);
         double ms = v == null ? otherwise : Hcl.millis(v.text());
         if (!(ms >= least && ms <= most)) {
--- a/doorman/src/main/java/barleyspur/config/Hcl.java
+++ b/doorman/src/main/java/barleyspur/config/Hcl.java
@@ -164,14 +164,20 @@
         public void close(Collection<String> types) throws Invalid {
             for (Value v : values.values()) {
                 if (!asked.contains(v.key)) {
-                    throw new Invalid(file, v.line, "key " + v.key + " is unknown" + (type.isEmpty() ? ""
-                        : " in block " + type) + near(v.key, asked));
+                    throw new Invalid(
+                            file,
+                            v.line,
+                            "key " + v.key + " is unknown" + (type.isEmpty() ? "" : " in block " + type)
+                                    + near(v.key, asked));
                 }
             }
             for (Block b : blocks) {
                 if (!types.contains(b.type)) {
-                    throw new Invalid(file, b.line, "block " + b.type + " is unknown" + (type.isEmpty() ? ""
-                        : " in block " + type) + near(b.type, types));
+                    throw new Invalid(
+                            file,
+                            b.line,
+                            "block " + b.type + " is unknown" + (type.isEmpty() ? "" : " in block " + type)
+                                    + near(b.type, types));
                 }
             }
         }
@@ -185,12 +191,13 @@
         if (!m.matches()) {
             return Double.NaN;
         }
-        return Double.parseDouble(m.group(1)) * switch (m.group(2)) {
-            case "ms" -> 1;
-            case "s" -> 1_000;
-            case "min" -> 60_000;
-            default -> 3_600_000;
-        };
+        return Double.parseDouble(m.group(1))
+                * switch (m.group(2)) {
+                    case "ms" -> 1;
+                    case "s" -> 1_000;
+                    case "min" -> 60_000;
+                    default -> 3_600_000;
+                };
     }
 
     /** What a wrong name may have been meant for, as the end of a message. */
@@ -205,8 +212,9 @@
                 best = candidate;
             }
         }
-        return best != null ? ": did you mean " + best + "?"
-            : ": known are " + known.stream().sorted().collect(Collectors.joining(", "));
+        return best != null
+                ? ": did you mean " + best + "?"
+                : ": known are " + known.stream().sorted().collect(Collectors.joining(", "));
     }
 
     private final String file;
@@ -319,7 +327,8 @@
             }
             String plain = text.substring(from, at);
             if (!plain.matches("-?[0-9]+(\\.[0-9]+)?|true|false")) {
-                throw wrong("key " + key + " is neither a number, true, false, a string in quotes nor a list: " + plain);
+                throw wrong(
+                        "key " + key + " is neither a number, true, false, a string in quotes nor a list: " + plain);
             }
         }
     }
--- a/doorman/src/main/java/barleyspur/config/JsonLines.java
+++ b/doorman/src/main/java/barleyspur/config/JsonLines.java
@@ -14,7 +14,7 @@
     /** Where org.json's tokenizer stands, as its {@code toString} says it: {@code " at 12 [character 3 line 1]"}. */
     private static final Pattern AT = Pattern.compile(" at (\\d+) \\[");
 
-    private JsonLines() { }
+    private JsonLines() {}
 
     /**
      * The line, from 1, on which the key at the end of a dotted {@code path} stands, as in {@code settings.grades.0.name}
--- a/doorman/src/main/java/barleyspur/config/OwnSettings.java
+++ b/doorman/src/main/java/barleyspur/config/OwnSettings.java
@@ -21,7 +21,7 @@
      * @param scenarios how many scenarios are played for each check
      * @param seed      of the scenarios
      */
-    public record Expectations(List<Path> files, int scenarios, long seed) { }
+    public record Expectations(List<Path> files, int scenarios, long seed) {}
 
     private static final double MOST_SCENARIOS = 100_000;
 
--- a/doorman/src/main/java/barleyspur/config/Quantity.java
+++ b/doorman/src/main/java/barleyspur/config/Quantity.java
@@ -33,8 +33,8 @@
         String text = value.text().strip();
         int dots = text.indexOf("..");
         if (dots >= 0) {
-            return new Condition.Range(sum(value, text.substring(0, dots)), false,
-                sum(value, text.substring(dots + 2)), false);
+            return new Condition.Range(
+                    sum(value, text.substring(0, dots)), false, sum(value, text.substring(dots + 2)), false);
         }
         double infinity = Double.POSITIVE_INFINITY;
         if (text.startsWith(">=")) {
@@ -75,21 +75,24 @@
     private double term(Hcl.Value value, String text) throws Hcl.Invalid {
         Matcher m = TERM.matcher(text);
         if (m.matches()) {
-            double unit = m.group(2) == null ? 1 : switch (m.group(2)) {
-                case "s" -> 1_000;
-                case "min" -> 60_000;
-                case "h" -> 3_600_000;
-                case "%" -> 0.01;
-                default -> 1;
-            };
+            double unit = m.group(2) == null
+                    ? 1
+                    : switch (m.group(2)) {
+                        case "s" -> 1_000;
+                        case "min" -> 60_000;
+                        case "h" -> 3_600_000;
+                        case "%" -> 0.01;
+                        default -> 1;
+                    };
             return Double.parseDouble(m.group(1)) * unit;
         }
         Double named = names.get(text);
         if (named != null) {
             return named;
         }
-        throw value.invalid(NAME.matcher(text).matches()
-            ? "names " + text + ", which nothing defines" + Hcl.near(text, names.keySet())
-            : "is no time or number: '" + text + "'");
+        throw value.invalid(
+                NAME.matcher(text).matches()
+                        ? "names " + text + ", which nothing defines" + Hcl.near(text, names.keySet())
+                        : "is no time or number: '" + text + "'");
     }
 }
--- a/doorman/src/main/java/barleyspur/config/SettingsReader.java
+++ b/doorman/src/main/java/barleyspur/config/SettingsReader.java
@@ -58,7 +58,11 @@
                     flatten(path + "." + i, array.get(i), into);
                 }
             } else {
-                into.put(path, String.join(",", array.toList().stream().map(String::valueOf).toList()));
+                into.put(
+                        path,
+                        String.join(
+                                ",",
+                                array.toList().stream().map(String::valueOf).toList()));
             }
         } else {
             into.put(path, String.valueOf(value));
@@ -71,22 +75,41 @@
         for (int i = 0; i < n; i++) {
             classes.add(requestClass(i));
         }
-        return new Director.Settings(List.copyOf(classes), integer("myNumber"), integer("groupSize"),
-            integer("myZone"), integers("familyInfo.zoneBalancers"), integer("familyInfo.midKind"),
-            integer("familyInfo.masterKind"), stableSizes(),
-            word("discovery", "pushed").equals("on_request"), number("rules.mustAskInMs", 0),
-            number("resolutionMs"), number("rules.answerSlackMs"), number("rules.drainGraceMs"),
-            new Director.ColdRule(number("rules.coldFrom"), number("rules.coldMs"),
-                number("rules.tipMultiple")),
-            new Director.ColdRule(number("familyInfo.upperColdFrom", 1),
-                number("familyInfo.upperColdMs", 0),
-                number("familyInfo.upperFallMultiple", number("rules.tipMultiple"))),
-            number("rules.fallMs"), number("familyInfo.obeyAfterMs", 0),
-            number("familyInfo.clearedWithinMs", 0), flag("familyInfo.passThroughOk"),
-            flag("familyInfo.joins"), siblings(), notes(), number("familyInfo.paceKbPerS") / 1000, reports(),
-            list("report.fields"), (int) positive("limits.sendCap"), flag("limits.mayDuplicate"),
-            flag("limits.cancel"), flag("limits.mayProbe"), flag("limits.peers"),
-            flag("limits.retryAfter") ? number("limits.maxRetryAfterMs", 0) : 0);
+        return new Director.Settings(
+                List.copyOf(classes),
+                integer("myNumber"),
+                integer("groupSize"),
+                integer("myZone"),
+                integers("familyInfo.zoneBalancers"),
+                integer("familyInfo.midKind"),
+                integer("familyInfo.masterKind"),
+                stableSizes(),
+                word("discovery", "pushed").equals("on_request"),
+                number("rules.mustAskInMs", 0),
+                number("resolutionMs"),
+                number("rules.answerSlackMs"),
+                number("rules.drainGraceMs"),
+                new Director.ColdRule(number("rules.coldFrom"), number("rules.coldMs"), number("rules.tipMultiple")),
+                new Director.ColdRule(
+                        number("familyInfo.upperColdFrom", 1),
+                        number("familyInfo.upperColdMs", 0),
+                        number("familyInfo.upperFallMultiple", number("rules.tipMultiple"))),
+                number("rules.fallMs"),
+                number("familyInfo.obeyAfterMs", 0),
+                number("familyInfo.clearedWithinMs", 0),
+                flag("familyInfo.passThroughOk"),
+                flag("familyInfo.joins"),
+                siblings(),
+                notes(),
+                number("familyInfo.paceKbPerS") / 1000,
+                reports(),
+                list("report.fields"),
+                (int) positive("limits.sendCap"),
+                flag("limits.mayDuplicate"),
+                flag("limits.cancel"),
+                flag("limits.mayProbe"),
+                flag("limits.peers"),
+                flag("limits.retryAfter") ? number("limits.maxRetryAfterMs", 0) : 0);
     }
 
     /** Live weights vary with load, so they are no measure of size. */
@@ -96,12 +119,21 @@
 
     private Director.RequestClass requestClass(int i) {
         String at = "grades." + i + ".";
-        return new Director.RequestClass(effect(at), scope(at), number(at + "keyTtlMs", 0),
-            positive(at + "promiseMs"), number(at + "aimStretch", 0), positive(at + "hardLimitMs"),
-            number(at + "value", 1), number(at + "lateWorth", 0), flag(at + "stream"),
-            isTrue(item("familyInfo.inParts", i)), isTrue(item("familyInfo.passOn", i)),
-            decimal("familyInfo.goodForMs", i), decimal("familyInfo.staleForMs", i),
-            decimal("familyInfo.worthWhenOld", i));
+        return new Director.RequestClass(
+                effect(at),
+                scope(at),
+                number(at + "keyTtlMs", 0),
+                positive(at + "promiseMs"),
+                number(at + "aimStretch", 0),
+                positive(at + "hardLimitMs"),
+                number(at + "value", 1),
+                number(at + "lateWorth", 0),
+                flag(at + "stream"),
+                isTrue(item("familyInfo.inParts", i)),
+                isTrue(item("familyInfo.passOn", i)),
+                decimal("familyInfo.goodForMs", i),
+                decimal("familyInfo.staleForMs", i),
+                decimal("familyInfo.worthWhenOld", i));
     }
 
     private Director.Effect effect(String at) {
--- a/doorman/src/main/java/barleyspur/config/Sites.java
+++ b/doorman/src/main/java/barleyspur/config/Sites.java
@@ -20,7 +20,7 @@
     private static final String OWN = "configuration";
     private static final double SIZE = 8;
 
-    private Sites() { }
+    private Sites() {}
 
     /**
      * Reads the fleet of a configuration in the form of {@code RELAY_CONFIG}: its settings, and of {@code known} the
@@ -63,9 +63,15 @@
                     boxes.remove(uid);
                     if (t.getString("state").equals("in_service")) {
                         double size = t.optDouble("capacity_hint", 0);
-                        boxes.put(uid, new Box(uid, Listing.number(uid), place(at + ".az", names.zones(), t.getString("az")),
-                            place(at + ".model", names.kinds(), t.getString("model")), t.optInt("pod_group"),
-                            size > 0 ? size : SIZE));
+                        boxes.put(
+                                uid,
+                                new Box(
+                                        uid,
+                                        Listing.number(uid),
+                                        place(at + ".az", names.zones(), t.getString("az")),
+                                        place(at + ".model", names.kinds(), t.getString("model")),
+                                        t.optInt("pod_group"),
+                                        size > 0 ? size : SIZE));
                     }
                 } catch (JSONException e) {
                     throw new Configuration.Invalid(at + ": " + e.getMessage());
@@ -103,8 +109,12 @@
     }
 
     /** A described fleet with the settings of another. */
-    static Site described(String name, Site like, List<String> zones, List<Integer> doormanZones,
-                          List<ExpectationFiles.Box> described) {
+    static Site described(
+            String name,
+            Site like,
+            List<String> zones,
+            List<Integer> doormanZones,
+            List<ExpectationFiles.Box> described) {
         List<Box> boxes = new ArrayList<>();
         for (ExpectationFiles.Box b : described) {
             boxes.add(new Box(b.uid(), boxes.size() + 1L, b.zone(), b.kind(), 0, b.size()));
--- a/doorman/src/main/java/barleyspur/config/Traces.java
+++ b/doorman/src/main/java/barleyspur/config/Traces.java
@@ -21,20 +21,28 @@
     private static final int VERSION = 1;
 
     /** A counterexample as it was read back. */
-    public record Trace(Scenario scenario, Expectation expectation) { }
+    public record Trace(Scenario scenario, Expectation expectation) {}
 
-    private Traces() { }
+    private Traces() {}
 
     /** The file's text. */
     public static String write(Checker.Counterexample c, List<String> files, Map<String, String> texts) {
         Scenario s = c.scenario();
         Site site = s.site();
         JSONObject json = new JSONObject();
-        json.put("barleyspur_trace", VERSION).put("expectation", c.expectation()).put("files", new JSONArray(files))
-            .put("texts", new JSONObject(texts));
-        json.put("fleet", new JSONObject().put("name", site.name()).put("zones", new JSONArray(site.zones()))
-            .put("kinds", new JSONArray(site.kinds())).put("classes", new JSONArray(site.classes()))
-            .put("doormans", new JSONArray(site.doormanZones())).put("settings", new JSONObject(site.told())));
+        json.put("barleyspur_trace", VERSION)
+                .put("expectation", c.expectation())
+                .put("files", new JSONArray(files))
+                .put("texts", new JSONObject(texts));
+        json.put(
+                "fleet",
+                new JSONObject()
+                        .put("name", site.name())
+                        .put("zones", new JSONArray(site.zones()))
+                        .put("kinds", new JSONArray(site.kinds()))
+                        .put("classes", new JSONArray(site.classes()))
+                        .put("doormans", new JSONArray(site.doormanZones()))
+                        .put("settings", new JSONObject(site.told())));
         JSONArray boxes = new JSONArray();
         for (Box b : site.boxes()) {
             boxes.put(new JSONArray(List.of(b.uid(), b.node(), b.zone(), b.kind(), b.cell(), b.size())));
@@ -45,11 +53,26 @@
         }
         JSONArray asks = new JSONArray();
         for (Ask a : s.asks()) {
-            asks.put(new JSONArray(List.of(a.number(), a.atMs(), a.doorman(), a.category(), a.object(), a.set(),
-                a.part(), a.group(), a.sizeKb(), a.remainingMs(), a.leavesMs())));
+            asks.put(new JSONArray(List.of(
+                    a.number(),
+                    a.atMs(),
+                    a.doorman(),
+                    a.category(),
+                    a.object(),
+                    a.set(),
+                    a.part(),
+                    a.group(),
+                    a.sizeKb(),
+                    a.remainingMs(),
+                    a.leavesMs())));
         }
-        json.put("mean_work", new JSONArray(s.meanWork())).put("boxes", boxes).put("events", faults).put("requests", asks).put("seed", s.seed())
-            .put("retries", s.retries()).put("marked", s.marked());
+        json.put("mean_work", new JSONArray(s.meanWork()))
+                .put("boxes", boxes)
+                .put("events", faults)
+                .put("requests", asks)
+                .put("seed", s.seed())
+                .put("retries", s.retries())
+                .put("marked", s.marked());
         return json.toString(1);
     }
 
@@ -58,8 +81,10 @@
         try {
             JSONObject json = new JSONObject(text);
             if (json.optInt("barleyspur_trace") != VERSION) {
-                throw new Hcl.Invalid(file, 1, "key barleyspur_trace is not " + VERSION
-                    + ": this is no trace, or one of another version");
+                throw new Hcl.Invalid(
+                        file,
+                        1,
+                        "key barleyspur_trace is not " + VERSION + ": this is no trace, or one of another version");
             }
             JSONObject fleet = json.getJSONObject("fleet");
             Map<String, String> told = new HashMap<>();
@@ -69,24 +94,52 @@
                 JSONArray b = (JSONArray) o;
                 boxes.add(new Box(b.getString(0), b.getLong(1), b.getInt(2), b.getInt(3), b.getInt(4), b.getDouble(5)));
             }
-            Site site = Site.of(fleet.getString("name"), told, SettingsReader.read(told),
-                integers(fleet.getJSONArray("doormans")), texts(fleet.getJSONArray("zones")),
-                texts(fleet.getJSONArray("kinds")), texts(fleet.getJSONArray("classes")), boxes);
+            Site site = Site.of(
+                    fleet.getString("name"),
+                    told,
+                    SettingsReader.read(told),
+                    integers(fleet.getJSONArray("doormans")),
+                    texts(fleet.getJSONArray("zones")),
+                    texts(fleet.getJSONArray("kinds")),
+                    texts(fleet.getJSONArray("classes")),
+                    boxes);
             List<Fault> faults = new ArrayList<>();
             for (Object o : json.getJSONArray("events")) {
                 JSONArray f = (JSONArray) o;
-                faults.add(new Fault(kind(f.getString(0)), f.getLong(1), f.getDouble(2), f.getDouble(3),
-                    f.getDouble(4), f.getDouble(5)));
+                faults.add(new Fault(
+                        kind(f.getString(0)),
+                        f.getLong(1),
+                        f.getDouble(2),
+                        f.getDouble(3),
+                        f.getDouble(4),
+                        f.getDouble(5)));
             }
             List<Ask> asks = new ArrayList<>();
             for (Object o : json.getJSONArray("requests")) {
                 JSONArray a = (JSONArray) o;
-                asks.add(new Ask(a.getInt(0), a.getDouble(1), a.getInt(2), a.getInt(3), a.getLong(4), a.getString(5),
-                    a.getInt(6), a.getInt(7), a.getDouble(8), a.getDouble(9), a.getDouble(10)));
+                asks.add(new Ask(
+                        a.getInt(0),
+                        a.getDouble(1),
+                        a.getInt(2),
+                        a.getInt(3),
+                        a.getLong(4),
+                        a.getString(5),
+                        a.getInt(6),
+                        a.getInt(7),
+                        a.getDouble(8),
+                        a.getDouble(9),
+                        a.getDouble(10)));
             }
-            Scenario scenario = new Scenario(site, json.getLong("seed"), json.getInt("retries"), json.getBoolean("marked"),
-                json.getJSONArray("mean_work").toList().stream().map(w -> ((Number) w).doubleValue()).toList(), faults,
-                asks);
+            Scenario scenario = new Scenario(
+                    site,
+                    json.getLong("seed"),
+                    json.getInt("retries"),
+                    json.getBoolean("marked"),
+                    json.getJSONArray("mean_work").toList().stream()
+                            .map(w -> ((Number) w).doubleValue())
+                            .toList(),
+                    faults,
+                    asks);
             return new Trace(scenario, expectation(file, json, site));
         } catch (JSONException | IllegalArgumentException | ClassCastException e) {
             throw new Hcl.Invalid(file, 1, "is no trace: " + e.getMessage());
@@ -95,15 +148,21 @@
 
     private static Expectation expectation(String file, JSONObject json, Site site) throws Hcl.Invalid {
         JSONObject texts = json.getJSONObject("texts");
-        ExpectationFiles.Read read = ExpectationFiles.read(texts(json.getJSONArray("files")), (from, name) -> {
-            if (!texts.has(name)) {
-                throw new Hcl.Invalid(file, 1, "key texts has no " + name);
-            }
-            return texts.getString(name);
-        }, site);
+        ExpectationFiles.Read read = ExpectationFiles.read(
+                texts(json.getJSONArray("files")),
+                (from, name) -> {
+                    if (!texts.has(name)) {
+                        throw new Hcl.Invalid(file, 1, "key texts has no " + name);
+                    }
+                    return texts.getString(name);
+                },
+                site);
         String name = json.getString("expectation");
-        return read.expectations().stream().filter(e -> e.name().equals(name)).findFirst()
-            .orElseThrow(() -> new Hcl.Invalid(file, 1, "key expectation names " + name + ", which its files lack"));
+        return read.expectations().stream()
+                .filter(e -> e.name().equals(name))
+                .findFirst()
+                .orElseThrow(
+                        () -> new Hcl.Invalid(file, 1, "key expectation names " + name + ", which its files lack"));
     }
 
     private static Fault.Kind kind(String word) {
--- a/doorman/src/main/java/barleyspur/depot/DepotClient.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotClient.java
@@ -27,7 +27,7 @@
     private static final int IDLE_MARGIN_MS = 2_000;
 
     /** What connections are held to. */
-    public record Limits(int streams, int idleMs, int mostConnections) { }
+    public record Limits(int streams, int idleMs, int mostConnections) {}
 
     private final Connector connector;
     private final Clock clock;
@@ -75,8 +75,10 @@
                 if (best == null) {
                     shared.log().warn("no connection: too many are open", "depot", listing.uid(), "open", connections);
                 }
-            } else if (best.load() > 0 && !coming && pool.size() < SPREAD
-                && connections < limits.mostConnections() * SPARE_SHARE) {
+            } else if (best.load() > 0
+                    && !coming
+                    && pool.size() < SPREAD
+                    && connections < limits.mostConnections() * SPARE_SHARE) {
                 connect();
             }
             return best != null && best.takes(id, limits.streams()) ? best : null;
@@ -153,14 +155,18 @@
     @Override
     public Call send(long node, Order order, End end) {
         Depot depot = depots.get(node);
-        DepotConnection c = depot == null ? null : depot.connection(order.request().id());
+        DepotConnection c =
+                depot == null ? null : depot.connection(order.request().id());
         if (c == null) {
             return never(end);
         }
         ByteBufAllocator alloc = c.channel().alloc();
         int bodyBytes = order.request().body().readableBytes();
-        return c.open(order.request().id(), waitedMs -> Resp.serveHead(alloc, order, bodyBytes, waitedMs),
-            order.request().body().retainedDuplicate(), end);
+        return c.open(
+                order.request().id(),
+                waitedMs -> Resp.serveHead(alloc, order, bodyBytes, waitedMs),
+                order.request().body().retainedDuplicate(),
+                end);
     }
 
     @Override
--- a/doorman/src/main/java/barleyspur/depot/DepotConnection.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotConnection.java
@@ -3,8 +3,8 @@
 import barleyspur.decision.Director.Result;
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
-import barleyspur.doorman.Depots.Answer;
 import barleyspur.doorman.Depots;
+import barleyspur.doorman.Depots.Answer;
 import barleyspur.log.LogEvent;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -43,7 +43,7 @@
     static final double STALLED_MS = 500;
 
     /** What all connections of one client have in common. */
-    record Shared(Clock clock, List<String> reportFields, int streams, CappedLog log) { }
+    record Shared(Clock clock, List<String> reportFields, int streams, CappedLog log) {}
 
     private final String uid;
     private final Shared client;
@@ -60,6 +60,7 @@
             return size() > REMEMBERED * client.streams();
         }
     });
+
     private Channel channel;
     private boolean up;
     private boolean closed;
@@ -185,7 +186,13 @@
                 new ArrayList<>(open.values()).forEach(Call::write);
                 closeIfRetired();
             } else {
-                LogEvent.log(LOG.atDebug(), "no connection", "depot", uid, "cause", done.cause().getMessage());
+                LogEvent.log(
+                        LOG.atDebug(),
+                        "no connection",
+                        "depot",
+                        uid,
+                        "cause",
+                        done.cause().getMessage());
                 failAll(Result.CONNECT_FAILED);
             }
         });
@@ -312,24 +319,29 @@
     }
 
     private Answer answer(String word, String fields, ByteBuf body) {
-        Result result = switch (word) {
-            case "DONE", "KEEP", "FIT" -> Result.OK;
-            case "LACK" -> Result.MISS;
-            case "WAIT" -> Result.FULL;
-            case "PAST" -> Result.MOOT;
-            case "BROKE", "UNFIT" -> Result.ERROR;
-            default -> {
-                client.log().warn("unknown answer", "depot", uid, "word", word);
-                yield Result.ERROR;
-            }
-        };
+        Result result =
+                switch (word) {
+                    case "DONE", "KEEP", "FIT" -> Result.OK;
+                    case "LACK" -> Result.MISS;
+                    case "WAIT" -> Result.FULL;
+                    case "PAST" -> Result.MOOT;
+                    case "BROKE", "UNFIT" -> Result.ERROR;
+                    default -> {
+                        client.log().warn("unknown answer", "depot", uid, "word", word);
+                        yield Result.ERROR;
+                    }
+                };
         ByteBuf kept = word.equals("DONE") && body != null ? body.retain() : null;
         if (word.equals("DONE") && kept == null) {
             client.log().warn("an answer without its bytes", "depot", uid);
             return Answer.of(Result.ERROR);
         }
-        return new Answer(result, Resp.note(Resp.field(fields, "how")),
-            Resp.load(Resp.field(fields, "stats"), client.reportFields()), kept, Resp.field(fields, "digest"));
+        return new Answer(
+                result,
+                Resp.note(Resp.field(fields, "how")),
+                Resp.load(Resp.field(fields, "stats"), client.reportFields()),
+                kept,
+                Resp.field(fields, "digest"));
     }
 
     @Override
