--- a/doorman/src/main/java/barleyspur/depot/Resp.java
+++ b/doorman/src/main/java/barleyspur/depot/Resp.java
@@ -1,8 +1,8 @@
 package barleyspur.depot;
 
 import barleyspur.decision.Director.Note;
-import barleyspur.doorman.Request;
 import barleyspur.doorman.Depots.Order;
+import barleyspur.doorman.Request;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
@@ -16,7 +16,7 @@
 
     private static final int HEAD = 256;
 
-    private Resp() { }
+    private Resp() {}
 
     /**
      * A {@code serve} up to its body, which follows with {@link #END}. It goes out {@code waitedMs} after it was ordered,
@@ -56,8 +56,10 @@
     private static String fields(Order order, double waitedMs) {
         Request request = order.request();
         StringJoiner fields = new StringJoiner(",");
-        fields.add("class=" + request.className()).add("key=" + request.key()).add("part=" + request.partWord())
-            .add("wait=" + Math.max(1, (long) (order.waitMs() - waitedMs)));
+        fields.add("class=" + request.className())
+                .add("key=" + request.key())
+                .add("part=" + request.partWord())
+                .add("wait=" + Math.max(1, (long) (order.waitMs() - waitedMs)));
         if (order.source() != null) {
             fields.add("parent=" + order.source());
         }
@@ -99,7 +101,7 @@
 
     /** The value of {@code name} in a list of fields; null where there is none. */
     static String field(String fields, String name) {
-        for (int at = 0; at < fields.length();) {
+        for (int at = 0; at < fields.length(); ) {
             int comma = fields.indexOf(',', at);
             int end = comma < 0 ? fields.length() : comma;
             if (fields.startsWith(name, at) && at + name.length() < end && fields.charAt(at + name.length()) == '=') {
@@ -112,13 +114,15 @@
 
     /** The note in {@code how}. */
     static Note note(String how) {
-        return how == null ? Note.NONE : switch (how) {
-            case "h" -> Note.HIT;
-            case "f" -> Note.FILLED;
-            case "j" -> Note.JOINED;
-            case "s" -> Note.STALE;
-            default -> Note.NONE;
-        };
+        return how == null
+                ? Note.NONE
+                : switch (how) {
+                    case "h" -> Note.HIT;
+                    case "f" -> Note.FILLED;
+                    case "j" -> Note.JOINED;
+                    case "s" -> Note.STALE;
+                    default -> Note.NONE;
+                };
     }
 
     /** The report in {@code stats}, in the order of the settings; empty where a value is missing or no number. */
--- a/doorman/src/main/java/barleyspur/depot/RespDecoder.java
+++ b/doorman/src/main/java/barleyspur/depot/RespDecoder.java
@@ -12,13 +12,14 @@
 public final class RespDecoder extends ByteToMessageDecoder {
 
     /** A message: its words, and the fourth bulk string as its body; null where there are fewer. */
-    public record Message(List<String> words, ByteBuf body) { }
+    public record Message(List<String> words, ByteBuf body) {}
 
     private static final int MOST_ITEMS = 8;
     private static final int BODY_AT = 3;
     private static final int MAX_WORD = 4_096;
     /** An object holds at most 240,000 bytes. */
     private static final int MAX_BODY = 256 * 1024;
+
     private static final int MAX_DIGITS = 8;
 
     /** Where the message being read goes on; what came before it is known to be whole. */
--- a/doorman/src/main/java/barleyspur/doorman/Depots.java
+++ b/doorman/src/main/java/barleyspur/doorman/Depots.java
@@ -26,8 +26,16 @@
      * What an attempt asks for. {@code source} null: no fill; {@code tag} null: the client holds no copy.
      * {@code body} is lent: who sends it takes a reference of its own.
      */
-    record Order(Request request, double waitMs, String source, int shelf, double maxAgeMs, boolean join,
-                 boolean onlyHeld, boolean parentKeepsNone, boolean renew) { }
+    record Order(
+            Request request,
+            double waitMs,
+            String source,
+            int shelf,
+            double maxAgeMs,
+            boolean join,
+            boolean onlyHeld,
+            boolean parentKeepsNone,
+            boolean renew) {}
 
     /** An attempt that is out. */
     interface Call {
@@ -49,8 +57,7 @@
         }
 
         /** It is on its way. */
-        default void sent() {
-        }
+        default void sent() {}
     }
 
     /**
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -1,7 +1,7 @@
 package barleyspur.doorman;
 
-import barleyspur.decision.Director.Result;
 import barleyspur.decision.Director;
+import barleyspur.decision.Director.Result;
 import barleyspur.log.LogEvent;
 import java.util.ArrayDeque;
 import java.util.Collections;
@@ -24,6 +24,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("doorman");
     /** Ids given to the director stay below 2^32, where its timer tokens begin. */
     private static final long MOST_IDS = 1L << 32;
+
     private static final double PROBE_TIMEOUT_MS = 250;
     /** Ids of earlier requests that are remembered, beside those of all that may be open. */
     private static final int REMEMBERED_IDS = 8_192;
@@ -43,6 +44,7 @@
             return size() > maxOpen + REMEMBERED_IDS;
         }
     });
+
     private final NodeListings listings;
     private final StandstillMargin standstills = new StandstillMargin();
     private final ArrayDeque<Director.Event> events = new ArrayDeque<>();
@@ -51,6 +53,7 @@
     private long lastId;
     /** Requests whose answer is owed. */
     private int owed;
+
     private boolean draining;
     private Runnable drained;
 
@@ -82,7 +85,7 @@
             LogEvent.log(LOG.atWarn(), "refused: too many requests are open", "request", request.id(), "open", owed);
             request.body().release();
             handler.refused(settings.maxRetryAfterMs());
-            return () -> { };
+            return () -> {};
         }
         double now = clock.nowMs();
         lastId = (lastId + 1) % MOST_IDS;
@@ -95,8 +98,17 @@
         // Guards rule 1 against a director that leaves a request unanswered: half the slack is left by then.
         x.guard = clock.after(x.deadline - now + settings.answerSlackMs() / 2, () -> abandon(x, "left unanswered"));
         boolean write = settings.classes().get(request.category()).write();
-        tell(new Director.Request(x.id, request.category(), 0, request.object(), request.part(), request.group(),
-            Math.max(0, x.deadline - now), request.sizeKb(), false, write));
+        tell(new Director.Request(
+                x.id,
+                request.category(),
+                0,
+                request.object(),
+                request.part(),
+                request.group(),
+                Math.max(0, x.deadline - now),
+                request.sizeKb(),
+                false,
+                write));
         return () -> gone(x);
     }
 
@@ -197,7 +209,7 @@
         tell(new Director.Members(change.kind(), change.nodes()));
         if (!change.overtaken().isEmpty()) {
             overtake((x, attempt) -> change.overtaken().contains(attempt.node)
-                || change.overtaken().contains(attempt.source));
+                    || change.overtaken().contains(attempt.source));
         }
     }
 
@@ -251,9 +263,14 @@
         try {
             director.handle(clock.nowMs(), event, actions::add);
         } catch (RuntimeException e) {
-            LogEvent.log(LOG.atError().setCause(e), "director failed", "event", event.getClass().getSimpleName());
-            Exchange struck = event instanceof Director.Request r ? exchanges.get(r.id())
-                : event instanceof Director.Outcome o ? exchanges.get(o.request()) : null;
+            LogEvent.log(
+                    LOG.atError().setCause(e),
+                    "director failed",
+                    "event",
+                    event.getClass().getSimpleName());
+            Exchange struck = event instanceof Director.Request r
+                    ? exchanges.get(r.id())
+                    : event instanceof Director.Outcome o ? exchanges.get(o.request()) : null;
             if (struck != null) {
                 abandon(struck, "the director failed");
             }
@@ -284,8 +301,11 @@
             LOG.info("director: {}", a.line());
         } else {
             // Peers and a list that must be asked for do not exist on these sockets.
-            LogEvent.log(LOG.atWarn(), "director ordered what this platform lacks", "action",
-                action.getClass().getSimpleName());
+            LogEvent.log(
+                    LOG.atWarn(),
+                    "director ordered what this platform lacks",
+                    "action",
+                    action.getClass().getSimpleName());
         }
     }
 
@@ -300,8 +320,10 @@
 
     private void probe(long node) {
         double sentAt = clock.nowMs();
-        depots.probe(node, PROBE_TIMEOUT_MS, answer ->
-            tell(new Director.Probed(node, answer.result(), clock.nowMs() - sentAt, answer.load())));
+        depots.probe(
+                node,
+                PROBE_TIMEOUT_MS,
+                answer -> tell(new Director.Probed(node, answer.result(), clock.nowMs() - sentAt, answer.load())));
     }
 
     // ---- attempts --------------------------------------------------------------------------------------
@@ -353,8 +375,10 @@
             return false;
         }
         double now = clock.nowMs();
-        return x.attempts.stream().anyMatch(a -> a != next && (a.mayHaveRun || a.written && !a.ended)
-            && now - a.writtenAt >= c.keyWindowMs() - settings.tickMs());
+        return x.attempts.stream()
+                .anyMatch(a -> a != next
+                        && (a.mayHaveRun || a.written && !a.ended)
+                        && now - a.writtenAt >= c.keyWindowMs() - settings.tickMs());
     }
 
     private Depots.Order order(Exchange x, long node, double wait, Director.Get get) {
@@ -363,8 +387,16 @@
         }
         Listing from = get.source() == node ? null : listings.get(get.source());
         String source = from == null ? null : from.uid();
-        return new Depots.Order(x.request, wait, source, get.rank(), get.maxAgeMs(), get.join(), get.onlyHeld(),
-            get.parentKeepsNone(), get.renew());
+        return new Depots.Order(
+                x.request,
+                wait,
+                source,
+                get.rank(),
+                get.maxAgeMs(),
+                get.join(),
+                get.onlyHeld(),
+                get.parentKeepsNone(),
+                get.renew());
     }
 
     private void cancel(Director.Cancel a) {
@@ -388,10 +420,19 @@
             return;
         }
         Depots.Answer answer = told;
-        if (told.result() == Result.OK && told.body() == null && (told.tag() == null || !told.tag().equals(x.request.tag()))) {
+        if (told.result() == Result.OK
+                && told.body() == null
+                && (told.tag() == null || !told.tag().equals(x.request.tag()))) {
             // Only a copy that the depot has named may be called current.
-            LogEvent.log(LOG.atWarn(), "a copy that the client does not hold was called current", "node", attempt.node, "tag",
-                told.tag(), "held", x.request.tag());
+            LogEvent.log(
+                    LOG.atWarn(),
+                    "a copy that the client does not hold was called current",
+                    "node",
+                    attempt.node,
+                    "tag",
+                    told.tag(),
+                    "held",
+                    x.request.tag());
             answer = Depots.Answer.of(Result.ERROR);
         }
         attempt.ended = true;
@@ -412,8 +453,8 @@
         } else if (answer.body() != null) {
             answer.body().release();
         }
-        tell(new Director.Outcome(x.id, number, attempt.node, answer.result(), ms, x.over,
-            answer.note(), 0, answer.load()));
+        tell(new Director.Outcome(
+                x.id, number, attempt.node, answer.result(), ms, x.over, answer.note(), 0, answer.load()));
         forgetIfDone(x);
     }
 }
--- a/doorman/src/main/java/barleyspur/doorman/Exchange.java
+++ b/doorman/src/main/java/barleyspur/doorman/Exchange.java
@@ -11,13 +11,16 @@
         final long node;
         /** Where a miss is filled from; the node itself where it is not. */
         final long source;
+
         final double sentAt;
         /** Null where the attempt was never sent. */
         Depots.Call call;
+
         Clock.Timer timeout;
         boolean ended;
         /** Its first byte has gone out, and when; until then nothing can have run. */
         boolean written;
+
         double writtenAt;
         /** It is back, and its end does not prove that it never ran. */
         boolean mayHaveRun;
--- a/doorman/src/main/java/barleyspur/doorman/Listing.java
+++ b/doorman/src/main/java/barleyspur/doorman/Listing.java
@@ -7,8 +7,15 @@
 import java.util.regex.Pattern;
 
 /** One node as the command channel lists it; {@code bootMs} is a Unix time, or 0 for long ago. */
-public record Listing(String uid, InetSocketAddress address, int zone, int kind, int cell, Director.State state,
-                      double size, double bootMs) {
+public record Listing(
+        String uid,
+        InetSocketAddress address,
+        int zone,
+        int kind,
+        int cell,
+        Director.State state,
+        double size,
+        double bootMs) {
 
     private static final int HEX = 16;
     private static final Pattern NUMBERED = Pattern.compile("[a-z]*-([0-9a-f]{1,8})");
--- a/doorman/src/main/java/barleyspur/doorman/LoopClock.java
+++ b/doorman/src/main/java/barleyspur/doorman/LoopClock.java
@@ -34,10 +34,13 @@
     @Override
     public Timer after(double delayMs, Runnable task) {
         double dueMs = nowMs() + Math.max(0, delayMs);
-        Future<?> scheduled = loop.schedule(() -> {
-            RequestTrace.timerRan(nowMs() - dueMs);
-            task.run();
-        }, Math.max(0, Math.round(delayMs * NANOS_PER_MS)), TimeUnit.NANOSECONDS);
+        Future<?> scheduled = loop.schedule(
+                () -> {
+                    RequestTrace.timerRan(nowMs() - dueMs);
+                    task.run();
+                },
+                Math.max(0, Math.round(delayMs * NANOS_PER_MS)),
+                TimeUnit.NANOSECONDS);
         return () -> scheduled.cancel(false);
     }
 }
--- a/doorman/src/main/java/barleyspur/doorman/NodeListings.java
+++ b/doorman/src/main/java/barleyspur/doorman/NodeListings.java
@@ -22,7 +22,7 @@
      * What a list told: the nodes in the director's form, and the numbers of those on which work that was decided
      * before must not go out any more.
      */
-    record Change(Director.ListKind kind, List<Director.Node> nodes, Set<Long> overtaken) { }
+    record Change(Director.ListKind kind, List<Director.Node> nodes, Set<Long> overtaken) {}
 
     private final Depots depots;
     private final Map<Long, Listing> listed = new HashMap<>();
@@ -40,8 +40,8 @@
     /** Takes a list over, a whole one or what has changed. */
     Change apply(boolean whole, List<Listing> listings) {
         Director.ListKind full = listedOnce ? Director.ListKind.FULL : Director.ListKind.CACHED;
-        Change change = new Change(whole ? full : Director.ListKind.DELTA, new ArrayList<>(listings.size()),
-            new HashSet<>());
+        Change change =
+                new Change(whole ? full : Director.ListKind.DELTA, new ArrayList<>(listings.size()), new HashSet<>());
         listedOnce = true;
         List<String> added = new ArrayList<>();
         List<String> draining = new ArrayList<>();
@@ -53,8 +53,15 @@
             long node = l.node();
             Listing known = listed.get(node);
             if (known != null && !known.uid().equals(l.uid())) {
-                LogEvent.log(LOG.atError(), "node passed over: its number is another's", "uid", l.uid(), "node", node,
-                    "other", known.uid());
+                LogEvent.log(
+                        LOG.atError(),
+                        "node passed over: its number is another's",
+                        "uid",
+                        l.uid(),
+                        "node",
+                        node,
+                        "other",
+                        known.uid());
                 continue;
             }
             if (l.state() != Director.State.READY || known != null && !known.sameProcess(l)) {
@@ -94,8 +101,8 @@
     }
 
     private static String describe(long node, Listing l) {
-        return node + "=" + l.uid() + "@" + l.address().getHostString() + ":" + l.address().getPort() + "/" + l.kind()
-            + "/" + (long) l.bootMs();
+        return node + "=" + l.uid() + "@" + l.address().getHostString() + ":"
+                + l.address().getPort() + "/" + l.kind() + "/" + (long) l.bootMs();
     }
 
     private static void log(String event, List<String> nodes) {
--- a/doorman/src/main/java/barleyspur/doorman/RequestTrace.java
+++ b/doorman/src/main/java/barleyspur/doorman/RequestTrace.java
@@ -16,13 +16,28 @@
     /** A timer that runs so late shows a busy event loop or process. */
     private static final double LATE_MS = 50;
 
-    private RequestTrace() { }
+    private RequestTrace() {}
 
     /** {@code waitedMs}: how long it may have waited to be read. */
     static void taken(Request request, double waitedMs) {
         if (LOG.isDebugEnabled()) {
-            LogEvent.log(LOG.atDebug(), "request taken", "request", request.id(), "class", request.className(), "object",
-                request.key(), "part", request.part(), "left", Math.round(request.remainingMs()), "kb", Math.round(request.sizeKb()), "waited", Math.round(waitedMs));
+            LogEvent.log(
+                    LOG.atDebug(),
+                    "request taken",
+                    "request",
+                    request.id(),
+                    "class",
+                    request.className(),
+                    "object",
+                    request.key(),
+                    "part",
+                    request.part(),
+                    "left",
+                    Math.round(request.remainingMs()),
+                    "kb",
+                    Math.round(request.sizeKb()),
+                    "waited",
+                    Math.round(waitedMs));
         }
     }
 
@@ -30,24 +45,58 @@
     static void sent(Exchange x, int number, long node, Director.Get get) {
         if (LOG.isDebugEnabled()) {
             boolean sourced = get != null && get.source() != node;
-            LogEvent.log(LOG.atDebug(), "attempt sent", "request", x.request.id(), "number", number, "node", node, "source",
-                sourced ? get.source() : Director.NO_NODE, "rank", get == null ? 0 : get.rank(), "age",
-                get == null ? 0 : Math.round(get.maxAgeMs()));
+            LogEvent.log(
+                    LOG.atDebug(),
+                    "attempt sent",
+                    "request",
+                    x.request.id(),
+                    "number",
+                    number,
+                    "node",
+                    node,
+                    "source",
+                    sourced ? get.source() : Director.NO_NODE,
+                    "rank",
+                    get == null ? 0 : get.rank(),
+                    "age",
+                    get == null ? 0 : Math.round(get.maxAgeMs()));
         }
     }
 
     static void ended(Exchange x, int number, Depots.Answer answer, double ms) {
         if (LOG.isDebugEnabled()) {
-            LogEvent.log(LOG.atDebug(), "attempt ended", "request", x.request.id(), "number", number, "node",
-                x.attempts.get(number).node, "result", answer.result(), "note", answer.note(), "ms", Math.round(ms));
+            LogEvent.log(
+                    LOG.atDebug(),
+                    "attempt ended",
+                    "request",
+                    x.request.id(),
+                    "number",
+                    number,
+                    "node",
+                    x.attempts.get(number).node,
+                    "result",
+                    answer.result(),
+                    "note",
+                    answer.note(),
+                    "ms",
+                    Math.round(ms));
         }
     }
 
     /** {@code how}: served, refused, failed or gone. */
     static void over(Exchange x, String how, double ms) {
         if (LOG.isDebugEnabled()) {
-            LogEvent.log(LOG.atDebug(), "request over", "request", x.request.id(), "how", how, "attempts",
-                x.attempts.size(), "ms", Math.round(ms));
+            LogEvent.log(
+                    LOG.atDebug(),
+                    "request over",
+                    "request",
+                    x.request.id(),
+                    "how",
+                    how,
+                    "attempts",
+                    x.attempts.size(),
+                    "ms",
+                    Math.round(ms));
         }
     }
 
@@ -64,7 +113,17 @@
      */
     public static void written(String requestId, String how, int bytes, Throwable cause) {
         if (LOG.isDebugEnabled()) {
-            LogEvent.log(LOG.atDebug(), "answer written", "request", requestId, "how", how, "bytes", bytes, "failure", cause);
+            LogEvent.log(
+                    LOG.atDebug(),
+                    "answer written",
+                    "request",
+                    requestId,
+                    "how",
+                    how,
+                    "bytes",
+                    bytes,
+                    "failure",
+                    cause);
         }
     }
 
@@ -78,8 +137,17 @@
     /** A client's connection has ended: why, and how many answers were still open or unwritten on it. */
     public static void connectionEnded(Object client, Object why, int open, int unwritten) {
         if (LOG.isDebugEnabled()) {
-            LogEvent.log(LOG.atDebug(), "connection ended", "client", client, "why", why, "open", open, "unwritten",
-                unwritten);
+            LogEvent.log(
+                    LOG.atDebug(),
+                    "connection ended",
+                    "client",
+                    client,
+                    "why",
+                    why,
+                    "open",
+                    open,
+                    "unwritten",
+                    unwritten);
         }
     }
 }
--- a/doorman/src/main/java/barleyspur/doorman/SocketPolls.java
+++ b/doorman/src/main/java/barleyspur/doorman/SocketPolls.java
@@ -30,6 +30,7 @@
     private DoubleSupplier nowMs = () -> 0;
     /** When the sockets were last looked at. */
     private double polledAtMs;
+
     private double pendingSinceMs;
     /** The loop has gone to wait for its sockets, or has just come back. */
     private boolean waiting = true;
@@ -87,7 +88,8 @@
         private IoHandlerContext context;
 
         ObservedIoHandler(ThreadAwareExecutor executor) {
-            handler = NioIoHandler.newFactory(SelectorProvider.provider(), () -> this::poll).newHandler(executor);
+            handler = NioIoHandler.newFactory(SelectorProvider.provider(), () -> this::poll)
+                    .newHandler(executor);
         }
 
         private int poll(IntSupplier pollNow, boolean hasTasks) throws Exception {
--- a/doorman/src/main/java/barleyspur/expect/Ask.java
+++ b/doorman/src/main/java/barleyspur/expect/Ask.java
@@ -15,5 +15,15 @@
  * @param remainingMs how long the client waits for this try
  * @param leavesMs when the client leaves by itself, from the start of the try; 0: it doesn't
  */
-public record Ask(int number, double atMs, int doorman, int category, long object, String set, int part, int group,
-                  double sizeKb, double remainingMs, double leavesMs) { }
+public record Ask(
+        int number,
+        double atMs,
+        int doorman,
+        int category,
+        long object,
+        String set,
+        int part,
+        int group,
+        double sizeKb,
+        double remainingMs,
+        double leavesMs) {}
--- a/doorman/src/main/java/barleyspur/expect/Box.java
+++ b/doorman/src/main/java/barleyspur/expect/Box.java
@@ -10,4 +10,4 @@
  * @param cell     the group of boxes that drop repeats together
  * @param size     the transfers to clients that its link carries at once, over 0
  */
-public record Box(String uid, long node, int zone, int kind, int cell, double size) { }
+public record Box(String uid, long node, int zone, int kind, int cell, double size) {}
--- a/doorman/src/main/java/barleyspur/expect/Checker.java
+++ b/doorman/src/main/java/barleyspur/expect/Checker.java
@@ -12,11 +12,14 @@
 public final class Checker {
 
     /** What is to be checked: expectations, and where. */
-    public record Book(List<Expectation> expectations, List<Site> fleets, List<Load> loads, List<Case> cases, int depth) { }
+    public record Book(
+            List<Expectation> expectations, List<Site> fleets, List<Load> loads, List<Case> cases, int depth) {}
 
     /** How it went with one expectation. */
     public enum Verdict {
-        HOLDS("holds"), REFUTED("refuted"), VACUOUS("vacuous");
+        HOLDS("holds"),
+        REFUTED("refuted"),
+        VACUOUS("vacuous");
 
         private final String word;
 
@@ -36,28 +39,38 @@
      * @param found how many events, requests and boxes it had when it was found
      * @param scenario what is left of it
      */
-    public record Counterexample(Scenario scenario, String expectation, int foundEvents, int foundRequests,
-                                 int foundBoxes, int plays) { }
+    public record Counterexample(
+            Scenario scenario, String expectation, int foundEvents, int foundRequests, int foundBoxes, int plays) {}
 
     /**
      * @param judged how many moments or windows it spoke of
      * @param held   of how many of them it held
      * @param counterexample null unless refuted
      */
-    public record Finding(Expectation expectation, Verdict verdict, long judged, long held, int refutedAtScenario,
-                          Counterexample counterexample) { }
+    public record Finding(
+            Expectation expectation,
+            Verdict verdict,
+            long judged,
+            long held,
+            int refutedAtScenario,
+            Counterexample counterexample) {}
 
     /** Two expectations that no moment met both of. */
-    public record Conflict(Expectation one, Expectation other, long moments) { }
+    public record Conflict(Expectation one, Expectation other, long moments) {}
 
     /** All that was found, and how much was played. */
-    public record Result(List<Finding> findings, List<Conflict> conflicts, long scenarios, long decisions,
-                         long requests, List<String> covered) {
+    public record Result(
+            List<Finding> findings,
+            List<Conflict> conflicts,
+            long scenarios,
+            long decisions,
+            long requests,
+            List<String> covered) {
 
         /** Whether every expectation holds; vacuous ones do where {@code strict} is false. */
         public boolean good(boolean strict) {
-            return findings.stream().noneMatch(f -> f.verdict() == Verdict.REFUTED
-                || strict && f.verdict() == Verdict.VACUOUS);
+            return findings.stream()
+                    .noneMatch(f -> f.verdict() == Verdict.REFUTED || strict && f.verdict() == Verdict.VACUOUS);
         }
     }
 
@@ -72,10 +85,10 @@
         /** Tells nobody. */
         Progress NONE = new Progress() {
             @Override
-            public void played(long scenarios, long decisions, int refuted) { }
+            public void played(long scenarios, long decisions, int refuted) {}
 
             @Override
-            public void shrinking(String expectation) { }
+            public void shrinking(String expectation) {}
         };
     }
 
@@ -130,8 +143,13 @@
         for (int i = 0; i < totals.size(); i++) {
             findings.add(finding(i));
         }
-        return new Result(findings, conflicts(), scenarios, decisions, requests,
-            explorers.stream().map(Explorer::covered).toList());
+        return new Result(
+                findings,
+                conflicts(),
+                scenarios,
+                decisions,
+                requests,
+                explorers.stream().map(Explorer::covered).toList());
     }
 
     private void play(Explorer.Plan plan, Site fleet) {
@@ -139,8 +157,9 @@
         List<Integer> places = new ArrayList<>();
         for (int i = 0; i < book.expectations().size(); i++) {
             Expectation e = book.expectations().get(i);
-            if (speaksOf(e.fleets(), fleet.name()) && speaksOf(e.cases(), plan.caseName())
-                && speaksOf(e.loads(), plan.loadName())) {
+            if (speaksOf(e.fleets(), fleet.name())
+                    && speaksOf(e.cases(), plan.caseName())
+                    && speaksOf(e.loads(), plan.loadName())) {
                 about.add(e);
                 places.add(i);
             }
@@ -167,7 +186,8 @@
         }
         // A share is not refuted by one moment.
         int refuted = (int) violations.values().stream()
-            .filter(v -> !(v.expectation().form() instanceof Expectation.Share)).count();
+                .filter(v -> !(v.expectation().form() instanceof Expectation.Share))
+                .count();
         progress.played(scenarios, decisions, refuted);
     }
 
@@ -188,8 +208,13 @@
         Expectation e = book.expectations().get(i);
         if (e.form() instanceof Expectation.Figures f) {
             int broken = f.broken().size();
-            return new Finding(e, broken == 0 ? Verdict.HOLDS : Verdict.REFUTED, f.figures().size(),
-                f.figures().size() - broken, 0, null);
+            return new Finding(
+                    e,
+                    broken == 0 ? Verdict.HOLDS : Verdict.REFUTED,
+                    f.figures().size(),
+                    f.figures().size() - broken,
+                    0,
+                    null);
         }
         Judge.Tally t = totals.get(i);
         boolean refuted = violations.containsKey(i);
@@ -207,8 +232,13 @@
         Scenario from = foundIn.get(i).scenario();
         Shrinker shrinker = new Shrinker(s -> judge(s, List.of(e)).tallies().get(0).first != null, SHRINK_PLAYS);
         Scenario small = shrinker.shrink(from, violations.get(i).atMs());
-        return new Counterexample(small, e.name(), from.faults().size(), from.asks().size(),
-            from.site().boxes().size(), SHRINK_PLAYS - Math.max(0, shrinker.left()));
+        return new Counterexample(
+                small,
+                e.name(),
+                from.faults().size(),
+                from.asks().size(),
+                from.site().boxes().size(),
+                SHRINK_PLAYS - Math.max(0, shrinker.left()));
     }
 
     private List<Conflict> conflicts() {
@@ -217,8 +247,8 @@
             for (Map.Entry<Integer, long[]> shared : totals.get(i).shared.entrySet()) {
                 long[] counts = shared.getValue();
                 if (counts[0] >= LEAST_SHARED && counts[1] == 0) {
-                    conflicts.add(new Conflict(book.expectations().get(i), book.expectations().get(shared.getKey()),
-                        counts[0]));
+                    conflicts.add(new Conflict(
+                            book.expectations().get(i), book.expectations().get(shared.getKey()), counts[0]));
                 }
             }
         }
--- a/doorman/src/main/java/barleyspur/expect/Condition.java
+++ b/doorman/src/main/java/barleyspur/expect/Condition.java
@@ -7,7 +7,11 @@
 public sealed interface Condition permits Condition.All, Condition.Either, Condition.Not, Condition.Test {
 
     /** Of which moments it speaks. */
-    enum Kind { ANY, ATTEMPT, ANSWER }
+    enum Kind {
+        ANY,
+        ATTEMPT,
+        ANSWER
+    }
 
     /**
      * Whether it holds of a moment.
@@ -159,8 +163,9 @@
         if (condition instanceof Test test) {
             return test;
         }
-        List<Condition> parts = condition instanceof All all ? all.parts()
-            : condition instanceof Either either ? either.parts() : List.of(((Not) condition).part());
+        List<Condition> parts = condition instanceof All all
+                ? all.parts()
+                : condition instanceof Either either ? either.parts() : List.of(((Not) condition).part());
         return parts.isEmpty() ? null : first(parts.get(0));
     }
 }
--- a/doorman/src/main/java/barleyspur/expect/Expectation.java
+++ b/doorman/src/main/java/barleyspur/expect/Expectation.java
@@ -14,47 +14,64 @@
  * @param given which moments it speaks of
  * @param after the change that opens a window for it, or null: it speaks of all moments
  */
-public record Expectation(String name, String about, String place, Set<String> fleets, Set<String> cases,
-                          Set<String> loads, Condition given, Form form, After after) {
+public record Expectation(
+        String name,
+        String about,
+        String place,
+        Set<String> fleets,
+        Set<String> cases,
+        Set<String> loads,
+        Condition given,
+        Form form,
+        After after) {
 
     /** What must hold. */
-    public sealed interface Form permits Must, Never, Share, Eventually, Count,
-        Figures {
+    public sealed interface Form permits Must, Never, Share, Eventually, Count, Figures {
         /** What is to hold. */
         Condition that();
     }
 
     /** Of each moment. */
-    public record Must(Condition that) implements Form { }
+    public record Must(Condition that) implements Form {}
 
     /** Of no moment. */
-    public record Never(Condition that) implements Form { }
+    public record Never(Condition that) implements Form {}
 
     /** Of at least and at most such a share of all moments of all scenarios. */
-    public record Share(Condition that, double least, double most) implements Form { }
+    public record Share(Condition that, double least, double most) implements Form {}
 
     /**
      * Of at least one moment of each window that has lasted.
      *
      * @param chances a window with fewer moments shows nothing
      */
-    public record Eventually(Condition that, int chances) implements Form { }
+    public record Eventually(Condition that, int chances) implements Form {}
 
     /** What a count goes by. */
-    public enum Per { REQUEST, OBJECT, BOX, STATION, SCENARIO }
+    public enum Per {
+        REQUEST,
+        OBJECT,
+        BOX,
+        STATION,
+        SCENARIO
+    }
 
     /** What is counted. */
-    public enum Of { ATTEMPTS, TARGETS, SOURCES }
+    public enum Of {
+        ATTEMPTS,
+        TARGETS,
+        SOURCES
+    }
 
     /**
      * The number of attempts, or of different targets or sources, that moments share.
      *
      * @param least counted at the scenario's end, where there were moments at all
      */
-    public record Count(Of of, Per per, double least, double most, Condition that) implements Form { }
+    public record Count(Of of, Per per, double least, double most, Condition that) implements Form {}
 
     /** One of the settings' figures: what it is and what it is to be. */
-    public record Figure(double value, Condition.Range wanted, String place, String text) { }
+    public record Figure(double value, Condition.Range wanted, String place, String text) {}
 
     /** Of the settings themselves: nothing needs to be played. */
     public record Figures(List<Figure> figures) implements Form {
@@ -80,8 +97,15 @@
      * @param byMs     and ends so long after it
      * @param until    what a doorman is told of the same box that closes it early
      */
-    public record After(Set<Moment.Told> told, boolean started, Set<Fault.Kind> happens, Set<Site.Role> roles, boolean own,
-                        double fromMs, double byMs, Set<Moment.Told> until) { }
+    public record After(
+            Set<Moment.Told> told,
+            boolean started,
+            Set<Fault.Kind> happens,
+            Set<Site.Role> roles,
+            boolean own,
+            double fromMs,
+            double byMs,
+            Set<Moment.Told> until) {}
 
     /** Attempts or answers; attempts where nothing tells. */
     Condition.Kind kind() {
--- a/doorman/src/main/java/barleyspur/expect/Explorer.java
+++ b/doorman/src/main/java/barleyspur/expect/Explorer.java
@@ -23,7 +23,7 @@
      *
      * @param caseName of the case in the files, or empty
      */
-    record Plan(Scenario scenario, String caseName, String loadName) { }
+    record Plan(Scenario scenario, String caseName, String loadName) {}
 
     private static final double FIRST_MS = 1_000;
     private static final double GAP_MS = 700;
@@ -33,7 +33,7 @@
     /** How often each case is played at each load. */
     static final int VARIANTS = 3;
 
-    private record Symbol(Fault.Kind kind, Box box, String sort) { }
+    private record Symbol(Fault.Kind kind, Box box, String sort) {}
 
     private final Site whole;
     private final Site twin;
@@ -77,8 +77,10 @@
             }
         }
         for (int zone : new HashSet<>(twin.doormanZones())) {
-            twin.boxes().stream().filter(b -> b.zone() == zone).findFirst()
-                .ifPresent(b -> symbols.add(new Symbol(Fault.Kind.LINK, b, "link")));
+            twin.boxes().stream()
+                    .filter(b -> b.zone() == zone)
+                    .findFirst()
+                    .ifPresent(b -> symbols.add(new Symbol(Fault.Kind.LINK, b, "link")));
         }
         symbols.add(new Symbol(Fault.Kind.STALE, null, ""));
         symbols.add(new Symbol(Fault.Kind.PURGE, null, ""));
@@ -95,9 +97,10 @@
     /** What the exhaustive part has covered so far, in words. */
     String covered() {
         return played + " orders of up to " + (exhausted ? depth : Math.max(1, length)) + " of " + symbols.size()
-            + " events in " + twin.name() + " (" + twin.boxes().size() + " boxes, " + twin.settings().size()
-            + " doormans), " + skipped + " left out as equal or without effect"
-            + (exhausted ? ": all there are" : ": not all");
+                + " events in " + twin.name() + " (" + twin.boxes().size() + " boxes, "
+                + twin.settings().size()
+                + " doormans), " + skipped + " left out as equal or without effect"
+                + (exhausted ? ": all there are" : ": not all");
     }
 
     /** The next scenario; null where there are none left. */
@@ -140,8 +143,10 @@
     }
 
     private static Plan plan(Site site, Load load, List<Fault> faults, long variant, String caseName) {
-        return new Plan(Scenario.of(site, variant, load.retries(), load.marked(), faults, load.asks(site, variant)),
-            caseName, load.name());
+        return new Plan(
+                Scenario.of(site, variant, load.retries(), load.marked(), faults, load.asks(site, variant)),
+                caseName,
+                load.name());
     }
 
     // ---- orders ----------------------------------------------------------------------------------------
@@ -173,8 +178,9 @@
             }
             int place = sorts.get(s.sort()).indexOf(s.box());
             int next = used.getOrDefault(s.sort(), 0);
-            boolean effect = !gone.contains(s.box()) && (s.kind() != Fault.Kind.RETURN || away.contains(s.box()))
-                && (s.kind() != Fault.Kind.DRAIN || !away.contains(s.box()));
+            boolean effect = !gone.contains(s.box())
+                    && (s.kind() != Fault.Kind.RETURN || away.contains(s.box()))
+                    && (s.kind() != Fault.Kind.DRAIN || !away.contains(s.box()));
             if (place > next || !effect) {
                 return false;
             }
@@ -217,7 +223,8 @@
                 kinds.add(kind);
             }
         }
-        List<Symbol> some = symbols.stream().filter(s -> kinds.contains(s.kind())).toList();
+        List<Symbol> some =
+                symbols.stream().filter(s -> kinds.contains(s.kind())).toList();
         return some.isEmpty() ? symbols : some;
     }
 
@@ -229,12 +236,18 @@
             Symbol s = some.get(random.nextInt(some.size()));
             Box box = s.box();
             if (box != null && site != twin) {
-                List<Box> same = site.boxes().stream().filter(b -> site.role(b) == twin.role(s.box())).toList();
+                List<Box> same = site.boxes().stream()
+                        .filter(b -> site.role(b) == twin.role(s.box()))
+                        .toList();
                 box = same.get(random.nextInt(same.size()));
             }
-            faults.add(fault(s.kind(), box, random.nextDouble() * load.lengthMs() * 0.8,
-                100 + random.nextDouble() * random.nextDouble() * 4_700, 500 + random.nextDouble() * 7_500,
-                1 + random.nextInt(Math.max(1, load.hot()))));
+            faults.add(fault(
+                    s.kind(),
+                    box,
+                    random.nextDouble() * load.lengthMs() * 0.8,
+                    100 + random.nextDouble() * random.nextDouble() * 4_700,
+                    500 + random.nextDouble() * 7_500,
+                    1 + random.nextInt(Math.max(1, load.hot()))));
         }
         faults.sort((a, b) -> Double.compare(a.atMs(), b.atMs()));
         return faults;
--- a/doorman/src/main/java/barleyspur/expect/Fault.java
+++ b/doorman/src/main/java/barleyspur/expect/Fault.java
@@ -74,6 +74,6 @@
     @Override
     public String toString() {
         return kind.word + (node < 0 ? "" : " of node " + node) + " at " + Math.round(atMs) + " ms"
-            + (kind.told ? ", told after " + Math.round(toldMs) + " ms" : " for " + Math.round(forMs) + " ms");
+                + (kind.told ? ", told after " + Math.round(toldMs) + " ms" : " for " + Math.round(forMs) + " ms");
     }
 }
--- a/doorman/src/main/java/barleyspur/expect/Field.java
+++ b/doorman/src/main/java/barleyspur/expect/Field.java
@@ -9,9 +9,11 @@
 
 /** Everything that a test can ask of a moment, by the block it stands in and its key. */
 public enum Field {
-
     CLASS("request", "class", Type.WORD, Kind.ANY, asked(a -> a.category())),
-    EFFECT("request", "effect", Type.WORD, Kind.ANY, asked(a -> a.grade().effect().name().toLowerCase(Locale.ROOT))),
+    EFFECT("request", "effect", Type.WORD, Kind.ANY, asked(a -> a.grade()
+            .effect()
+            .name()
+            .toLowerCase(Locale.ROOT))),
     REQUEST_STATION("request", "station", Type.WORD, Kind.ANY, asked(a -> a.station())),
     OBJECTS("request", "objects", Type.WORD, Kind.ANY, asked(a -> a.ask().set())),
     SIZE("request", "size_kb", Type.NUMBER, Kind.ANY, asked(a -> a.ask().sizeKb())),
@@ -21,7 +23,8 @@
     PARTS("request", "parts", Type.FLAG, Kind.ANY, asked(a -> a.grade().parts())),
     REPEAT("request", "repeat", Type.FLAG, Kind.ANY, asked(a -> a.repeat())),
     TRY("request", "try", Type.NUMBER, Kind.ANY, asked(a -> (double) a.attempt())),
-    DOORMAN("request", "doorman", Type.NUMBER, Kind.ANY, asked(a -> (double) a.ask().doorman())),
+    DOORMAN("request", "doorman", Type.NUMBER, Kind.ANY, asked(a ->
+            (double) a.ask().doorman())),
 
     NUMBER("attempt", "number", Type.NUMBER, Kind.ATTEMPT, sent(a -> (double) a.number())),
     SPACING("attempt", "spacing", Type.TIME, Kind.ATTEMPT, sent(a -> a.spacingMs())),
@@ -42,33 +45,47 @@
     TARGET_MODEL("target", "model", Type.WORD, Kind.ATTEMPT, target(s -> s.model())),
     TARGET_STATION("target", "station", Type.WORD, Kind.ATTEMPT, target(s -> s.station())),
     TARGET_OWN("target", "own", Type.FLAG, Kind.ATTEMPT, target(s -> s.own())),
-    TARGET_STATE("target", "state", Type.WORD, Kind.ATTEMPT, target(s -> s.told().word())),
+    TARGET_STATE(
+            "target", "state", Type.WORD, Kind.ATTEMPT, target(s -> s.told().word())),
     TARGET_TOLD_FOR("target", "told_for", Type.TIME, Kind.ATTEMPT, target(s -> s.toldForMs())),
-    TARGET_ACTUAL("target", "actual", Type.WORD, Kind.ATTEMPT, target(s -> s.actual().word())),
+    TARGET_ACTUAL(
+            "target", "actual", Type.WORD, Kind.ATTEMPT, target(s -> s.actual().word())),
     TARGET_COLD("target", "cold", Type.FLAG, Kind.ATTEMPT, target(s -> !Double.isNaN(s.coldForMs()))),
     TARGET_COLD_FOR("target", "cold_for", Type.TIME, Kind.ATTEMPT, target(s -> known(s.coldForMs()))),
     TARGET_FAULT("target", "fault", Type.WORD, Kind.ATTEMPT, target(s -> s.fault())),
     TARGET_PRESSURE("target", "pressure", Type.NUMBER, Kind.ATTEMPT, target(s -> s.pressure())),
     TARGET_PRESSURE_ALL("target", "pressure_of_all", Type.NUMBER, Kind.ATTEMPT, target(s -> s.pressureOfAll())),
     TARGET_TRIED("target", "tried", Type.NUMBER, Kind.ATTEMPT, target(s -> (double) s.tried())),
-    TARGET_SAME("target", "same", Type.FLAG, Kind.ATTEMPT, (m, t) ->
-        m instanceof Moment.Attempt a ? a.target().box().node() == t : null),
+    TARGET_SAME(
+            "target",
+            "same",
+            Type.FLAG,
+            Kind.ATTEMPT,
+            (m, t) -> m instanceof Moment.Attempt a ? a.target().box().node() == t : null),
 
     SOURCE_BOX("source", "box", Type.WORD, Kind.ATTEMPT, source(s -> s.box().uid())),
     SOURCE_ROLE("source", "kind", Type.WORD, Kind.ATTEMPT, source(s -> s.role().word())),
     SOURCE_MODEL("source", "model", Type.WORD, Kind.ATTEMPT, source(s -> s.model())),
     SOURCE_STATION("source", "station", Type.WORD, Kind.ATTEMPT, source(s -> s.station())),
     SOURCE_OWN("source", "own", Type.FLAG, Kind.ATTEMPT, source(s -> s.own())),
-    SOURCE_STATE("source", "state", Type.WORD, Kind.ATTEMPT, source(s -> s.told().word())),
+    SOURCE_STATE(
+            "source", "state", Type.WORD, Kind.ATTEMPT, source(s -> s.told().word())),
     SOURCE_TOLD_FOR("source", "told_for", Type.TIME, Kind.ATTEMPT, source(s -> s.toldForMs())),
-    SOURCE_ACTUAL("source", "actual", Type.WORD, Kind.ATTEMPT, source(s -> s.actual().word())),
+    SOURCE_ACTUAL(
+            "source", "actual", Type.WORD, Kind.ATTEMPT, source(s -> s.actual().word())),
     SOURCE_COLD("source", "cold", Type.FLAG, Kind.ATTEMPT, source(s -> !Double.isNaN(s.coldForMs()))),
     SOURCE_COLD_FOR("source", "cold_for", Type.TIME, Kind.ATTEMPT, source(s -> known(s.coldForMs()))),
     SOURCE_FAULT("source", "fault", Type.WORD, Kind.ATTEMPT, source(s -> s.fault())),
     SOURCE_PRESSURE("source", "pressure", Type.NUMBER, Kind.ATTEMPT, source(s -> s.pressure())),
     SOURCE_PRESSURE_ALL("source", "pressure_of_all", Type.NUMBER, Kind.ATTEMPT, source(s -> s.pressureOfAll())),
-    SOURCE_SAME("source", "same", Type.FLAG, Kind.ATTEMPT, (m, t) ->
-        m instanceof Moment.Attempt a && a.source() != null ? a.source().box().node() == t : null),
+    SOURCE_SAME(
+            "source",
+            "same",
+            Type.FLAG,
+            Kind.ATTEMPT,
+            (m, t) -> m instanceof Moment.Attempt a && a.source() != null
+                    ? a.source().box().node() == t
+                    : null),
 
     OUTCOME("answer", "outcome", Type.WORD, Kind.ANSWER, ended(a -> a.ending().word())),
     BACK("answer", "w", Type.TIME, Kind.ANSWER, ended(a -> a.backMs())),
@@ -84,7 +101,12 @@
     PURGED("answer", "purged_copy", Type.FLAG, Kind.ANSWER, ended(a -> a.olderThanPurge()));
 
     /** The values a field has. */
-    public enum Type { WORD, NUMBER, TIME, FLAG }
+    public enum Type {
+        WORD,
+        NUMBER,
+        TIME,
+        FLAG
+    }
 
     private final String block;
     private final String key;
--- a/doorman/src/main/java/barleyspur/expect/Judge.java
+++ b/doorman/src/main/java/barleyspur/expect/Judge.java
@@ -18,15 +18,17 @@
      * @param broken the line of the expectation that does not hold; null where none can be named
      * @param what   in words
      */
-    record Violation(Expectation expectation, double atMs, Moment moment, Condition.Test broken, String what) { }
+    record Violation(Expectation expectation, double atMs, Moment moment, Condition.Test broken, String what) {}
 
     /** How one expectation fared in one scenario, or in many. */
     static final class Tally {
         /** Moments or windows that it spoke of. */
         long judged;
+
         long held;
         /** Moments that it spoke of as well as the expectation of that place in the list, and how many both hold of. */
         final Map<Integer, long[]> shared = new HashMap<>();
+
         Violation first;
 
         void add(Tally other) {
@@ -57,7 +59,7 @@
         }
     }
 
-    private record Counted(Set<Object> values, long[] attempts) { }
+    private record Counted(Set<Object> values, long[] attempts) {}
 
     private final Site site;
     private final List<Expectation> expectations;
@@ -67,6 +69,7 @@
     private final List<Map<Object, Counted>> counts = new ArrayList<>();
     /** What each expectation said of the moment at hand: null: nothing. */
     private final Boolean[] said;
+
     private double lastAt;
 
     Judge(Site site, List<Expectation> expectations) {
@@ -101,7 +104,8 @@
         lastAt = atMs;
         for (int i = 0; i < expectations.size(); i++) {
             Expectation.After after = expectations.get(i).after();
-            boolean here = after != null && (!after.own() || site.settings().get(doorman).zone() == box.zone());
+            boolean here = after != null
+                    && (!after.own() || site.settings().get(doorman).zone() == box.zone());
             if (!here || !covers(after, box)) {
                 continue;
             }
@@ -141,7 +145,8 @@
                 judge(i, moment, -1, null);
             } else {
                 for (Window w : windows.get(i)) {
-                    boolean here = w.doorman < 0 || w.doorman == moment.asked().ask().doorman();
+                    boolean here =
+                            w.doorman < 0 || w.doorman == moment.asked().ask().doorman();
                     if (here && moment.atMs() >= w.from && moment.atMs() < w.by) {
                         judge(i, moment, w.node, w);
                     }
@@ -162,13 +167,23 @@
         if (form instanceof Expectation.Share share) {
             // Where too many are so, one that is so shows why; else one that is not.
             boolean shows = share.least() > 0 ? !that : that;
-            note(i, that, moment, that ? null : e.form().that().broken(moment, trigger),
-                share.least() > 0 ? "does not hold" : "holds too often", shows);
+            note(
+                    i,
+                    that,
+                    moment,
+                    that ? null : e.form().that().broken(moment, trigger),
+                    share.least() > 0 ? "does not hold" : "holds too often",
+                    shows);
         } else if (form instanceof Expectation.Must) {
             note(i, that, moment, that ? null : e.form().that().broken(moment, trigger), "does not hold", !that);
         } else if (form instanceof Expectation.Never) {
-            note(i, !that, moment, that ? new Condition.Not(e.form().that()).broken(moment, trigger) : null,
-                "must never hold", that);
+            note(
+                    i,
+                    !that,
+                    moment,
+                    that ? new Condition.Not(e.form().that()).broken(moment, trigger) : null,
+                    "must never hold",
+                    that);
         } else if (form instanceof Expectation.Eventually) {
             window.moments++;
             window.met |= that;
@@ -192,13 +207,14 @@
     }
 
     private void count(int i, Expectation.Count c, Moment.Attempt a) {
-        Object key = switch (c.per()) {
-            case REQUEST -> a.asked().number();
-            case OBJECT -> a.asked().ask().object();
-            case BOX -> a.target().box().node();
-            case STATION -> a.asked().zone();
-            case SCENARIO -> 0;
-        };
+        Object key =
+                switch (c.per()) {
+                    case REQUEST -> a.asked().number();
+                    case OBJECT -> a.asked().ask().object();
+                    case BOX -> a.target().box().node();
+                    case STATION -> a.asked().zone();
+                    case SCENARIO -> 0;
+                };
         Counted counted = counts.get(i).computeIfAbsent(key, k -> new Counted(new HashSet<>(), new long[1]));
         counted.attempts[0]++;
         if (c.of() == Expectation.Of.TARGETS) {
@@ -209,8 +225,8 @@
         double n = number(c, counted);
         if (n > c.most() && tallies.get(i).first == null) {
             tallies.get(i).held--;
-            tallies.get(i).first = new Violation(expectations.get(i), a.atMs(), a, null,
-                said(c, n) + ", more than " + figure(c.most()));
+            tallies.get(i).first = new Violation(
+                    expectations.get(i), a.atMs(), a, null, said(c, n) + ", more than " + figure(c.most()));
         }
     }
 
@@ -220,7 +236,7 @@
 
     private static String said(Expectation.Count c, double n) {
         return figure(n) + " " + c.of().name().toLowerCase(Locale.ROOT) + " per "
-            + c.per().name().toLowerCase(Locale.ROOT);
+                + c.per().name().toLowerCase(Locale.ROOT);
     }
 
     private static String figure(double n) {
@@ -239,7 +255,8 @@
                         t.judged++;
                         t.held += w.met ? 1 : 0;
                         if (!w.met && t.first == null) {
-                            t.first = new Violation(e, w.by, null, null, "nothing of the kind in " + w.moments + " moments");
+                            t.first = new Violation(
+                                    e, w.by, null, null, "nothing of the kind in " + w.moments + " moments");
                         }
                     }
                 }
@@ -248,7 +265,8 @@
                     double n = number(c, counted);
                     if (n < c.least() && t.first == null) {
                         t.held--;
-                        t.first = new Violation(e, lastAt, null, null, said(c, n) + ", fewer than " + figure(c.least()));
+                        t.first =
+                                new Violation(e, lastAt, null, null, said(c, n) + ", fewer than " + figure(c.least()));
                     }
                 }
             }
--- a/doorman/src/main/java/barleyspur/expect/Load.java
+++ b/doorman/src/main/java/barleyspur/expect/Load.java
@@ -22,19 +22,29 @@
  * @param marked      whether it says so, where the settings have clients mark repeats
  * @param classes     what is asked of each class, by its place
  */
-public record Load(String name, double utilisation, double lengthMs, int most, int objects, int hot,
-                   double onceShare, int retries, boolean marked, List<OfClass> classes) {
+public record Load(
+        String name,
+        double utilisation,
+        double lengthMs,
+        int most,
+        int objects,
+        int hot,
+        double onceShare,
+        int retries,
+        boolean marked,
+        List<OfClass> classes) {
 
     /**
      * @param share  of the requests, over 0; shares are taken in proportion
      * @param workMs how long it takes to send one on average
      */
-    public record OfClass(double share, double workMs) { }
+    public record OfClass(double share, double workMs) {}
 
     /** Parts of an object at most. */
     static final int MOST_PARTS = 20;
     /** Objects from here on are asked for once. */
     static final long FIRST_ONCE = 1L << 40;
+
     private static final int GROUPS = 256;
     private static final double SIZE_SIGMA = 0.8;
     private static final double IMPATIENT = 0.01;
@@ -76,12 +86,23 @@
             long object = single ? once++ : (long) category << 20 | popular.sample();
             String set = single ? "once" : (object & 0xFFFFF) <= hot ? "hot" : "ordinary";
             int part = grade.parts() ? random.nextInt(MOST_PARTS) : 0;
-            double size = classes.get(category).workMs() * site.any().paceKbPerMs()
-                * Math.exp(SIZE_SIGMA * gauss.sample() - SIZE_SIGMA * SIZE_SIGMA / 2);
+            double size = classes.get(category).workMs()
+                    * site.any().paceKbPerMs()
+                    * Math.exp(SIZE_SIGMA * gauss.sample() - SIZE_SIGMA * SIZE_SIGMA / 2);
             double wait = grade.deadlineMs() * (0.5 + 0.5 * random.nextDouble());
             double leaves = random.nextDouble() < IMPATIENT ? wait * random.nextDouble() : 0;
-            asks.add(new Ask(n, at, random.nextInt(site.settings().size()), category, object, set, part,
-                (int) (object * 31 % GROUPS), size, wait, leaves));
+            asks.add(new Ask(
+                    n,
+                    at,
+                    random.nextInt(site.settings().size()),
+                    category,
+                    object,
+                    set,
+                    part,
+                    (int) (object * 31 % GROUPS),
+                    size,
+                    wait,
+                    leaves));
         }
         return asks;
     }
--- a/doorman/src/main/java/barleyspur/expect/Moment.java
+++ b/doorman/src/main/java/barleyspur/expect/Moment.java
@@ -13,7 +13,10 @@
 
     /** How a box stands on a doorman's list. */
     enum Told {
-        IN_SERVICE("in_service"), TERMINATING("terminating"), TERMINATED("terminated"), MISSING("missing");
+        IN_SERVICE("in_service"),
+        TERMINATING("terminating"),
+        TERMINATED("terminated"),
+        MISSING("missing");
 
         private final String word;
 
@@ -34,8 +37,16 @@
      * @param attempt which of the client's tries it is, from 1
      * @param repeat  whether the doorman is told that it is a repeat
      */
-    record Asked(long number, int attempt, boolean repeat, double atMs, Ask ask, Director.RequestClass grade, String category,
-                 String station, int zone) { }
+    record Asked(
+            long number,
+            int attempt,
+            boolean repeat,
+            double atMs,
+            Ask ask,
+            Director.RequestClass grade,
+            String category,
+            String station,
+            int zone) {}
 
     /**
      * A box at that moment, as the doorman was told and as it is.
@@ -50,9 +61,20 @@
      * @param pressureOfAll the same of all doormans
      * @param tried      how many earlier attempts of the same try went there
      */
-    record Seen(Box box, Site.Role role, String model, String station, boolean own, Told told, double toldForMs,
-                Told actual, double coldForMs, String fault, double pressure,
-                double pressureOfAll, int tried) { }
+    record Seen(
+            Box box,
+            Site.Role role,
+            String model,
+            String station,
+            boolean own,
+            Told told,
+            double toldForMs,
+            Told actual,
+            double coldForMs,
+            String fault,
+            double pressure,
+            double pressureOfAll,
+            int tried) {}
 
     /**
      * An attempt as it is sent.
@@ -67,13 +89,32 @@
      *                   the grace
      * @param over       whether the try had its final answer before
      */
-    record Attempt(double atMs, Asked asked, Seen target, Seen source, int number, double spacingMs, int outstanding,
-                   boolean maybeRan, int rank, boolean join, boolean onlyHeld, boolean renew, double maxAgeMs,
-                   boolean olderThanPurge, double timeLeftMs, boolean over) implements Moment { }
+    record Attempt(
+            double atMs,
+            Asked asked,
+            Seen target,
+            Seen source,
+            int number,
+            double spacingMs,
+            int outstanding,
+            boolean maybeRan,
+            int rank,
+            boolean join,
+            boolean onlyHeld,
+            boolean renew,
+            double maxAgeMs,
+            boolean olderThanPurge,
+            double timeLeftMs,
+            boolean over)
+            implements Moment {}
 
     /** How a try ended for its client. */
     enum Ending {
-        SERVED("served"), REFUSED("refused"), FAILED("failed"), LEFT("left"), NONE("none");
+        SERVED("served"),
+        REFUSED("refused"),
+        FAILED("failed"),
+        LEFT("left"),
+        NONE("none");
 
         private final String word;
 
@@ -99,7 +140,20 @@
      * @param olderThanPurge whether the copy was from before a purge that the doorman had been told of longer ago
      *                   than the grace when it sent the attempt
      */
-    record Answer(double atMs, Asked asked, Ending ending, double backMs, double afterMs, double heldMs,
-                  int attempts, int outstanding, boolean maybeRan, int runs, double copyAgeMs, boolean stale,
-                  boolean olderThanPurge, boolean late) implements Moment { }
+    record Answer(
+            double atMs,
+            Asked asked,
+            Ending ending,
+            double backMs,
+            double afterMs,
+            double heldMs,
+            int attempts,
+            int outstanding,
+            boolean maybeRan,
+            int runs,
+            double copyAgeMs,
+            boolean stale,
+            boolean olderThanPurge,
+            boolean late)
+            implements Moment {}
 }
--- a/doorman/src/main/java/barleyspur/expect/Observer.java
+++ b/doorman/src/main/java/barleyspur/expect/Observer.java
@@ -15,11 +15,11 @@
     void told(double atMs, int doorman, Box box, Moment.Told told, boolean started);
 
     /** A doorman was told of a purge. */
-    default void purged(double atMs, int doorman, long object) { }
+    default void purged(double atMs, int doorman, long object) {}
 
     /** An attempt came back. */
-    default void outcome(double atMs, int doorman, Director.Outcome outcome) { }
+    default void outcome(double atMs, int doorman, Director.Outcome outcome) {}
 
     /** A director wrote a line. */
-    default void logged(double atMs, int doorman, String line) { }
+    default void logged(double atMs, int doorman, String line) {}
 }
--- a/doorman/src/main/java/barleyspur/expect/Plant.java
+++ b/doorman/src/main/java/barleyspur/expect/Plant.java
@@ -15,10 +15,10 @@
     /** Parts that a box keeps at most. */
     private static final int MOST_HELD = 4_000;
 
-    private record Work(double atMs, double work, boolean knew) { }
+    private record Work(double atMs, double work, boolean knew) {}
 
     /** A part of an object. */
-    record Part(long object, int part) { }
+    record Part(long object, int part) {}
 
     final Box box;
     private final double warmAfterMs;
@@ -30,6 +30,7 @@
     double stateSince;
     /** NaN where it has run since long ago. */
     double startedAt = Double.NaN;
+
     double hangsUntil;
     double slowUntil;
     double slowBy = 1;
@@ -39,6 +40,7 @@
     int inside;
     /** What is told to come back as reset when the process ends: grows with each end. */
     int life;
+
     private final Map<Part, Double> held = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
@@ -49,6 +51,7 @@
     };
     /** When a fill that is under way will be there, by part. */
     final Map<Part, Double> filling = new HashMap<>();
+
     private final ArrayDeque<Work> reached = new ArrayDeque<>();
     private double knownWork;
     private double allWork;
@@ -136,7 +139,8 @@
     }
 
     String fault(double now) {
-        return now < hangsUntil ? "hang" : now < failsUntil ? "fail" : now < fullUntil ? "full"
-            : now < slowUntil ? "slow" : "none";
+        return now < hangsUntil
+                ? "hang"
+                : now < failsUntil ? "fail" : now < fullUntil ? "full" : now < slowUntil ? "slow" : "none";
     }
 }
--- a/doorman/src/main/java/barleyspur/expect/Scenario.java
+++ b/doorman/src/main/java/barleyspur/expect/Scenario.java
@@ -14,15 +14,17 @@
  * @param meanWork how long it takes to send a request of each class on average, in ms, as the rule on cold boxes
  *                 counts it; it stays when requests are left out
  */
-public record Scenario(Site site, long seed, int retries, boolean marked, List<Double> meanWork, List<Fault> faults,
-                       List<Ask> asks) {
+public record Scenario(
+        Site site, long seed, int retries, boolean marked, List<Double> meanWork, List<Fault> faults, List<Ask> asks) {
 
     /** With the mean work of these requests. */
     static Scenario of(Site site, long seed, int retries, boolean marked, List<Fault> faults, List<Ask> asks) {
         List<Double> sums = new ArrayList<>(Collections.nCopies(site.classes().size(), 0.0));
         int[] counts = new int[sums.size()];
         for (Ask a : asks) {
-            sums.set(a.category(), sums.get(a.category()) + a.sizeKb() / site.any().paceKbPerMs());
+            sums.set(
+                    a.category(),
+                    sums.get(a.category()) + a.sizeKb() / site.any().paceKbPerMs());
             counts[a.category()]++;
         }
         for (int i = 0; i < counts.length; i++) {
--- a/doorman/src/main/java/barleyspur/expect/Shrinker.java
+++ b/doorman/src/main/java/barleyspur/expect/Shrinker.java
@@ -28,8 +28,9 @@
     /** The smallest scenario that was found, from one that is refuted at {@code atMs}. */
     Scenario shrink(Scenario from, double atMs) {
         Scenario now = from;
-        Scenario cut = now.withAsks(now.asks().stream().filter(a -> a.atMs() <= atMs).toList())
-            .withFaults(now.faults().stream().filter(f -> f.atMs() <= atMs).toList());
+        Scenario cut = now.withAsks(
+                        now.asks().stream().filter(a -> a.atMs() <= atMs).toList())
+                .withFaults(now.faults().stream().filter(f -> f.atMs() <= atMs).toList());
         now = holds(cut) ? cut : now;
         int before;
         do {
@@ -39,7 +40,9 @@
             Scenario fewer = now;
             now = fewer.withAsks(reduce(fewer.asks(), fewer::withAsks));
             Scenario few = now;
-            now = few.with(few.site().with(reduce(few.site().boxes(), boxes -> few.with(few.site().with(boxes)))));
+            now = few.with(few.site()
+                    .with(reduce(
+                            few.site().boxes(), boxes -> few.with(few.site().with(boxes)))));
         } while (size(now) < before && plays > 0);
         return now;
     }
@@ -59,7 +62,7 @@
             return List.of();
         }
         for (int run = Math.max(1, now.size() / 2); run >= 1 && plays > 0; run /= 2) {
-            for (int at = 0; at < now.size() && plays > 0;) {
+            for (int at = 0; at < now.size() && plays > 0; ) {
                 List<T> fewer = new ArrayList<>(now.subList(0, at));
                 fewer.addAll(now.subList(Math.min(now.size(), at + run), now.size()));
                 if (fewer.size() < now.size() && holds(with.apply(fewer))) {
--- a/doorman/src/main/java/barleyspur/expect/Site.java
+++ b/doorman/src/main/java/barleyspur/expect/Site.java
@@ -17,18 +17,27 @@
  * @param classes  the classes' names
  * @param boxes    the boxes that run when a scenario begins
  */
-public record Site(String name, Map<String, String> told, List<Director.Settings> settings, List<String> zones,
-                   List<String> kinds, List<String> classes, List<Box> boxes) {
+public record Site(
+        String name,
+        Map<String, String> told,
+        List<Director.Settings> settings,
+        List<String> zones,
+        List<String> kinds,
+        List<String> classes,
+        List<Box> boxes) {
 
     /** Boxes of a kind that a twin keeps of each station, or in all. */
     private static final int TWIN_CACHES = 3;
+
     private static final int TWIN_DISTRICTS = 2;
     private static final int TWIN_STATIONS = 2;
     private static final int TWIN_DOORMANS = 2;
 
     /** What a box is for, whatever its model. */
     public enum Role {
-        CACHE("cache"), DISTRICT("district"), HEAD_OFFICE("head-office");
+        CACHE("cache"),
+        DISTRICT("district"),
+        HEAD_OFFICE("head-office");
 
         private final String word;
 
@@ -45,8 +54,15 @@
     /**
      * A fleet with a doorman for each of {@code doormanZones}, which hear the same settings but for their own places.
      */
-    public static Site of(String name, Map<String, String> told, Director.Settings base, List<Integer> doormanZones,
-                          List<String> zones, List<String> kinds, List<String> classes, List<Box> boxes) {
+    public static Site of(
+            String name,
+            Map<String, String> told,
+            Director.Settings base,
+            List<Integer> doormanZones,
+            List<String> zones,
+            List<String> kinds,
+            List<String> classes,
+            List<Box> boxes) {
         List<Integer> perZone = new ArrayList<>();
         for (int zone = 0; zone < zones.size(); zone++) {
             int here = zone;
@@ -60,11 +76,38 @@
     }
 
     private static Director.Settings at(Director.Settings s, int me, int directors, int zone, List<Integer> perZone) {
-        return new Director.Settings(s.classes(), me, directors, zone, perZone, s.parentKind(), s.originKind(),
-            s.sizesCount(), s.mustAsk(), s.mustAskMs(), s.tickMs(), s.answerSlackMs(), s.drainGraceMs(),
-            s.coldCache(), s.coldParent(), s.fallSpanMs(), s.purgeGraceMs(), s.purgeDoneMs(), s.direct(), s.joins(),
-            s.siblings(), s.notes(), s.paceKbPerMs(), s.reports(), s.reportFields(), s.maxAttempts(),
-            s.mayDuplicate(), s.mayCancel(), s.mayProbe(), s.mayTell(), s.maxRetryAfterMs());
+        return new Director.Settings(
+                s.classes(),
+                me,
+                directors,
+                zone,
+                perZone,
+                s.parentKind(),
+                s.originKind(),
+                s.sizesCount(),
+                s.mustAsk(),
+                s.mustAskMs(),
+                s.tickMs(),
+                s.answerSlackMs(),
+                s.drainGraceMs(),
+                s.coldCache(),
+                s.coldParent(),
+                s.fallSpanMs(),
+                s.purgeGraceMs(),
+                s.purgeDoneMs(),
+                s.direct(),
+                s.joins(),
+                s.siblings(),
+                s.notes(),
+                s.paceKbPerMs(),
+                s.reports(),
+                s.reportFields(),
+                s.maxAttempts(),
+                s.mayDuplicate(),
+                s.mayCancel(),
+                s.mayProbe(),
+                s.mayTell(),
+                s.maxRetryAfterMs());
     }
 
     /** What all doormans' settings share. */
@@ -79,8 +122,9 @@
 
     /** What a box is on this site. */
     public Role role(Box box) {
-        return box.kind() == any().originKind() ? Role.HEAD_OFFICE
-            : box.kind() == any().parentKind() ? Role.DISTRICT : Role.CACHE;
+        return box.kind() == any().originKind()
+                ? Role.HEAD_OFFICE
+                : box.kind() == any().parentKind() ? Role.DISTRICT : Role.CACHE;
     }
 
     /** The same site with fewer boxes. */
@@ -102,13 +146,15 @@
         }
         List<Box> kept = new ArrayList<>();
         for (Box b : boxes) {
-            long same = kept.stream().filter(k -> role(k) == role(b)
-                && (role(b) != Role.CACHE || k.zone() == b.zone())).count();
-            boolean fits = switch (role(b)) {
-                case CACHE -> stations.contains(b.zone()) && same < TWIN_CACHES;
-                case DISTRICT -> same < TWIN_DISTRICTS;
-                case HEAD_OFFICE -> same < 1;
-            };
+            long same = kept.stream()
+                    .filter(k -> role(k) == role(b) && (role(b) != Role.CACHE || k.zone() == b.zone()))
+                    .count();
+            boolean fits =
+                    switch (role(b)) {
+                        case CACHE -> stations.contains(b.zone()) && same < TWIN_CACHES;
+                        case DISTRICT -> same < TWIN_DISTRICTS;
+                        case HEAD_OFFICE -> same < 1;
+                    };
             if (fits) {
                 kept.add(b);
             }
@@ -120,7 +166,8 @@
                 doormans.add(zone);
             }
         }
-        return kept.size() == boxes.size() && doormans.size() == settings.size() || doormans.isEmpty() ? this
-            : of(name + ", twin", told, any(), doormans, zones, kinds, classes, kept);
+        return kept.size() == boxes.size() && doormans.size() == settings.size() || doormans.isEmpty()
+                ? this
+                : of(name + ", twin", told, any(), doormans, zones, kinds, classes, kept);
     }
 }
--- a/doorman/src/main/java/barleyspur/expect/Story.java
+++ b/doorman/src/main/java/barleyspur/expect/Story.java
@@ -19,13 +19,14 @@
      * @param atMs   from the scenario's start
      * @param broken whether the expectation was not met here
      */
-    public record Step(double atMs, String text, boolean broken) { }
+    public record Step(double atMs, String text, boolean broken) {}
 
     private final Site site;
     private final Judge judge;
     private final List<Step> steps = new ArrayList<>();
     /** What each doorman's list says last, by doorman and box, where that is not what it said at the start. */
     private final Map<Integer, Map<String, String>> believed = new HashMap<>();
+
     private boolean told;
 
     private Story(Site site, Expectation expectation) {
@@ -60,8 +61,12 @@
         Expectation e = v.expectation();
         StringBuilder text = new StringBuilder("NOT as expected by \"" + e.name() + "\" (" + e.place() + ")");
         if (v.broken() != null) {
-            text.append(": ").append(v.broken().place()).append(": ").append(v.broken().text()).append(' ')
-                .append(v.what());
+            text.append(": ")
+                    .append(v.broken().place())
+                    .append(": ")
+                    .append(v.broken().text())
+                    .append(' ')
+                    .append(v.what());
             if (v.moment() != null) {
                 Object value = v.broken().field().of(v.moment(), -1);
                 text.append("; it is ").append(value instanceof Double d ? figure(d) : value);
@@ -79,20 +84,28 @@
         if (v.moment() != null) {
             int doorman = v.moment().asked().ask().doorman();
             Map<String, String> list = believed.getOrDefault(doorman, Map.of());
-            steps.add(new Step(v.atMs(), "  doorman " + doorman + " had been told: " + (list.isEmpty()
-                ? "nothing since the start, when all boxes were in service" : String.join("; ", list.values())), true));
+            steps.add(new Step(
+                    v.atMs(),
+                    "  doorman " + doorman + " had been told: "
+                            + (list.isEmpty()
+                                    ? "nothing since the start, when all boxes were in service"
+                                    : String.join("; ", list.values())),
+                    true));
         }
     }
 
     private static String seen(Moment.Seen s) {
         StringBuilder text = new StringBuilder(s.box().uid() + " (" + s.role().word() + ", " + s.model() + ", "
-            + s.station() + "), " + s.told().word() + " by the list since " + figure(s.toldForMs()) + " ms");
+                + s.station() + "), " + s.told().word() + " by the list since " + figure(s.toldForMs()) + " ms");
         if (s.actual() != s.told()) {
             text.append(", in truth ").append(s.actual().word());
         }
         if (!Double.isNaN(s.coldForMs())) {
-            text.append(", cold: told to have started ").append(figure(s.coldForMs())).append(" ms ago, at ")
-                .append(figure(s.pressure())).append(" of its budget");
+            text.append(", cold: told to have started ")
+                    .append(figure(s.coldForMs()))
+                    .append(" ms ago, at ")
+                    .append(figure(s.pressure()))
+                    .append(" of its budget");
         }
         if (!s.fault().equals("none")) {
             text.append(", fault: ").append(s.fault());
@@ -101,18 +114,24 @@
     }
 
     private static String figure(double d) {
-        return Math.abs(d) >= 100 || d == Math.rint(d) ? Long.toString(Math.round(d))
-            : String.format(Locale.ROOT, "%.2f", d);
+        return Math.abs(d) >= 100 || d == Math.rint(d)
+                ? Long.toString(Math.round(d))
+                : String.format(Locale.ROOT, "%.2f", d);
     }
 
     // ---- steps -----------------------------------------------------------------------------------------
 
     @Override
     public void happened(double atMs, Fault fault, Box box) {
-        String who = box == null ? fault.kind() == Fault.Kind.PURGE ? "object " + Long.toHexString((long) fault.size())
-            : "the list" : box.uid();
-        step(atMs, "event: %s: %s%s", fault.kind().word(), who, fault.kind().told() ? "" : " for "
-            + figure(fault.forMs()) + " ms");
+        String who = box == null
+                ? fault.kind() == Fault.Kind.PURGE ? "object " + Long.toHexString((long) fault.size()) : "the list"
+                : box.uid();
+        step(
+                atMs,
+                "event: %s: %s%s",
+                fault.kind().word(),
+                who,
+                fault.kind().told() ? "" : " for " + figure(fault.forMs()) + " ms");
         judge.happened(atMs, fault, box);
         judged();
     }
@@ -138,10 +157,16 @@
 
     @Override
     public void outcome(double atMs, int doorman, Director.Outcome o) {
-        step(atMs, "doorman %d hears: try %d, attempt %d at node %d: %s%s after %s ms", doorman, o.request(),
-            o.attempt() + 1, o.node(), o.result().name().toLowerCase(Locale.ROOT),
-            o.note() == Director.Note.NONE ? "" : " (" + o.note().name().toLowerCase(Locale.ROOT) + ")",
-            figure(o.latencyMs()));
+        step(
+                atMs,
+                "doorman %d hears: try %d, attempt %d at node %d: %s%s after %s ms",
+                doorman,
+                o.request(),
+                o.attempt() + 1,
+                o.node(),
+                o.result().name().toLowerCase(Locale.ROOT),
+                o.note() == Director.Note.NONE ? "" : " (" + o.note().name().toLowerCase(Locale.ROOT) + ")",
+                figure(o.latencyMs()));
     }
 
     @Override
@@ -149,18 +174,39 @@
         Moment.Asked q = moment.asked();
         if (moment instanceof Moment.Attempt a) {
             if (a.number() == 1) {
-                step(q.atMs(), "client asks doorman %d: try %d (%s, object %x, part %d, %s KB, its try %d, %s ms)",
-                    q.ask().doorman(), q.number(), q.category(), q.ask().object(), q.ask().part(),
-                    figure(q.ask().sizeKb()), q.attempt(), figure(q.ask().remainingMs()));
+                step(
+                        q.atMs(),
+                        "client asks doorman %d: try %d (%s, object %x, part %d, %s KB, its try %d, %s ms)",
+                        q.ask().doorman(),
+                        q.number(),
+                        q.category(),
+                        q.ask().object(),
+                        q.ask().part(),
+                        figure(q.ask().sizeKb()),
+                        q.attempt(),
+                        figure(q.ask().remainingMs()));
             }
-            step(a.atMs(), "doorman %d sends: try %d, attempt %d to %s%s%s%s", q.ask().doorman(), q.number(),
-                a.number(), a.target().box().uid(), a.source() == null ? ", filling nothing" : ", a miss filled from "
-                + a.source().box().uid(), a.rank() > 0 ? ", kept at rank " + a.rank() : "",
-                a.maxAgeMs() > 0 ? ", copies up to " + figure(a.maxAgeMs()) + " ms old" : "");
+            step(
+                    a.atMs(),
+                    "doorman %d sends: try %d, attempt %d to %s%s%s%s",
+                    q.ask().doorman(),
+                    q.number(),
+                    a.number(),
+                    a.target().box().uid(),
+                    a.source() == null
+                            ? ", filling nothing"
+                            : ", a miss filled from " + a.source().box().uid(),
+                    a.rank() > 0 ? ", kept at rank " + a.rank() : "",
+                    a.maxAgeMs() > 0 ? ", copies up to " + figure(a.maxAgeMs()) + " ms old" : "");
         } else if (moment instanceof Moment.Answer a) {
-            step(a.atMs(), "doorman %d answers: try %d %s after %s ms%s", q.ask().doorman(), q.number(),
-                a.ending().word(), figure(a.afterMs()), a.backMs() > 0 ? ", come back in " + figure(a.backMs()) + " ms"
-                : "");
+            step(
+                    a.atMs(),
+                    "doorman %d answers: try %d %s after %s ms%s",
+                    q.ask().doorman(),
+                    q.number(),
+                    a.ending().word(),
+                    figure(a.afterMs()),
+                    a.backMs() > 0 ? ", come back in " + figure(a.backMs()) + " ms" : "");
         }
         judge.moment(moment);
         judged();
--- a/doorman/src/main/java/barleyspur/expect/World.java
+++ b/doorman/src/main/java/barleyspur/expect/World.java
@@ -26,6 +26,7 @@
 
     /** The directors' clock when a scenario starts: ahead of it lie starts of long ago. */
     static final double EPOCH = 1_000_000_000;
+
     private static final double WAY_MS = 0.4;
     private static final double FAR_MS = 10;
     private static final double ORIGIN_MS = 45;
@@ -37,9 +38,10 @@
     private static final double HONOUR = 0.6;
     /** Share of what boxes that run from the start hold then. */
     private static final double HELD_AT_START = 0.7;
+
     private static final int MOST_EVENTS = 4_000_000;
 
-    private record Task(double at, long order, Runnable run) { }
+    private record Task(double at, long order, Runnable run) {}
 
     /** What a doorman's list says of a box. */
     private static final class Entry {
@@ -92,13 +94,14 @@
     private final Site site;
     private final Observer observer;
     private final Draw draw;
-    private final PriorityQueue<Task> tasks = new PriorityQueue<>((a, b) ->
-        a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final Map<Long, Plant> plants = new LinkedHashMap<>();
     private final List<Doorman> doormen = new ArrayList<>();
     private final Map<Long, Try> tries = new HashMap<>();
     /** The first purge of each object: what boxes held of it since before the start goes with that one. */
     private final Map<Long, Double> firstPurges = new HashMap<>();
+
     private final Map<Integer, Double> linkLostUntil = new HashMap<>();
     private final int[] runs;
     private double staleUntil;
@@ -138,7 +141,9 @@
     }
 
     private Plant plant(Box b) {
-        Director.ColdRule rule = site.role(b) == Site.Role.DISTRICT ? site.any().coldParent() : site.any().coldCache();
+        Director.ColdRule rule = site.role(b) == Site.Role.DISTRICT
+                ? site.any().coldParent()
+                : site.any().coldCache();
         return new Plant(b, site.any(), rule);
     }
 
@@ -340,8 +345,16 @@
         t.remaining = remaining;
         t.doorman = d;
         Director.RequestClass grade = d.settings.classes().get(a.category());
-        t.asked = new Moment.Asked(t.id, attempt, scenario.marked() && attempt > 1, now, a, grade, site.classes().get(a.category()),
-            site.zones().get(d.settings.zone()), d.settings.zone());
+        t.asked = new Moment.Asked(
+                t.id,
+                attempt,
+                scenario.marked() && attempt > 1,
+                now,
+                a,
+                grade,
+                site.classes().get(a.category()),
+                site.zones().get(d.settings.zone()),
+                d.settings.zone());
         tries.put(t.id, t);
         at(now + remaining + d.settings.answerSlackMs() + d.settings.tickMs(), () -> finish(t, Moment.Ending.NONE, 0));
         if (a.leavesMs() > 0 && attempt == 1) {
@@ -352,8 +365,19 @@
                 }
             });
         }
-        tell(d, new Director.Request(t.id, a.category(), 0, a.object(), a.part(), a.group(), remaining, a.sizeKb(),
-            t.asked.repeat(), grade.write()));
+        tell(
+                d,
+                new Director.Request(
+                        t.id,
+                        a.category(),
+                        0,
+                        a.object(),
+                        a.part(),
+                        a.group(),
+                        remaining,
+                        a.sizeKb(),
+                        t.asked.repeat(),
+                        grade.write()));
     }
 
     private void finish(Try t, Moment.Ending ending, double backMs) {
@@ -374,16 +398,29 @@
         t.over = true;
         double age = now - dated;
         boolean stale = t.asked.grade().freshMs() > 0 && age > t.asked.grade().freshMs();
-        double aim = t.asked.grade().aimMs() + t.asked.grade().aimStretch() * t.ask.sizeKb()
-            / t.doorman.settings.paceKbPerMs();
+        double aim = t.asked.grade().aimMs()
+                + t.asked.grade().aimStretch() * t.ask.sizeKb() / t.doorman.settings.paceKbPerMs();
         int out = 0;
         boolean maybeRan = false;
         for (Sent s : t.sent) {
             out += s.back ? 0 : 1;
             maybeRan |= s.mayHaveRun;
         }
-        observer.moment(new Moment.Answer(now, t.asked, ending, backMs, now - t.at, now - t.changedAt,
-            t.sent.size(), out, maybeRan, runs[t.ask.number()], age, stale, olderThanPurge, now - t.at > aim));
+        observer.moment(new Moment.Answer(
+                now,
+                t.asked,
+                ending,
+                backMs,
+                now - t.at,
+                now - t.changedAt,
+                t.sent.size(),
+                out,
+                maybeRan,
+                runs[t.ask.number()],
+                age,
+                stale,
+                olderThanPurge,
+                now - t.at > aim));
     }
 
     // ---- doormans --------------------------------------------------------------------------------------
@@ -458,24 +495,49 @@
         // After the boxes have dropped all older copies by themselves, nothing needs to be asked for.
         boolean purged = purge != null && inForce > 0 && now - purge[1] < d.settings.purgeDoneMs();
         boolean older = purged && (s.maxAge == 0 || now - s.maxAge < purge[1]);
-        return new Moment.Attempt(now, t.asked, seen(d, t, s.target), s.source == null ? null : seen(d, t, s.source),
-            t.sent.size() + 1, spacing, out, maybeRan, g.rank(), g.join(), g.onlyHeld(), g.renew(), s.maxAge, older,
-            t.at + t.remaining - now, t.over);
+        return new Moment.Attempt(
+                now,
+                t.asked,
+                seen(d, t, s.target),
+                s.source == null ? null : seen(d, t, s.source),
+                t.sent.size() + 1,
+                spacing,
+                out,
+                maybeRan,
+                g.rank(),
+                g.join(),
+                g.onlyHeld(),
+                g.renew(),
+                s.maxAge,
+                older,
+                t.at + t.remaining - now,
+                t.over);
     }
 
     private Moment.Seen seen(Doorman d, Try t, Plant p) {
         Entry e = entry(d, p.box);
-        double warm = site.role(p.box) == Site.Role.DISTRICT ? d.settings.coldParent().warmAfterMs()
-            : d.settings.coldCache().warmAfterMs();
+        double warm = site.role(p.box) == Site.Role.DISTRICT
+                ? d.settings.coldParent().warmAfterMs()
+                : d.settings.coldCache().warmAfterMs();
         double coldFor = e != null && now - e.startedAt < warm ? now - e.startedAt : Double.NaN;
         int tried = 0;
         for (Sent s : t.sent) {
             tried += s.target == p ? 1 : 0;
         }
-        return new Moment.Seen(p.box, site.role(p.box), site.kinds().get(p.box.kind()),
-            site.zones().get(p.box.zone()), p.box.zone() == d.settings.zone(),
-            e == null ? Moment.Told.MISSING : e.told, e == null ? Double.NaN : now - e.toldAt, p.state, coldFor,
-            p.fault(now), p.pressure(now, true, slack), p.pressure(now, false, slack), tried);
+        return new Moment.Seen(
+                p.box,
+                site.role(p.box),
+                site.kinds().get(p.box.kind()),
+                site.zones().get(p.box.zone()),
+                p.box.zone() == d.settings.zone(),
+                e == null ? Moment.Told.MISSING : e.told,
+                e == null ? Double.NaN : now - e.toldAt,
+                p.state,
+                coldFor,
+                p.fault(now),
+                p.pressure(now, true, slack),
+                p.pressure(now, false, slack),
+                tried);
     }
 
     // ---- boxes -----------------------------------------------------------------------------------------
@@ -545,7 +607,9 @@
         } else {
             double held = dated(from, part);
             boolean young = !Double.isNaN(held) && (s.maxAge == 0 || now - held <= s.maxAge);
-            boolean origin = site.role(from.box) == Site.Role.HEAD_OFFICE || t.asked.grade().write() || !young;
+            boolean origin = site.role(from.box) == Site.Role.HEAD_OFFICE
+                    || t.asked.grade().write()
+                    || !young;
             double way = (FAR_MS + (origin ? ORIGIN_MS : 0)) * from.stretch(now);
             double made = origin ? now + way / 2 : held;
             double there = now + way;
@@ -599,13 +663,14 @@
             boolean older = purge != null && s.at > purge[0] + d.settings.purgeGraceMs() && dated < purge[1];
             answer(t, Moment.Ending.SERVED, 0, dated, older);
         }
-        Note told = switch (d.settings.notes()) {
-            case ALL -> note;
-            case HIT -> note == Note.HIT || note == Note.FILLED || note == Note.JOINED ? note : Note.NONE;
-            case NONE -> Note.NONE;
-        };
-        Director.Outcome outcome = new Director.Outcome(t.id, number, s.target.box.node(), result, now - s.at, t.over,
-            told, 0, List.of());
+        Note told =
+                switch (d.settings.notes()) {
+                    case ALL -> note;
+                    case HIT -> note == Note.HIT || note == Note.FILLED || note == Note.JOINED ? note : Note.NONE;
+                    case NONE -> Note.NONE;
+                };
+        Director.Outcome outcome =
+                new Director.Outcome(t.id, number, s.target.box.node(), result, now - s.at, t.over, told, 0, List.of());
         observer.outcome(now, d.number, outcome);
         tell(d, outcome);
     }
--- a/doorman/src/main/java/barleyspur/fleet/About.java
+++ b/doorman/src/main/java/barleyspur/fleet/About.java
@@ -32,9 +32,14 @@
 
     @Override
     public boolean equals(Object other) {
-        return other instanceof About a && address.equals(a.address) && zone.equals(a.zone) && phase.equals(a.phase)
-            && program.equals(a.program) && settings == a.settings && format == a.format
-            && Arrays.equals(more, a.more);
+        return other instanceof About a
+                && address.equals(a.address)
+                && zone.equals(a.zone)
+                && phase.equals(a.phase)
+                && program.equals(a.program)
+                && settings == a.settings
+                && format == a.format
+                && Arrays.equals(more, a.more);
     }
 
     @Override
--- a/doorman/src/main/java/barleyspur/fleet/Action.java
+++ b/doorman/src/main/java/barleyspur/fleet/Action.java
@@ -4,14 +4,14 @@
 public sealed interface Action {
 
     /** Send this there. */
-    record Send(String address, Datagram datagram) implements Action { }
+    record Send(String address, Datagram datagram) implements Action {}
 
     /** Hand over what a member sent for another part of the program. */
-    record Deliver(Saying sender, byte[] body) implements Action { }
+    record Deliver(Saying sender, byte[] body) implements Action {}
 
     /** Tell those who follow the view. */
-    record Tell(Change change) implements Action { }
+    record Tell(Change change) implements Action {}
 
     /** Log an event that operators should see; the text is the same for all of a kind. */
-    record Warn(String event, String member, String detail) implements Action { }
+    record Warn(String event, String member, String detail) implements Action {}
 }
--- a/doorman/src/main/java/barleyspur/fleet/Datagram.java
+++ b/doorman/src/main/java/barleyspur/fleet/Datagram.java
@@ -10,4 +10,4 @@
  * @param message what it is for
  * @param news    of other members
  */
-public record Datagram(Saying sender, long digest, Message message, List<Saying> news) { }
+public record Datagram(Saying sender, long digest, Message message, List<Saying> news) {}
--- a/doorman/src/main/java/barleyspur/fleet/Entry.java
+++ b/doorman/src/main/java/barleyspur/fleet/Entry.java
@@ -22,6 +22,7 @@
     int place;
     /** Its part in the digest while it is listed. */
     long hash;
+
     double sinceMs;
     double heardMs = Double.NEGATIVE_INFINITY;
     Why why;
@@ -30,6 +31,7 @@
     Suspicion suspicion;
     /** Of what it said against others, how much they refuted lately, and since when that is counted. */
     int refuted;
+
     double refutedSinceMs;
     /** When it was last sent what others say of it. */
     double noticedMs = Double.NEGATIVE_INFINITY;
--- a/doorman/src/main/java/barleyspur/fleet/Meeting.java
+++ b/doorman/src/main/java/barleyspur/fleet/Meeting.java
@@ -12,6 +12,7 @@
 
     /** Datagrams that one comparison may cause. */
     private static final int MOST_DATAGRAMS = 16;
+
     private static final double TRIED_EACH = 3;
     private static final double SEARCH_PERIODS = 2;
     private static final double SEARCH_ALONE_PERIODS = 0.4;
@@ -53,13 +54,14 @@
         }
         double period = w.times.periodMs();
         boolean alone = inDoubt || w.roster.listed().isEmpty();
-        searchMs = w.now + period * (alone ? SEARCH_ALONE_PERIODS : SEARCH_PERIODS) * (0.75 + w.random.nextDouble() / 2);
+        searchMs =
+                w.now + period * (alone ? SEARCH_ALONE_PERIODS : SEARCH_PERIODS) * (0.75 + w.random.nextDouble() / 2);
         List<String> candidates = candidates();
         if (candidates.isEmpty()) {
             return;
         }
-        double wanted = alone ? Math.min(3, candidates.size())
-            : Math.min(1, TRIED_EACH * candidates.size() / w.members());
+        double wanted =
+                alone ? Math.min(3, candidates.size()) : Math.min(1, TRIED_EACH * candidates.size() / w.members());
         for (int i = 0; i < Math.max(1, (int) wanted); i++) {
             if (w.random.nextDouble() < wanted) {
                 String address = candidates.remove(w.random.nextInt(candidates.size()));
@@ -106,8 +108,8 @@
         boolean quiet = inDoubt || w.now - changedMs >= period;
         if (w.now - comparedMs >= wait && quiet || w.now - comparedMs >= LONG_PERIODS * period) {
             comparedMs = w.now;
-            w.exactly(sender.about().address(), new Message.Compare(w.nextNumber(), w.roster.buckets(), true),
-                List.of());
+            w.exactly(
+                    sender.about().address(), new Message.Compare(w.nextNumber(), w.roster.buckets(), true), List.of());
         }
     }
 
@@ -128,7 +130,9 @@
         }
         List<Saying> differ = new ArrayList<>();
         for (Entry e : w.roster.known()) {
-            if (e.why != Why.STOOD_STILL && !e.name.equals(sender.name()) && w.roster.differs(e.nameHash, theirs.buckets())) {
+            if (e.why != Why.STOOD_STILL
+                    && !e.name.equals(sender.name())
+                    && w.roster.differs(e.nameHash, theirs.buckets())) {
                 differ.add(e.saying);
             }
         }
--- a/doorman/src/main/java/barleyspur/fleet/Membership.java
+++ b/doorman/src/main/java/barleyspur/fleet/Membership.java
@@ -23,6 +23,7 @@
     private static final double CHECKERS = 5;
     /** Refuted accusations within {@link #CREDIT_PERIODS} beyond which an accuser's word doesn't count. */
     private static final int CREDIT = 5;
+
     private static final double CREDIT_PERIODS = 20;
     /** Members that are told by datagrams of their own that this one goes. */
     private static final int FAREWELLS = 32;
@@ -33,6 +34,7 @@
      * late answers can't make answers later. What a burst leaves over is made up for by comparisons.
      */
     private static final int FANOUT = 3;
+
     private static final double FORGET_EVERY_PERIODS = 20;
 
     private final Wording w;
@@ -51,10 +53,12 @@
     private int refutations;
     /** The newer process of this name, while this one gives way to it, and when it was last heard. */
     private Saying givenWay;
+
     private double twinHeardMs;
     private double twinWaitMs;
     /** Another process of this name that was told of, and when it is taken for gone. */
     private Saying rumour;
+
     private double rumourMs;
 
     /**
@@ -62,8 +66,8 @@
      * @param seeds addresses to look for others at, tried for as long as nobody of the view has them
      * @param seed  of all that is drawn
      */
-    public Membership(String name, long life, About about, Times times, List<String> seeds, long seed,
-                      Consumer<Action> out) {
+    public Membership(
+            String name, long life, About about, Times times, List<String> seeds, long seed, Consumer<Action> out) {
         w = new Wording(times, seed, out);
         w.self = new Saying(name, life, w.random.nextLong() >>> 12, 0, Standing.ALIVE, "", about);
         prober = new Prober(w, this::silent);
@@ -223,8 +227,8 @@
     /** The view, with those that are remembered. */
     public View view(double nowMs) {
         List<View.Member> members = new ArrayList<>();
-        members.add(new View.Member(w.self, givenWay == null && w.self.standing().listed(), nowMs, nowMs,
-            Why.TOLD_ITSELF, w.self.name()));
+        members.add(new View.Member(
+                w.self, givenWay == null && w.self.standing().listed(), nowMs, nowMs, Why.TOLD_ITSELF, w.self.name()));
         for (Entry e : w.roster.known()) {
             members.add(new View.Member(e.saying, e.listed, e.sinceMs, e.heardMs, e.why, e.from));
         }
@@ -313,8 +317,7 @@
             }
             return;
         }
-        if (!newer && e.suspicion != null
-            && w.now - e.suspicion.sinceMs >= w.times.leastSuspicionMs(w.members())) {
+        if (!newer && e.suspicion != null && w.now - e.suspicion.sinceMs >= w.times.leastSuspicionMs(w.members())) {
             take(e, s, Why.PASSED_ON, from);
         } else if (!newer && e.suspicion != null) {
             confirm(e, s);
@@ -387,8 +390,10 @@
         if (in && !was) {
             tell(new Change.Joined(++version, s, why, from));
         } else if (in) {
-            tell(before.sameLife(s) ? new Change.Updated(++version, s, before, why, from)
-                : new Change.Joined(++version, s, why, from));
+            tell(
+                    before.sameLife(s)
+                            ? new Change.Updated(++version, s, before, why, from)
+                            : new Change.Joined(++version, s, why, from));
         } else if (was) {
             tell(new Change.Lost(++version, s, why, from));
         }
@@ -467,7 +472,7 @@
         }
         if (s.nonce() == w.self.nonce() && s.life() == w.self.life()) {
             if (s.incarnation() > w.self.incarnation()
-                || s.incarnation() == w.self.incarnation() && s.standing() != Standing.ALIVE) {
+                    || s.incarnation() == w.self.incarnation() && s.standing() != Standing.ALIVE) {
                 refutations++;
                 w.doubt(1);
                 say(w.self.above(s.incarnation(), w.self.about()));
@@ -491,8 +496,14 @@
     private void raiseAbove(Saying s) {
         raises++;
         rumour = null;
-        say(new Saying(w.self.name(), Math.min(Saying.MOST, s.life() + 1), w.self.nonce(), 0, Standing.ALIVE, "",
-            w.self.about()));
+        say(new Saying(
+                w.self.name(),
+                Math.min(Saying.MOST, s.life() + 1),
+                w.self.nonce(),
+                0,
+                Standing.ALIVE,
+                "",
+                w.self.about()));
     }
 
     /** A datagram of another process that goes by this name: the newer one has it. */
@@ -517,8 +528,10 @@
             twinWaitMs = twinWaitMs == 0 ? 2 * w.times.mostSuspicionMs(w.members()) : 2 * twinWaitMs;
             w.roster.self(w.self.name(), null);
             w.news.clear();
-            w.emit(new Action.Warn("another, newer process goes by this name: this one gives way", s.name(),
-                s.about().address()));
+            w.emit(new Action.Warn(
+                    "another, newer process goes by this name: this one gives way",
+                    s.name(),
+                    s.about().address()));
             tell(new Change.Name(++version, true, s));
         }
         givenWay = s;
@@ -531,8 +544,10 @@
         if (givenWay != null && w.now - twinHeardMs > twinWaitMs) {
             Saying other = givenWay;
             givenWay = null;
-            w.emit(new Action.Warn("the newer process of this name is gone: this one has it back", other.name(),
-                other.about().address()));
+            w.emit(new Action.Warn(
+                    "the newer process of this name is gone: this one has it back",
+                    other.name(),
+                    other.about().address()));
             tell(new Change.Name(++version, false, other));
             raiseAbove(other);
         }
@@ -552,8 +567,10 @@
         w.doubt(1);
         prober.reset();
         boolean isVoid = gap >= w.times.leastSuspicionMs(w.members());
-        w.emit(new Action.Warn("this process stood still", w.self.name(), Math.round(gap) + " ms"
-            + (isVoid ? ": its view is void" : "")));
+        w.emit(new Action.Warn(
+                "this process stood still",
+                w.self.name(),
+                Math.round(gap) + " ms" + (isVoid ? ": its view is void" : "")));
         inDoubt = true;
         w.heardMs = nowMs;
         doubtMs = nowMs + DOUBT_PERIODS * w.times.periodMs();
--- a/doorman/src/main/java/barleyspur/fleet/NewsQueue.java
+++ b/doorman/src/main/java/barleyspur/fleet/NewsQueue.java
@@ -28,7 +28,7 @@
 
     private final Map<String, Item> byName = new HashMap<>();
     private final TreeSet<Item> items = new TreeSet<>(Comparator.<Item>comparingInt(i -> i.told)
-        .thenComparing(Comparator.<Item>comparingLong(i -> i.order).reversed()));
+            .thenComparing(Comparator.<Item>comparingLong(i -> i.order).reversed()));
     private long order;
 
     boolean isEmpty() {
--- a/doorman/src/main/java/barleyspur/fleet/Prober.java
+++ b/doorman/src/main/java/barleyspur/fleet/Prober.java
@@ -40,7 +40,7 @@
     }
 
     /** A ping for somebody else: whom to tell, and until when. */
-    private record Favour(String address, long number, String target, double untilMs) { }
+    private record Favour(String address, long number, String target, double untilMs) {}
 
     private final Wording wording;
     private final Consumer<Entry> silent;
@@ -96,7 +96,7 @@
                 end(p, lateMs);
             }
         }
-        for (Iterator<Map.Entry<Long, Favour>> it = favours.entrySet().iterator(); it.hasNext();) {
+        for (Iterator<Map.Entry<Long, Favour>> it = favours.entrySet().iterator(); it.hasNext(); ) {
             Favour f = it.next().getValue();
             if (wording.now >= f.untilMs) {
                 it.remove();
@@ -147,7 +147,10 @@
         for (Entry helper : wording.roster.some(HELPERS, p.target)) {
             if (helper.saying.standing() == Standing.ALIVE) {
                 p.nacksWanted++;
-                wording.send(helper, new Message.PingFor(p.number, p.target.name, p.target.saying.about().address()));
+                wording.send(
+                        helper,
+                        new Message.PingFor(
+                                p.number, p.target.name, p.target.saying.about().address()));
             }
         }
     }
@@ -184,10 +187,17 @@
     void onPingFor(Saying sender, Message.PingFor asked) {
         if (favours.size() < MOST_FAVOURS) {
             long number = wording.nextNumber();
-            favours.put(number, new Favour(sender.about().address(), asked.number(), asked.target(),
-                wording.now + wording.times.directMs()));
-            wording.send(asked.address(), new Message.Ping(number, asked.target()),
-                Wording.against(wording.roster.get(asked.target())));
+            favours.put(
+                    number,
+                    new Favour(
+                            sender.about().address(),
+                            asked.number(),
+                            asked.target(),
+                            wording.now + wording.times.directMs()));
+            wording.send(
+                    asked.address(),
+                    new Message.Ping(number, asked.target()),
+                    Wording.against(wording.roster.get(asked.target())));
         }
     }
 
--- a/doorman/src/main/java/barleyspur/fleet/Roster.java
+++ b/doorman/src/main/java/barleyspur/fleet/Roster.java
@@ -36,7 +36,8 @@
     private static long hash(long nameHash, Saying s) {
         long h = HASH.hashLong(nameHash ^ s.life());
         h = HASH.hashLong(h ^ s.nonce());
-        return HASH.hashLong(h ^ (s.incarnation() * Standing.values().length + s.standing().ordinal()));
+        return HASH.hashLong(
+                h ^ (s.incarnation() * Standing.values().length + s.standing().ordinal()));
     }
 
     private static int bucket(long nameHash) {
--- a/doorman/src/main/java/barleyspur/fleet/Saying.java
+++ b/doorman/src/main/java/barleyspur/fleet/Saying.java
@@ -14,13 +14,15 @@
  * @param by          who said so first, where others speak: SUSPECT and DEAD
  */
 public record Saying(String name, long life, long nonce, long incarnation, Standing standing, String by, About about)
-    implements Comparable<Saying> {
+        implements Comparable<Saying> {
 
     /** No life or incarnation is beyond it: a saying that is comes from a liar or a faulty program. */
     public static final long MOST = 1L << 52;
 
     private static final Comparator<Saying> ORDER = Comparator.comparingLong(Saying::life)
-        .thenComparingLong(Saying::nonce).thenComparingLong(Saying::incarnation).thenComparing(Saying::standing);
+            .thenComparingLong(Saying::nonce)
+            .thenComparingLong(Saying::incarnation)
+            .thenComparing(Saying::standing);
 
     /** The order of sayings of the same name. */
     @Override
--- a/doorman/src/main/java/barleyspur/fleet/Sizes.java
+++ b/doorman/src/main/java/barleyspur/fleet/Sizes.java
@@ -20,7 +20,7 @@
     /** Format, fleet, list heads, kind, digest and the tag. */
     private static final int ENVELOPE = 64 + LONGEST_TEXT;
 
-    private Sizes() { }
+    private Sizes() {}
 
     private static int text(String text) {
         // Three bytes a character are the most that UTF-8 takes for one of Java's.
@@ -39,8 +39,18 @@
     /** The most that a saying takes. */
     public static int of(Saying s) {
         About a = s.about();
-        return HEAD + 4 * NUMBER + text(s.name()) + text(s.by()) + HEAD + text(a.address()) + text(a.zone())
-            + text(a.phase()) + text(a.program()) + 2 * NUMBER + HEAD + a.more().length;
+        return HEAD
+                + 4 * NUMBER
+                + text(s.name())
+                + text(s.by())
+                + HEAD
+                + text(a.address())
+                + text(a.zone())
+                + text(a.phase())
+                + text(a.program())
+                + 2 * NUMBER
+                + HEAD
+                + a.more().length;
     }
 
     /** The most that a message takes by itself. */
--- a/doorman/src/main/java/barleyspur/fleet/Times.java
+++ b/doorman/src/main/java/barleyspur/fleet/Times.java
@@ -10,10 +10,12 @@
 
     /** News are told this often within a period. */
     private static final double ROUNDS = 5;
+
     private static final double DIRECT_SHARE = 0.4;
     private static final double LEAST_SUSPICION = 2;
     /** How much longer a suspicion lasts that nobody else confirms, and that nobody else is there to confirm. */
     private static final double LONGEST = 4;
+
     private static final double ALONE = 2;
 
     double roundMs() {
--- a/doorman/src/main/java/barleyspur/fleet/View.java
+++ b/doorman/src/main/java/barleyspur/fleet/View.java
@@ -20,7 +20,7 @@
      * @param heardMs when it was last heard of by a datagram of its own, or negative infinity
      * @param from    who told
      */
-    public record Member(Saying saying, boolean listed, double sinceMs, double heardMs, Why why, String from) { }
+    public record Member(Saying saying, boolean listed, double sinceMs, double heardMs, Why why, String from) {}
 
     /** How many are members. */
     public long size() {
--- a/doorman/src/main/java/barleyspur/fleet/Wording.java
+++ b/doorman/src/main/java/barleyspur/fleet/Wording.java
@@ -16,6 +16,7 @@
     double now;
     /** When anybody was last heard. */
     double heardMs;
+
     Saying self;
     /** Numbers of pings and comparisons; starts at random so that an answer to an earlier life matches none. */
     private long number;
--- a/doorman/src/main/java/barleyspur/fleet/net/Codec.java
+++ b/doorman/src/main/java/barleyspur/fleet/net/Codec.java
@@ -31,10 +31,12 @@
 
     /** Written into each datagram: a reader of format 1 understands all that is sent so far. */
     private static final int OLDEST_READER = 1;
+
     private static final int TAG = 16;
     private static final String ALGORITHM = "HmacSHA256";
     /** Sayings that fit into a datagram, and more. */
     private static final int MOST_NEWS = 64;
+
     private static final int MOST_BUCKETS = 128;
 
     private static final int PING = 1;
@@ -218,28 +220,40 @@
             more = p.getBinaryValue();
             rest(p);
         }
-        boolean good = !name.isEmpty() && life >= 0 && life <= Saying.MOST && incarnation >= 0
-            && incarnation <= Saying.MOST && standing >= 0 && standing < Standing.values().length
-            && (more == null || more.length <= Sizes.MOST_MORE);
+        boolean good = !name.isEmpty()
+                && life >= 0
+                && life <= Saying.MOST
+                && incarnation >= 0
+                && incarnation <= Saying.MOST
+                && standing >= 0
+                && standing < Standing.values().length
+                && (more == null || more.length <= Sizes.MOST_MORE);
         if (!good) {
             throw new Refused("bounds");
         }
-        return new Saying(name, life, nonce, incarnation, Standing.values()[standing], by,
-            new About(address, zone, phase, program, settings, format, more));
+        return new Saying(
+                name,
+                life,
+                nonce,
+                incarnation,
+                Standing.values()[standing],
+                by,
+                new About(address, zone, phase, program, settings, format, more));
     }
 
     private static Message message(JsonParser p) throws IOException, Refused {
         int kind = (int) whole(p);
         long number = whole(p);
-        Message message = switch (kind) {
-            case PING -> new Message.Ping(number, text(p));
-            case ACK -> new Message.Ack(number, text(p));
-            case PING_FOR -> new Message.PingFor(number, text(p), text(p));
-            case NACK -> new Message.Nack(number);
-            case COMPARE -> compare(p, number);
-            case CARRIED -> carried(p);
-            default -> new Message.News();
-        };
+        Message message =
+                switch (kind) {
+                    case PING -> new Message.Ping(number, text(p));
+                    case ACK -> new Message.Ack(number, text(p));
+                    case PING_FOR -> new Message.PingFor(number, text(p), text(p));
+                    case NACK -> new Message.Nack(number);
+                    case COMPARE -> compare(p, number);
+                    case CARRIED -> carried(p);
+                    default -> new Message.News();
+                };
         rest(p);
         return message;
     }
--- a/doorman/src/main/java/barleyspur/fleet/net/Counters.java
+++ b/doorman/src/main/java/barleyspur/fleet/net/Counters.java
@@ -18,6 +18,7 @@
 
     /** The format of datagrams that brought it. */
     static final int FORMAT = 2;
+
     private static final CBORFactory FACTORY = new CBORFactory();
 
     /** As it rides in {@link barleyspur.fleet.About#more}. */
--- a/doorman/src/main/java/barleyspur/fleet/net/FleetCalls.java
+++ b/doorman/src/main/java/barleyspur/fleet/net/FleetCalls.java
@@ -30,8 +30,10 @@
 
     void addTo(Routes.Builder routes) {
         routes.add("GET", "/admin/fleet", call -> HttpAnswer.json(OK, view().toString()));
-        routes.add("GET", "/admin/metrics", call -> new HttpAnswer(OK, Map.of(), "text/plain; version=0.0.4",
-            metrics.text()));
+        routes.add(
+                "GET",
+                "/admin/metrics",
+                call -> new HttpAnswer(OK, Map.of(), "text/plain; version=0.0.4", metrics.text()));
     }
 
     private JSONObject view() {
@@ -41,20 +43,35 @@
         for (View.Member m : view.members()) {
             members.put(member(m, now));
         }
-        return new JSONObject().put("fleet", fleet).put("self", view.self().name()).put("version", view.version())
-            .put("digest", Long.toHexString(view.digest())).put("in_doubt", view.inDoubt())
-            .put("name_given_up", view.nameGivenUp()).put("size", view.size()).put("members", members);
+        return new JSONObject()
+                .put("fleet", fleet)
+                .put("self", view.self().name())
+                .put("version", view.version())
+                .put("digest", Long.toHexString(view.digest()))
+                .put("in_doubt", view.inDoubt())
+                .put("name_given_up", view.nameGivenUp())
+                .put("size", view.size())
+                .put("members", members);
     }
 
     private static JSONObject member(View.Member m, double now) {
         Saying s = m.saying();
-        JSONObject json = new JSONObject().put("name", s.name()).put("listed", m.listed())
-            .put("standing", s.standing().name().toLowerCase(Locale.ROOT)).put("life", s.life())
-            .put("nonce", Long.toHexString(s.nonce())).put("incarnation", s.incarnation())
-            .put("address", s.about().address()).put("zone", s.about().zone()).put("phase", s.about().phase())
-            .put("program", s.about().program()).put("settings", Long.toHexString(s.about().settings()))
-            .put("format", s.about().format()).put("since_ms", Math.round(now - m.sinceMs()))
-            .put("why", m.why().name().toLowerCase(Locale.ROOT)).put("from", m.from());
+        JSONObject json = new JSONObject()
+                .put("name", s.name())
+                .put("listed", m.listed())
+                .put("standing", s.standing().name().toLowerCase(Locale.ROOT))
+                .put("life", s.life())
+                .put("nonce", Long.toHexString(s.nonce()))
+                .put("incarnation", s.incarnation())
+                .put("address", s.about().address())
+                .put("zone", s.about().zone())
+                .put("phase", s.about().phase())
+                .put("program", s.about().program())
+                .put("settings", Long.toHexString(s.about().settings()))
+                .put("format", s.about().format())
+                .put("since_ms", Math.round(now - m.sinceMs()))
+                .put("why", m.why().name().toLowerCase(Locale.ROOT))
+                .put("from", m.from());
         if (m.heardMs() > Double.NEGATIVE_INFINITY) {
             json.put("heard_ms", Math.round(now - m.heardMs()));
         }
--- a/doorman/src/main/java/barleyspur/fleet/net/FleetMetrics.java
+++ b/doorman/src/main/java/barleyspur/fleet/net/FleetMetrics.java
@@ -20,7 +20,8 @@
 
     void watch(Membership m, Clock clock) {
         Gauge.builder("fleet.members", m, Membership::members).register(registry);
-        Gauge.builder("fleet.in.doubt", m, v -> v.inDoubt(clock.nowMs()) ? 1 : 0).register(registry);
+        Gauge.builder("fleet.in.doubt", m, v -> v.inDoubt(clock.nowMs()) ? 1 : 0)
+                .register(registry);
         Gauge.builder("fleet.stood.still", m, v -> v.counters()[0]).register(registry);
         Gauge.builder("fleet.refutations", m, v -> v.counters()[2]).register(registry);
         Gauge.builder("fleet.own.doubts", m, v -> v.counters()[3]).register(registry);
@@ -45,7 +46,8 @@
     }
 
     void changed(Change change) {
-        registry.counter("fleet.changes", "kind", change.getClass().getSimpleName()).increment();
+        registry.counter("fleet.changes", "kind", change.getClass().getSimpleName())
+                .increment();
     }
 
     String text() {
--- a/doorman/src/main/java/barleyspur/fleet/net/FleetPort.java
+++ b/doorman/src/main/java/barleyspur/fleet/net/FleetPort.java
@@ -5,7 +5,6 @@
 import barleyspur.config.FleetSettings;
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
-import barleyspur.lifecycle.Lifecycle;
 import barleyspur.fleet.About;
 import barleyspur.fleet.Action;
 import barleyspur.fleet.Change;
@@ -14,6 +13,7 @@
 import barleyspur.fleet.Saying;
 import barleyspur.fleet.Sizes;
 import barleyspur.fleet.Times;
+import barleyspur.lifecycle.Lifecycle;
 import barleyspur.log.LogEvent;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.bootstrap.Bootstrap;
@@ -47,6 +47,7 @@
     private static final double BIND_AGAIN_MS = 500;
     /** How long a leaving member goes on saying so: three rounds. */
     private static final double FAREWELL_MS = 300;
+
     private static final int RECEIVE_BUFFER = 1 << 20;
     private static final double NANOS_PER_MS = 1e6;
 
@@ -61,10 +62,12 @@
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     /** What rides along; null: nothing. */
     private Passenger passenger;
+
     private long toldVersion = -1;
     private long version;
     /** What was last told of itself, besides its phase. */
     private Counters counters = new Counters(0, 0);
+
     private Channel channel;
     private Clock.Timer timer;
     private double timerAtMs = Double.POSITIVE_INFINITY;
@@ -77,17 +80,38 @@
      * @param digest  of the platform's settings that it runs by
      * @param wallMs  the wall clock's time, by which this life is numbered
      */
-    public FleetPort(EventLoopGroup group, Clock clock, FleetSettings settings, Lifecycle lifecycle, String name, String zone,
-                     String program, long digest, long wallMs, long seed) {
+    public FleetPort(
+            EventLoopGroup group,
+            Clock clock,
+            FleetSettings settings,
+            Lifecycle lifecycle,
+            String name,
+            String zone,
+            String program,
+            long digest,
+            long wallMs,
+            long seed) {
         this.group = group;
         this.clock = clock;
         this.settings = settings;
         this.lifecycle = lifecycle;
         codec = new Codec(settings.name(), settings.key());
         capped = new CappedLog(LOG, clock);
-        membership = new Membership(name, Math.max(0, wallMs + (long) settings.clockOffsetMs()), new About(
-            settings.advertise(), zone, lifecycle.phase().word(), program, digest, settings.format(), more()),
-            new Times(settings.periodMs(), settings.rememberMs()), settings.seeds(), seed, this::carryOut);
+        membership = new Membership(
+                name,
+                Math.max(0, wallMs + (long) settings.clockOffsetMs()),
+                new About(
+                        settings.advertise(),
+                        zone,
+                        lifecycle.phase().word(),
+                        program,
+                        digest,
+                        settings.format(),
+                        more()),
+                new Times(settings.periodMs(), settings.rememberMs()),
+                settings.seeds(),
+                seed,
+                this::carryOut);
         metrics.watch(membership, clock);
     }
 
@@ -139,36 +163,50 @@
     }
 
     private void bind() {
-        ChannelFuture bound = new Bootstrap().group(group).channel(NioDatagramChannel.class)
-            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER)
-            .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Sizes.MOST + 1))
-            .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
-                @Override
-                protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-                    received(packet);
-                }
+        ChannelFuture bound = new Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel.class)
+                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Sizes.MOST + 1))
+                .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+                        received(packet);
+                    }
 
-                @Override
-                public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                    // A port that nobody has answers by ICMP: that member's silence tells as much.
-                    capped.warn("datagram channel", "cause", cause);
-                }
-            }).bind(settings.listen());
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                        // A port that nobody has answers by ICMP: that member's silence tells as much.
+                        capped.warn("datagram channel", "cause", cause);
+                    }
+                })
+                .bind(settings.listen());
         bound.addListener(done -> {
             if (closed) {
                 bound.channel().close();
             } else if (bound.isSuccess()) {
                 channel = bound.channel();
-                LogEvent.log(LOG.atInfo(), "listens for its fleet", "fleet", settings.name(), "address",
-                    settings.listen(), "advertised", settings.advertise());
+                LogEvent.log(
+                        LOG.atInfo(),
+                        "listens for its fleet",
+                        "fleet",
+                        settings.name(),
+                        "address",
+                        settings.listen(),
+                        "advertised",
+                        settings.advertise());
                 membership.start(clock.nowMs());
                 if (passenger != null) {
                     passenger.start();
                 }
                 tick();
             } else {
-                capped.warn("can't listen for its fleet yet", "address", settings.listen(), "cause",
-                    bound.cause().getMessage());
+                capped.warn(
+                        "can't listen for its fleet yet",
+                        "address",
+                        settings.listen(),
+                        "cause",
+                        bound.cause().getMessage());
                 clock.after(BIND_AGAIN_MS, this::bind);
             }
         });
@@ -226,8 +264,10 @@
         // Compared before it is encoded: this is looked at with each tick and seldom new.
         if (!now.equals(counters) || !lifecycle.phase().word().equals(told.phase())) {
             counters = now;
-            if (passenger != null && (lifecycle.phase() == Lifecycle.Phase.LEAVING || lifecycle.phase() == Lifecycle.Phase.HANDING_OFF)
-                && !told.phase().equals(lifecycle.phase().word())) {
+            if (passenger != null
+                    && (lifecycle.phase() == Lifecycle.Phase.LEAVING
+                            || lifecycle.phase() == Lifecycle.Phase.HANDING_OFF)
+                    && !told.phase().equals(lifecycle.phase().word())) {
                 passenger.leaving();
             }
             membership.about(clock.nowMs(), told.with(lifecycle.phase().word(), more()));
@@ -292,23 +332,65 @@
         if (change instanceof Change.Joined c) {
             log(LOG.atInfo(), "member joined", mono, c);
         } else if (change instanceof Change.Lost c) {
-            log(LOG.atInfo(), "member lost", mono, c, "standing", c.member().standing(), "by", c.member().by());
+            log(
+                    LOG.atInfo(),
+                    "member lost",
+                    mono,
+                    c,
+                    "standing",
+                    c.member().standing(),
+                    "by",
+                    c.member().by());
         } else if (change instanceof Change.Updated c) {
-            log(LOG.atDebug(), "member updated", mono, c, "standing", c.member().standing(), "phase",
-                c.member().about().phase(), "by", c.member().by());
+            log(
+                    LOG.atDebug(),
+                    "member updated",
+                    mono,
+                    c,
+                    "standing",
+                    c.member().standing(),
+                    "phase",
+                    c.member().about().phase(),
+                    "by",
+                    c.member().by());
         } else if (change instanceof Change.Doubt c) {
-            LogEvent.log(LOG.atInfo(), c.inDoubt() ? "view in doubt" : "view settled", "mono", mono, "version",
-                c.version(), "members", membership.members());
+            LogEvent.log(
+                    LOG.atInfo(),
+                    c.inDoubt() ? "view in doubt" : "view settled",
+                    "mono",
+                    mono,
+                    "version",
+                    c.version(),
+                    "members",
+                    membership.members());
         } else if (change instanceof Change.Name c) {
-            LogEvent.log(LOG.atInfo(), c.givenUp() ? "name given up" : "name taken back", "mono", mono, "version",
-                c.version(), "life", c.other().life());
+            LogEvent.log(
+                    LOG.atInfo(),
+                    c.givenUp() ? "name given up" : "name taken back",
+                    "mono",
+                    mono,
+                    "version",
+                    c.version(),
+                    "life",
+                    c.other().life());
         }
     }
 
     private static void log(LoggingEventBuilder at, String event, double mono, Change.OfMember c, Object... more) {
         Saying m = c.member();
-        List<Object> keys = new ArrayList<>(List.of("mono", mono, "version", c.version(), "member", m.name(), "life",
-            m.life(), "nonce", m.nonce(), "incarnation", m.incarnation()));
+        List<Object> keys = new ArrayList<>(List.of(
+                "mono",
+                mono,
+                "version",
+                c.version(),
+                "member",
+                m.name(),
+                "life",
+                m.life(),
+                "nonce",
+                m.nonce(),
+                "incarnation",
+                m.incarnation()));
         keys.addAll(List.of(more));
         keys.addAll(List.of("why", c.why(), "from", c.from()));
         LogEvent.log(at, event, keys.toArray());
--- a/doorman/src/main/java/barleyspur/front/thrift/ConnectionRegistry.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ConnectionRegistry.java
@@ -79,7 +79,8 @@
 
     /** The one that has to go for a newcomer, which is closing from here on; null: all are in use. */
     C evictIdle(double now) {
-        boolean known = !strangers.isEmpty() && now - strangers.values().iterator().next() >= NEW_MS;
+        boolean known =
+                !strangers.isEmpty() && now - strangers.values().iterator().next() >= NEW_MS;
         Set<C> useless = (known || idle.isEmpty() ? strangers : idle).keySet();
         Iterator<C> from = (useless.isEmpty() ? arriving : useless).iterator();
         if (!from.hasNext()) {
--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -1,11 +1,11 @@
 package barleyspur.front.thrift;
 
-import barleyspur.doorman.Request;
-import barleyspur.doorman.RequestTrace;
-import barleyspur.doorman.ResponseHandler;
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
+import barleyspur.doorman.Request;
+import barleyspur.doorman.RequestTrace;
+import barleyspur.doorman.ResponseHandler;
 import barleyspur.lifecycle.Lifecycle;
 import barleyspur.log.LogEvent;
 import barleyspur.retune.ClassTable;
@@ -71,11 +71,18 @@
     private static final int MOST_BAD = 8;
 
     /** What all connections of one front have in common. */
-    record Shared(Doorman doorman, Clock clock, Supplier<ClassTable> classes, int mostOpen, UnreadAnswers unread,
-                  ConnectionRegistry<FrontConnection> registry, CappedLog log, Lifecycle lifecycle) { }
+    record Shared(
+            Doorman doorman,
+            Clock clock,
+            Supplier<ClassTable> classes,
+            int mostOpen,
+            UnreadAnswers unread,
+            ConnectionRegistry<FrontConnection> registry,
+            CappedLog log,
+            Lifecycle lifecycle) {}
 
     /** A request that has been read, and when it may have come to this machine. */
-    private record Arrival(ThriftCall.Dispatch call, double atMs) { }
+    private record Arrival(ThriftCall.Dispatch call, double atMs) {}
 
     private final Shared front;
     private final Doorman doorman;
@@ -84,15 +91,18 @@
     private final Map<Integer, Pending> open = new HashMap<>();
     /** Requests read in this turn of the loop, in their order; each holds its body. */
     private final ArrayDeque<Arrival> arrived = new ArrayDeque<>();
+
     private Channel channel;
     private LingeringClose closing;
     private ResponseWriter responses;
     private Clock.Timer halfSent;
     /** When the request began of which only a part has come. */
     private double arrivingSince;
+
     private boolean arriving;
     /** How many whole frames had come before it. */
     private long framesBefore;
+
     private boolean useful;
     private int bad;
     private EndCause endCause = EndCause.CLIENT_CLOSED;
@@ -108,8 +118,13 @@
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         closing = new LingeringClose(channel, front.clock());
-        responses = new ResponseWriter(channel, front.clock(), front.unread(), log,
-            () -> front.classes().get().longestDeadlineMs(), this);
+        responses = new ResponseWriter(
+                channel,
+                front.clock(),
+                front.unread(),
+                log,
+                () -> front.classes().get().longestDeadlineMs(),
+                this);
         front.registry().came(this, front.clock().nowMs());
         watch();
     }
@@ -136,7 +151,7 @@
 
     /** No answer is owed to what is cancelled, whether it was taken or has only just come. */
     private void cancel(int seqid) {
-        for (Iterator<Arrival> it = arrived.iterator(); it.hasNext();) {
+        for (Iterator<Arrival> it = arrived.iterator(); it.hasNext(); ) {
             ThriftCall.Dispatch call = it.next().call();
             if (call.seqid() == seqid) {
                 it.remove();
@@ -265,7 +280,9 @@
      */
     void closeIfQuiet() {
         boolean quiet = open.isEmpty() && arrived.isEmpty() && responses.unwritten() == 0 && !decoder.midFrame();
-        if (quiet && front.lifecycle().closeWhenIdle() && (useful || front.lifecycle().closeStrangers())) {
+        if (quiet
+                && front.lifecycle().closeWhenIdle()
+                && (useful || front.lifecycle().closeStrangers())) {
             close(EndCause.IDLE);
         }
     }
@@ -319,7 +336,8 @@
         }
         Request request;
         try {
-            request = RequestFields.read(call.fields(), call.body(), front.classes().get());
+            request = RequestFields.read(
+                    call.fields(), call.body(), front.classes().get());
             if (doorman.hasTaken(request.id())) {
                 // Two requests under one id would be taken for one another at a depot.
                 throw new IllegalArgumentException("field i is the id of an earlier request");
@@ -337,9 +355,16 @@
             return;
         }
         // What is not yet out is open to its client: who keeps to the limit is never refused by this.
-        if (open.size() + responses.unwritten() >= front.mostOpen() || front.unread().full()) {
-            log.warn("refused: too many requests are open here", "client", channel.remoteAddress(), "open", open.size(),
-                "unread", front.unread().full());
+        if (open.size() + responses.unwritten() >= front.mostOpen()
+                || front.unread().full()) {
+            log.warn(
+                    "refused: too many requests are open here",
+                    "client",
+                    channel.remoteAddress(),
+                    "open",
+                    open.size(),
+                    "unread",
+                    front.unread().full());
             responses.refused(seqid, request.id(), Map.of());
             idleIfDone();
             return;
@@ -415,7 +440,8 @@
 
     @Override
     public void lost(Throwable cause) {
-        log.warn("connection closed: an answer could not be written", "client", channel.remoteAddress(), "cause", cause);
+        log.warn(
+                "connection closed: an answer could not be written", "client", channel.remoteAddress(), "cause", cause);
         endNow(EndCause.ANSWER_LOST);
     }
 
@@ -458,7 +484,8 @@
         front.registry().left(this);
         halfSent.cancel();
         responses.stop();
-        RequestTrace.connectionEnded(channel.remoteAddress(), endCause, open.size() + arrived.size(), responses.unwritten());
+        RequestTrace.connectionEnded(
+                channel.remoteAddress(), endCause, open.size() + arrived.size(), responses.unwritten());
         arrived.forEach(arrival -> arrival.call().body().release());
         arrived.clear();
         List<Pending> left = new ArrayList<>(open.values());
@@ -474,8 +501,13 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
-            LogEvent.log(LOG.atDebug(), "connection lost", "client", ctx.channel().remoteAddress(), "cause",
-                cause.getMessage());
+            LogEvent.log(
+                    LOG.atDebug(),
+                    "connection lost",
+                    "client",
+                    ctx.channel().remoteAddress(),
+                    "cause",
+                    cause.getMessage());
             endNow(EndCause.BROKEN);
         } else if (cause instanceof ThriftCall.Malformed || cause instanceof DecoderException) {
             malformed((Exception) cause);
--- a/doorman/src/main/java/barleyspur/front/thrift/RequestFields.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/RequestFields.java
@@ -3,7 +3,6 @@
 import barleyspur.doorman.Request;
 import barleyspur.retune.ClassTable;
 import io.netty.buffer.ByteBuf;
-import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 
@@ -13,9 +12,11 @@
     private static final int HEX = 16;
     /** Only these digits: the number parsers also take signs and other scripts' digits, which depots may not. */
     private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
+
     private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
     /** Goes on into a depot's list of fields, so it must not be able to end its field and begin another. */
     private static final Pattern BARE = Pattern.compile("[!-~&&[^,=\"]]{1,256}");
+
     private static final int MOST_PART = 1 << 20;
     private static final int MOST_GROUP = 255;
     /** Far above any object's: one figure out of all measure would spoil what is learned from sizes. */
@@ -43,9 +44,20 @@
         String key = word("o");
         String size = fields.get("m");
         int mostMs = (int) Math.ceil(classes.classes().get(category).deadlineMs());
-        return new Request(id, category, className, key, hex("o", key), word("seg"), whole("seg", MOST_PART),
-            whole("bucket", MOST_GROUP), whole("d", mostMs), size == null ? 0 : decimal("m", size),
-            bare("etag"), bare("k"), body);
+        return new Request(
+                id,
+                category,
+                className,
+                key,
+                hex("o", key),
+                word("seg"),
+                whole("seg", MOST_PART),
+                whole("bucket", MOST_GROUP),
+                whole("d", mostMs),
+                size == null ? 0 : decimal("m", size),
+                bare("etag"),
+                bare("k"),
+                body);
     }
 
     /** A word that may be missing; null then. */
--- a/doorman/src/main/java/barleyspur/front/thrift/ResponseWriter.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ResponseWriter.java
@@ -44,8 +44,13 @@
     private int unwritten;
 
     /** {@code longestWaitMs}: how long a client waits for an answer at most. */
-    ResponseWriter(Channel channel, Clock clock, UnreadAnswers unread, CappedLog log, DoubleSupplier longestWaitMs,
-                   Listener listener) {
+    ResponseWriter(
+            Channel channel,
+            Clock clock,
+            UnreadAnswers unread,
+            CappedLog log,
+            DoubleSupplier longestWaitMs,
+            Listener listener) {
         this.channel = channel;
         this.clock = clock;
         this.unread = unread;
--- a/doorman/src/main/java/barleyspur/front/thrift/Thrift.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/Thrift.java
@@ -29,6 +29,7 @@
 
     /** Kinds of application exception. */
     static final int UNKNOWN_METHOD = 1;
+
     static final int PROTOCOL_ERROR = 7;
 
     private static final int SUCCESS = 0;
@@ -36,7 +37,7 @@
     private static final int FAILED = 2;
     private static final int SMALL = 128;
 
-    private Thrift() { }
+    private Thrift() {}
 
     /** An {@code Answer} up to its body, whose {@code bodyBytes} bytes and {@link #answerTail} follow. */
     static ByteBuf answerHead(ByteBufAllocator alloc, String method, int seqid, int bodyBytes, int tailBytes) {
@@ -66,8 +67,8 @@
         return thrown(alloc, method, seqid, FAILED, Map.of());
     }
 
-    private static ByteBuf thrown(ByteBufAllocator alloc, String method, int seqid, int id,
-                                  Map<String, String> fields) {
+    private static ByteBuf thrown(
+            ByteBufAllocator alloc, String method, int seqid, int id, Map<String, String> fields) {
         ByteBuf out = open(alloc, REPLY, method, seqid);
         field(out, STRUCT, id);
         fields(out, 1, fields);
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftCall.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftCall.java
@@ -11,13 +11,13 @@
     int seqid();
 
     /** {@code body} is a slice of the frame, which the reader does not retain. */
-    record Dispatch(int seqid, Map<String, String> fields, ByteBuf body) implements ThriftCall { }
+    record Dispatch(int seqid, Map<String, String> fields, ByteBuf body) implements ThriftCall {}
 
-    record CancelRequest(int seqid, int cancelled) implements ThriftCall { }
+    record CancelRequest(int seqid, int cancelled) implements ThriftCall {}
 
-    record Alive(int seqid) implements ThriftCall { }
+    record Alive(int seqid) implements ThriftCall {}
 
-    record Unknown(int seqid, String method) implements ThriftCall { }
+    record Unknown(int seqid, String method) implements ThriftCall {}
 
     /** A frame that is no call in the strict binary protocol. */
     final class Malformed extends Exception {
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -28,6 +28,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("front");
     /** A write carries up to 48,000 bytes, and its fields need far less than what is left. */
     private static final int MAX_FRAME = 128 * 1024;
+
     private static final int MOST_OPEN = 32;
     /** Connections that the system holds until they are accepted: as many as the largest limit on descriptors. */
     private static final int BACKLOG = 1_024;
@@ -54,17 +55,31 @@
      * {@code mostUnread} bytes of answers may wait in memory for clients to read them; {@code onFull} is told when they leave more
      * than that unread, so that no more can be taken in, and when that is over.
      */
-    public ThriftFront(EventLoopGroup group, Doorman doorman, Clock clock, ClassTable classes, int mostConnections,
-                       long mostUnread,
-                       Consumer<Boolean> onFull, Lifecycle lifecycle, boolean sharePort) {
+    public ThriftFront(
+            EventLoopGroup group,
+            Doorman doorman,
+            Clock clock,
+            ClassTable classes,
+            int mostConnections,
+            long mostUnread,
+            Consumer<Boolean> onFull,
+            Lifecycle lifecycle,
+            boolean sharePort) {
         this.group = group;
         this.clock = clock;
         this.mostConnections = mostConnections;
         this.log = new CappedLog(LOG, clock);
         this.connections = new DefaultChannelGroup(group.next());
         this.classes = classes;
-        this.shared = new FrontConnection.Shared(doorman, clock, () -> this.classes,
-            MOST_OPEN, new UnreadAnswers(mostUnread, onFull), registry, log, lifecycle);
+        this.shared = new FrontConnection.Shared(
+                doorman,
+                clock,
+                () -> this.classes,
+                MOST_OPEN,
+                new UnreadAnswers(mostUnread, onFull),
+                registry,
+                log,
+                lifecycle);
         this.sharePort = sharePort;
     }
 
@@ -77,16 +92,21 @@
         if (sharePort) {
             bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
-        ChannelFuture bound = bootstrap.group(group).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
-                .respectMaybeMoreData(false).maxMessagesPerRead(MOST_READS))
-            // Finds out clients that have vanished without a word.
-            .childOption(ChannelOption.SO_KEEPALIVE, true)
-            .childHandler(acceptor())
-            .bind(address);
+        ChannelFuture bound = bootstrap
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
+                                .maxMessagesPerRead(MOST_READS))
+                // Finds out clients that have vanished without a word.
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childHandler(acceptor())
+                .bind(address);
         listener = bound.channel();
         return bound;
     }
@@ -106,13 +126,21 @@
             // Guards the limit on descriptors: without it a crowd of clients would cut off the depots.
             FrontConnection leaves = registry.evictIdle(clock.nowMs());
             if (leaves == null) {
-                log.warn("turned away: all connections are in use", "client", channel.remoteAddress(), "open",
-                    connections.size());
+                log.warn(
+                        "turned away: all connections are in use",
+                        "client",
+                        channel.remoteAddress(),
+                        "open",
+                        connections.size());
                 channel.close();
                 return;
             }
-            log.warn("a connection that is not in use makes room", "client", channel.remoteAddress(), "open",
-                connections.size());
+            log.warn(
+                    "a connection that is not in use makes room",
+                    "client",
+                    channel.remoteAddress(),
+                    "open",
+                    connections.size());
             leaves.evict();
         }
         if (registry.leaving() > mostConnections / LINGERING) {
--- a/doorman/src/main/java/barleyspur/lifecycle/Lifecycle.java
+++ b/doorman/src/main/java/barleyspur/lifecycle/Lifecycle.java
@@ -143,8 +143,7 @@
             case STARTING, SERVING -> true;
             case LEAVING -> !graceOver || nowMs + remainingMs < answeredByMs();
             case QUIESCED -> nowMs - sinceMs < QUIESCED_TAKES_MS;
-            case HANDING_OFF -> nowMs - sinceMs < HANDING_OFF_TAKES_MS
-                || nowMs + remainingMs < answeredByMs();
+            case HANDING_OFF -> nowMs - sinceMs < HANDING_OFF_TAKES_MS || nowMs + remainingMs < answeredByMs();
         };
     }
 
--- a/doorman/src/main/java/barleyspur/log/LogEvent.java
+++ b/doorman/src/main/java/barleyspur/log/LogEvent.java
@@ -8,7 +8,7 @@
  */
 public final class LogEvent {
 
-    private LogEvent() { }
+    private LogEvent() {}
 
     /** Logs an event; keys and values come by turns, and a level that is off costs nothing. */
     public static void log(LoggingEventBuilder at, String event, Object... keysAndValues) {
--- a/doorman/src/main/java/barleyspur/sim/Adapter.java
+++ b/doorman/src/main/java/barleyspur/sim/Adapter.java
@@ -46,14 +46,16 @@
             int instance = record.instance();
             try {
                 if (record.born() != null) {
-                    directors.put(instance, new Decide(record.born().settings(), record.born().seed()));
+                    directors.put(
+                            instance,
+                            new Decide(record.born().settings(), record.born().seed()));
                 } else if (record.event() == null) {
                     directors.remove(instance);
                 } else {
                     Director director = directors.get(instance);
                     if (director == null) {
-                        throw new Wire.Malformed("batch " + batch.number() + ": event for director "
-                            + instance + ", which was not started");
+                        throw new Wire.Malformed("batch " + batch.number() + ": event for director " + instance
+                                + ", which was not started");
                     }
                     director.handle(batch.nowMs(), record.event(), action -> reply.add(instance, action));
                 }
--- a/doorman/src/main/java/barleyspur/sim/Wire.java
+++ b/doorman/src/main/java/barleyspur/sim/Wire.java
@@ -20,7 +20,7 @@
     private static final int ENTRY_BYTES = 23;
     private static final int MAX_TEXT = 0xFFFF;
 
-    private Wire() { }
+    private Wire() {}
 
     /** Input that the wire page does not allow; the message says what and where. */
     static final class Malformed extends Exception {
@@ -32,10 +32,10 @@
     }
 
     /** What starts an instance. */
-    record Born(long seed, Director.Settings settings) { }
+    record Born(long seed, Director.Settings settings) {}
 
     /** One record: a start ({@code born}), a stop (both null) or an event. */
-    record Record(int instance, Born born, Director.Event event) { }
+    record Record(int instance, Born born, Director.Event event) {}
 
     // ---- reading --------------------------------------------------------------------------------------
 
@@ -58,8 +58,7 @@
         }
         byte[] body = in.readNBytes((int) length);
         if (body.length < length) {
-            throw new Malformed("batch " + number + ": input ends after " + body.length + " of " + length
-                + " bytes");
+            throw new Malformed("batch " + number + ": input ends after " + body.length + " of " + length + " bytes");
         }
         return new Batch(number, nowMs, count, ByteBuffer.wrap(body).order(ByteOrder.LITTLE_ENDIAN));
     }
@@ -119,7 +118,8 @@
             int instance = u16(body);
             if (code == 1) {
                 long seed = body.getLong();
-                return new Record(instance, new Born(seed, SettingsReader.read(SettingsReader.lines(text(u32(body))))), null);
+                return new Record(
+                        instance, new Born(seed, SettingsReader.read(SettingsReader.lines(text(u32(body))))), null);
             }
             return new Record(instance, null, code == 10 ? null : event(code));
         }
@@ -140,13 +140,14 @@
         }
 
         private Director.Members members() {
-            Director.ListKind kind = switch (u8(body)) {
-                case 0 -> Director.ListKind.FULL;
-                case 1 -> Director.ListKind.CACHED;
-                case 2 -> Director.ListKind.FAILED;
-                case 3 -> Director.ListKind.DELTA;
-                default -> throw new IllegalArgumentException("unknown kind of list");
-            };
+            Director.ListKind kind =
+                    switch (u8(body)) {
+                        case 0 -> Director.ListKind.FULL;
+                        case 1 -> Director.ListKind.CACHED;
+                        case 2 -> Director.ListKind.FAILED;
+                        case 3 -> Director.ListKind.DELTA;
+                        default -> throw new IllegalArgumentException("unknown kind of list");
+                    };
             body.getLong();
             long rows = u32(body);
             if (rows * ENTRY_BYTES > body.remaining()) {
@@ -154,8 +155,14 @@
             }
             List<Director.Node> nodes = new ArrayList<>((int) rows);
             for (long i = 0; i < rows; i++) {
-                nodes.add(new Director.Node(u32(body), u16(body), u16(body), u16(body), state(u8(body)),
-                    body.getFloat(), body.getDouble()));
+                nodes.add(new Director.Node(
+                        u32(body),
+                        u16(body),
+                        u16(body),
+                        u16(body),
+                        state(u8(body)),
+                        body.getFloat(),
+                        body.getDouble()));
             }
             return new Director.Members(kind, nodes);
         }
@@ -179,8 +186,8 @@
             int group = (int) body.getFloat();
             int part = (int) body.getFloat();
             int bits = u8(body);
-            return new Director.Request(id, category, tenant, object, part, group, remaining, kb,
-                (bits & 2) != 0, (bits & 4) != 0);
+            return new Director.Request(
+                    id, category, tenant, object, part, group, remaining, kb, (bits & 2) != 0, (bits & 4) != 0);
         }
 
         private Director.FirstByte firstByte() {
@@ -284,12 +291,19 @@
 
         void add(int instance, Director.Action action) {
             if (action instanceof Director.Send a) {
-                put(open(1, instance, 16).putInt((int) a.request()).putInt((int) a.node())
-                    .putDouble(a.timeoutMs()));
+                put(open(1, instance, 16)
+                        .putInt((int) a.request())
+                        .putInt((int) a.node())
+                        .putDouble(a.timeoutMs()));
             } else if (action instanceof Director.Get a) {
-                put(open(7, instance, 30).putInt((int) a.request()).putInt((int) a.node())
-                    .putDouble(a.timeoutMs()).putInt((int) a.source()).put((byte) a.rank())
-                    .putDouble(a.maxAgeMs()).put(bits(a)));
+                put(open(7, instance, 30)
+                        .putInt((int) a.request())
+                        .putInt((int) a.node())
+                        .putDouble(a.timeoutMs())
+                        .putInt((int) a.source())
+                        .put((byte) a.rank())
+                        .putDouble(a.maxAgeMs())
+                        .put(bits(a)));
             } else if (action instanceof Director.Cancel a) {
                 put(open(8, instance, 5).putInt((int) a.request()).put((byte) a.attempt()));
             } else if (action instanceof Director.Refuse a) {
@@ -303,8 +317,10 @@
             } else if (action instanceof Director.HangUp a) {
                 put(open(6, instance, 4).putInt((int) a.node()));
             } else if (action instanceof Director.Tell a) {
-                put(open(3, instance, 4 + a.body().length).putShort((short) a.to())
-                    .putShort((short) a.body().length).put(a.body()));
+                put(open(3, instance, 4 + a.body().length)
+                        .putShort((short) a.to())
+                        .putShort((short) a.body().length)
+                        .put(a.body()));
             } else if (action instanceof Director.Log a) {
                 text(12, instance, a.line());
             } else if (action instanceof Director.Watch a) {
@@ -320,13 +336,16 @@
 
         void writeTo(OutputStream out) throws IOException {
             ByteBuffer header = ByteBuffer.allocate(12).order(ByteOrder.LITTLE_ENDIAN);
-            out.write(header.putInt(count).putInt(body.size()).putInt((int) number).array());
+            out.write(header.putInt(count)
+                    .putInt(body.size())
+                    .putInt((int) number)
+                    .array());
             body.writeTo(out);
         }
 
         private static byte bits(Director.Get a) {
-            return (byte) ((a.join() ? 1 : 0) | (a.onlyHeld() ? 2 : 0) | (a.parentKeepsNone() ? 4 : 0)
-                | (a.renew() ? 8 : 0));
+            return (byte)
+                    ((a.join() ? 1 : 0) | (a.onlyHeld() ? 2 : 0) | (a.parentKeepsNone() ? 4 : 0) | (a.renew() ? 8 : 0));
         }
 
         private void text(int code, int instance, String text) {
@@ -336,8 +355,10 @@
         }
 
         private static ByteBuffer open(int code, int instance, int fields) {
-            return ByteBuffer.allocate(3 + fields).order(ByteOrder.LITTLE_ENDIAN)
-                .put((byte) code).putShort((short) instance);
+            return ByteBuffer.allocate(3 + fields)
+                    .order(ByteOrder.LITTLE_ENDIAN)
+                    .put((byte) code)
+                    .putShort((short) instance);
         }
 
         private void put(ByteBuffer record) {
--- a/doorman/src/main/java/barleyspur/tier/History.java
+++ b/doorman/src/main/java/barleyspur/tier/History.java
@@ -12,6 +12,7 @@
     private static final int DAY_MIN = 1_440;
     /** A day's bins for the time of the first request: ten minutes each. */
     private static final int BIN_MIN = 10;
+
     private static final int BINS = DAY_MIN / BIN_MIN;
     private static final int HALF_LIFE_MIN = 90;
     private static final int LOOKED_AT = 8;
@@ -20,12 +21,14 @@
     private static final double UNIT = 256;
     /** What an object's first request counts: most objects that are new are not asked for again. */
     private static final int FIRST = 64;
+
     private static final int MOST_COUNT = 0xFFFF;
 
     private final long[] objects;
     private final int[] lastMin;
     /** Of each object: days (8 bits, the lowest is the day of lastMin), bin (8 bits), frequency (16 bits). */
     private final int[] packed;
+
     private final int mask;
     private final int most;
     private int size;
--- a/doorman/src/main/java/barleyspur/tier/PartTable.java
+++ b/doorman/src/main/java/barleyspur/tier/PartTable.java
@@ -12,6 +12,7 @@
     private int[] parts = new int[FIRST_SLOTS];
     /** KB; 0 where a slot is free. */
     private int[] sizes = new int[FIRST_SLOTS];
+
     private int count;
 
     int count() {
--- a/doorman/src/main/java/barleyspur/tier/RecurrentKeeper.java
+++ b/doorman/src/main/java/barleyspur/tier/RecurrentKeeper.java
@@ -20,7 +20,7 @@
     /** Between counting requests (1) and bytes (0). */
     private static final double SIZE_POWER = 0.6;
 
-    private record Leaving(long object, int part, int kb) { }
+    private record Leaving(long object, int part, int kb) {}
 
     private final long mostKb;
     private final History history;
--- a/doorman/src/main/java/barleyspur/transport/Connector.java
+++ b/doorman/src/main/java/barleyspur/transport/Connector.java
@@ -19,15 +19,20 @@
 
     /** Over TCP, on the event loop of {@code group}. */
     static Connector tcp(EventLoopGroup group, int timeoutMs) {
-        Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
-            .resolver(NoopAddressResolverGroup.INSTANCE)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs);
-        return (address, handlers) -> bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(handlers);
-            }
-        }).connect(address);
+        Bootstrap bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .resolver(NoopAddressResolverGroup.INSTANCE)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs);
+        return (address, handlers) -> bootstrap
+                .clone()
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(handlers);
+                    }
+                })
+                .connect(address);
     }
 }
--- a/doorman/src/main/java/barleyspur/upgrade/HandOffNote.java
+++ b/doorman/src/main/java/barleyspur/upgrade/HandOffNote.java
@@ -19,8 +19,8 @@
 
     /** The note of the process that listens on {@code listen}. */
     public HandOffNote(Path folder, InetSocketAddress listen) {
-        this.file = folder.resolve("barleyspur-" + listen.getAddress().getHostAddress() + "-" + listen.getPort()
-            + ".listener");
+        this.file = folder.resolve(
+                "barleyspur-" + listen.getAddress().getHostAddress() + "-" + listen.getPort() + ".listener");
     }
 
     /** Says that this process listens now. */
@@ -36,8 +36,10 @@
      */
     public long successorOf(long pid) {
         try {
-            long last = Long.parseLong(Files.readString(file, StandardCharsets.US_ASCII).strip());
-            boolean alive = last != pid && ProcessHandle.of(last).map(ProcessHandle::isAlive).orElse(false);
+            long last = Long.parseLong(
+                    Files.readString(file, StandardCharsets.US_ASCII).strip());
+            boolean alive = last != pid
+                    && ProcessHandle.of(last).map(ProcessHandle::isAlive).orElse(false);
             return alive ? last : -1;
         } catch (IOException | NumberFormatException e) {
             return -1;
--- a/doorman/src/test/java/barleyspur/Cuts.java
+++ b/doorman/src/test/java/barleyspur/Cuts.java
@@ -13,12 +13,12 @@
 
     private static final int MOST_PIECE = 40;
 
-    private Cuts() { }
+    private Cuts() {}
 
     /** What the parser in {@code channel} makes of {@code bytes}, cut at places that {@code seed} sets. */
     public static List<Object> feed(EmbeddedChannel channel, byte[] bytes, long seed) {
         Random random = new Random(seed);
-        for (int at = 0; at < bytes.length;) {
+        for (int at = 0; at < bytes.length; ) {
             int end = Math.min(bytes.length, at + 1 + random.nextInt(MOST_PIECE));
             channel.writeInbound(Unpooled.copiedBuffer(bytes, at, end - at));
             at = end;
--- a/doorman/src/test/java/barleyspur/Loopback.java
+++ b/doorman/src/test/java/barleyspur/Loopback.java
@@ -45,7 +45,9 @@
     static final int PATIENCE_MS = 20_000;
     /** A connect that has not come up by then, after the system has tried it again, waits for the listener to accept. */
     private static final int QUEUED_MS = 1_500;
-    private static final String SETTINGS = """
+
+    private static final String SETTINGS =
+            """
         {"areas": ["central"], "flavors": ["cache", "parent", "origin"], "groupSize": 1, "myNumber": 0, "myZone": 0,
          "resolutionMs": 2,
          "grades": [
@@ -85,12 +87,28 @@
             address = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
         }
         JSONArray targets = new JSONArray().put(target("s-1", box, "cache")).put(target("s-2", origin, "origin"));
-        configuration = new JSONObject().put("name", "n0").put("listen", "127.0.0.1:" + address.getPort())
-            .put("channel", "127.0.0.1:" + channel.port()).put("seed", "1")
-            .put("limits", new JSONObject().put("sockets", 256).put("memory_mb", 192))
-            .put("known", new JSONObject().put("cursor", 1).put("cmds", new JSONArray().put(new JSONObject()
-                .put("cursor", 1).put("nodes", new JSONObject().put("rev", 1).put("all", true).put("targets", targets)))))
-            .put("settings", new JSONObject(SETTINGS));
+        configuration = new JSONObject()
+                .put("name", "n0")
+                .put("listen", "127.0.0.1:" + address.getPort())
+                .put("channel", "127.0.0.1:" + channel.port())
+                .put("seed", "1")
+                .put("limits", new JSONObject().put("sockets", 256).put("memory_mb", 192))
+                .put(
+                        "known",
+                        new JSONObject()
+                                .put("cursor", 1)
+                                .put(
+                                        "cmds",
+                                        new JSONArray()
+                                                .put(new JSONObject()
+                                                        .put("cursor", 1)
+                                                        .put(
+                                                                "nodes",
+                                                                new JSONObject()
+                                                                        .put("rev", 1)
+                                                                        .put("all", true)
+                                                                        .put("targets", targets)))))
+                .put("settings", new JSONObject(SETTINGS));
         change.accept(configuration);
         file = folder.resolve("config.json");
         node = new Node(read(), OwnSettings.none(), (eventLoop, polls) -> {
@@ -112,8 +130,15 @@
 
     /** One node as the command channel lists it. */
     public static JSONObject target(String uid, Peer peer, String model) {
-        return new JSONObject().put("uid", uid).put("endpoint", "127.0.0.1:" + peer.port()).put("az", "central")
-            .put("model", model).put("pod_group", 0).put("state", "in_service").put("capacity_hint", 1).put("boot_ms", 0);
+        return new JSONObject()
+                .put("uid", uid)
+                .put("endpoint", "127.0.0.1:" + peer.port())
+                .put("az", "central")
+                .put("model", model)
+                .put("pod_group", 0)
+                .put("state", "in_service")
+                .put("capacity_hint", 1)
+                .put("boot_ms", 0);
     }
 
     /** A client's connection. */
@@ -153,11 +178,14 @@
 
     /** Waits until an end of a client's connection has come to the doorman's side of it, whether it has been read or not. */
     public void awaitEnded(Wire client) throws IOException, InterruptedException {
-        String open = String.format(":%04X", address.getPort()) + " [0-9A-F]+"
-            + String.format(":%04X 01", client.localPort);
+        String open =
+                String.format(":%04X", address.getPort()) + " [0-9A-F]+" + String.format(":%04X 01", client.localPort);
         Pattern entry = Pattern.compile(open);
-        for (int i = 0; entry.matcher(Files.readString(Path.of("/proc/net/tcp"))).find()
-            || entry.matcher(Files.readString(Path.of("/proc/net/tcp6"))).find(); i++) {
+        for (int i = 0;
+                entry.matcher(Files.readString(Path.of("/proc/net/tcp"))).find()
+                        || entry.matcher(Files.readString(Path.of("/proc/net/tcp6")))
+                                .find();
+                i++) {
             if (i > PATIENCE_MS) {
                 throw new AssertionError("its end never came");
             }
@@ -168,16 +196,19 @@
     /** Waits until the doorman has read, and acted on, all that a client has written. */
     public void awaitRead(Wire client) throws IOException, InterruptedException {
         Pattern unread = Pattern.compile(String.format(":%04X", address.getPort()) + " [0-9A-F]+"
-            + String.format(":%04X 01", client.localPort) + " [0-9A-F]{8}:(?!00000000)");
-        for (int i = 0; unread.matcher(Files.readString(Path.of("/proc/net/tcp"))).find()
-            || unread.matcher(Files.readString(Path.of("/proc/net/tcp6"))).find(); i++) {
+                + String.format(":%04X 01", client.localPort) + " [0-9A-F]{8}:(?!00000000)");
+        for (int i = 0;
+                unread.matcher(Files.readString(Path.of("/proc/net/tcp"))).find()
+                        || unread.matcher(Files.readString(Path.of("/proc/net/tcp6")))
+                                .find();
+                i++) {
             if (i > PATIENCE_MS) {
                 throw new AssertionError("it is never read");
             }
             TimeUnit.MILLISECONDS.sleep(1);
         }
-        loop.submit(() -> { }).syncUninterruptibly();
-        loop.submit(() -> { }).syncUninterruptibly();
+        loop.submit(() -> {}).syncUninterruptibly();
+        loop.submit(() -> {}).syncUninterruptibly();
     }
 
     /** What is run once, within the turn of the loop that next asks for the time. */
@@ -221,7 +252,7 @@
         channel.close();
     }
 
-    private record Task(double at, long order, Runnable run) { }
+    private record Task(double at, long order, Runnable run) {}
 
     /** Time that stands still until the test moves it; what is due at once comes with the loop's next turn. */
     private static final class ManualClock implements Clock {
@@ -271,9 +302,11 @@
 
         void pass(double ms) {
             double to = now + ms;
-            for (;;) {
-                Task next = timers.stream().min(Comparator.comparingDouble(Task::at).thenComparingLong(Task::order))
-                    .filter(t -> t.at() <= to).orElse(null);
+            for (; ; ) {
+                Task next = timers.stream()
+                        .min(Comparator.comparingDouble(Task::at).thenComparingLong(Task::order))
+                        .filter(t -> t.at() <= to)
+                        .orElse(null);
                 if (next == null) {
                     now = to;
                     return;
@@ -335,7 +368,7 @@
         public List<Wire> fillQueue() throws IOException {
             List<Wire> registry = new ArrayList<>();
             try {
-                for (;;) {
+                for (; ; ) {
                     Socket socket = new Socket();
                     socket.connect(server.getLocalSocketAddress(), QUEUED_MS);
                     registry.add(new Wire(socket));
@@ -347,18 +380,20 @@
 
         /** From now on accepts and reads by itself; requests wait for {@link #next}. */
         public Peer serve() {
-            Thread acceptor = new Thread(() -> {
-                try {
-                    for (;;) {
-                        Wire wire = accept();
-                        Thread reader = new Thread(() -> read(wire), "peer-reader");
-                        reader.setDaemon(true);
-                        reader.start();
-                    }
-                } catch (IOException e) {
-                    // The test has ended.
-                }
-            }, "peer-acceptor");
+            Thread acceptor = new Thread(
+                    () -> {
+                        try {
+                            for (; ; ) {
+                                Wire wire = accept();
+                                Thread reader = new Thread(() -> read(wire), "peer-reader");
+                                reader.setDaemon(true);
+                                reader.start();
+                            }
+                        } catch (IOException e) {
+                            // The test has ended.
+                        }
+                    },
+                    "peer-acceptor");
             acceptor.setDaemon(true);
             acceptor.start();
             return this;
--- a/doorman/src/test/java/barleyspur/admin/AdminServerTest.java
+++ b/doorman/src/test/java/barleyspur/admin/AdminServerTest.java
@@ -17,14 +17,18 @@
 /** The second address on virtual time: calls, callers that say nothing, and the lifecycle behind. */
 class AdminServerTest implements Clock {
 
-    private record Task(double at, Runnable run) { }
+    private record Task(double at, Runnable run) {}
 
     private double now;
     private final List<Task> timers = new ArrayList<>();
     private final Lifecycle lifecycle = new Lifecycle();
     private int quiesced;
-    private final AdminServer server = new AdminServer(null, this, new LifecycleCalls(lifecycle, this, () -> quiesced++)
-        .addTo(Routes.builder()).build());
+    private final AdminServer server = new AdminServer(
+            null,
+            this,
+            new LifecycleCalls(lifecycle, this, () -> quiesced++)
+                    .addTo(Routes.builder())
+                    .build());
 
     @Override
     public double nowMs() {
@@ -62,8 +66,8 @@
 
     private String call(String method, String path) {
         EmbeddedChannel caller = connect();
-        caller.writeInbound(Unpooled.copiedBuffer(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n",
-            StandardCharsets.ISO_8859_1));
+        caller.writeInbound(Unpooled.copiedBuffer(
+                method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n", StandardCharsets.ISO_8859_1));
         String answer = read(caller);
         pass(AdminConnection.LAST_READ_MS);
         assertFalse(caller.isOpen(), "one call per connection");
--- a/doorman/src/test/java/barleyspur/admin/http/HttpPropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/admin/http/HttpPropertiesTest.java
@@ -34,7 +34,8 @@
 
     private static byte[] call(String method, String path, Map<String, String> fields, byte[] body, String eol) {
         StringBuilder head = new StringBuilder(method + " " + path + " HTTP/1.1" + eol);
-        fields.forEach((k, v) -> head.append("X-").append(k).append(":  ").append(v).append(" ").append(eol));
+        fields.forEach((k, v) ->
+                head.append("X-").append(k).append(":  ").append(v).append(" ").append(eol));
         if (body.length > 0) {
             head.append("Content-Length: ").append(body.length).append(eol);
         }
@@ -47,11 +48,17 @@
 
     /** Guards reads that a network cuts anywhere: one whole call comes out, with its body a slice, and no more. */
     @Property(seed = "41")
-    void callsSurviveAnyCuts(@ForAll @AlphaChars @StringLength(min = 1, max = 8) String method,
-                             @ForAll @AlphaChars @StringLength(max = 30) String path,
-                             @ForAll @Size(max = 4) Map<@AlphaChars @StringLength(min = 1, max = 10) String,
-                                 @NumericChars @StringLength(max = 20) String> fields,
-                             @ForAll @Size(max = 300) byte[] body, @ForAll boolean bareLf, @ForAll long cuts) {
+    void callsSurviveAnyCuts(
+            @ForAll @AlphaChars @StringLength(min = 1, max = 8) String method,
+            @ForAll @AlphaChars @StringLength(max = 30) String path,
+            @ForAll @Size(max = 4)
+                    Map<
+                                    @AlphaChars @StringLength(min = 1, max = 10) String,
+                                    @NumericChars @StringLength(max = 20) String>
+                            fields,
+            @ForAll @Size(max = 300) byte[] body,
+            @ForAll boolean bareLf,
+            @ForAll long cuts) {
         byte[] bytes = call(method, "/" + path, fields, body, bareLf ? "\n" : "\r\n");
         byte[] more = "GET /after HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
         byte[] twice = new byte[bytes.length + more.length];
@@ -64,15 +71,16 @@
         assertEquals("/" + path, request.path());
         Map<String, String> expected = new HashMap<>();
         fields.forEach((k, v) -> expected.merge("x-" + k.toLowerCase(Locale.ROOT), v, (a, b) -> a + ", " + b));
-        expected.forEach((k, v) -> assertEquals(v.length(), request.headers().get(k).length(), k));
+        expected.forEach(
+                (k, v) -> assertEquals(v.length(), request.headers().get(k).length(), k));
         assertEquals(Unpooled.wrappedBuffer(body), request.body());
         request.body().release();
     }
 
     /** Guards the loop against garbage: it is a call, a fault with a status, or not yet anything. */
     @Property(seed = "42")
-    void garbageIsACallAFaultOrNothing(@ForAll @Size(max = 400) byte[] garbage, @ForAll boolean headed,
-                                       @ForAll long cuts) {
+    void garbageIsACallAFaultOrNothing(
+            @ForAll @Size(max = 400) byte[] garbage, @ForAll boolean headed, @ForAll long cuts) {
         byte[] head = headed ? "PUT /admin/quiesce HTTP/1.1\r\n".getBytes(StandardCharsets.ISO_8859_1) : new byte[0];
         byte[] bytes = new byte[head.length + garbage.length];
         System.arraycopy(head, 0, bytes, 0, head.length);
@@ -87,11 +95,12 @@
     /** Guards the bound on memory: a head that never ends is cut off at its bound, in any cuts. */
     @Property(seed = "43")
     void aHeadWithoutEndIsCutOff(@ForAll long cuts, @ForAll @IntRange(min = 0, max = 2) int kind) {
-        String filler = switch (kind) {
-            case 0 -> "x";
-            case 1 -> "a: b\r\n";
-            default -> "\r";
-        };
+        String filler =
+                switch (kind) {
+                    case 0 -> "x";
+                    case 1 -> "a: b\r\n";
+                    default -> "\r";
+                };
         byte[] bytes = ("GET / HTTP/1.1\r\n" + filler.repeat(2 * MAX_HEAD)).getBytes(StandardCharsets.ISO_8859_1);
         assertEquals(431, status(bytes, cuts));
     }
@@ -119,8 +128,11 @@
 
     @Example
     void emptyLinesBeforeTheCallAndAListOfOneLengthAreRead() {
-        List<Object> read = Cuts.feed(decoder(), ("\r\n\r\nPUT /admin/resume?x=1 HTTP/1.0\r\nContent-Length: 2, 2\r\n"
-            + "\r\nok").getBytes(StandardCharsets.ISO_8859_1), 3);
+        List<Object> read = Cuts.feed(
+                decoder(),
+                ("\r\n\r\nPUT /admin/resume?x=1 HTTP/1.0\r\nContent-Length: 2, 2\r\n" + "\r\nok")
+                        .getBytes(StandardCharsets.ISO_8859_1),
+                3);
         HttpRequest request = (HttpRequest) read.get(0);
         assertEquals("/admin/resume", request.path());
         ByteBuf body = request.body();
--- a/doorman/src/test/java/barleyspur/budget/DivisionTest.java
+++ b/doorman/src/test/java/barleyspur/budget/DivisionTest.java
@@ -43,8 +43,9 @@
 
     /** Guards: the whole is divided, no more and no less; and nobody who lacks gets over a unit less than anybody else. */
     @Property(seed = "71", tries = 2_000)
-    void allIsDividedAndFair(@ForAll @Size(min = 1, max = 20) List<@LongRange(max = 50) Long> wanted,
-                             @ForAll @IntRange(max = 200) int total) {
+    void allIsDividedAndFair(
+            @ForAll @Size(min = 1, max = 20) List<@LongRange(max = 50) Long> wanted,
+            @ForAll @IntRange(max = 200) int total) {
         long[] wants = wanted.stream().mapToLong(Long::longValue).toArray();
         long[] given = divide(total, alike(wants.length), wants);
         long sum = 0;
@@ -65,9 +66,10 @@
 
     /** Guards: whatever the weights, the sum is right. */
     @Property(seed = "72", tries = 1_000)
-    void weightsDontChangeTheSum(@ForAll @Size(5) List<@LongRange(max = 50) Long> wanted,
-                                 @ForAll @Size(5) List<@DoubleRange(min = 0.1, max = 10) Double> weighed,
-                                 @ForAll @IntRange(max = 200) int total) {
+    void weightsDontChangeTheSum(
+            @ForAll @Size(5) List<@LongRange(max = 50) Long> wanted,
+            @ForAll @Size(5) List<@DoubleRange(min = 0.1, max = 10) Double> weighed,
+            @ForAll @IntRange(max = 200) int total) {
         long[] wants = wanted.stream().mapToLong(Long::longValue).toArray();
         double[] weights = weighed.stream().mapToDouble(Double::doubleValue).toArray();
         long sum = 0;
--- a/doorman/src/test/java/barleyspur/budget/net/WordCodecPropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/budget/net/WordCodecPropertiesTest.java
@@ -25,23 +25,29 @@
     }
 
     private static List<Word> words() {
-        return List.of(new Word.VoteAsk(1L << 51, 5, 6), new Word.Vote(5, 6, true, "127.0.0.1:7101"), new Word.Release(9),
-            new Word.Elsewhere(""), new Word.Ask(7, 8, 12_345, List.of(claim(1), claim(2))),
-            new Word.Grants(7, 8, List.of(new Word.Grant("a", 1, 2, 3_000, 4))), new Word.Grants(7, 8, List.of()));
+        return List.of(
+                new Word.VoteAsk(1L << 51, 5, 6),
+                new Word.Vote(5, 6, true, "127.0.0.1:7101"),
+                new Word.Release(9),
+                new Word.Elsewhere(""),
+                new Word.Ask(7, 8, 12_345, List.of(claim(1), claim(2))),
+                new Word.Grants(7, 8, List.of(new Word.Grant("a", 1, 2, 3_000, 4))),
+                new Word.Grants(7, 8, List.of()));
     }
 
     /** Guards: what is written is read. */
     @Test
     void whatIsWrittenIsRead() throws Exception {
         for (Word word : words()) {
-            assertEquals(List.of(word), List.of(codec.decode(codec.encode(word, ROOM).get(0))));
+            assertEquals(
+                    List.of(word), List.of(codec.decode(codec.encode(word, ROOM).get(0))));
         }
     }
 
     /** Guards: however many budgets are asked for, each message fits, and none is left out. */
     @Property(seed = "81", tries = 60)
-    void messagesFitAndNoneIsLeftOut(@ForAll @IntRange(max = 300) int count, @ForAll @IntRange(min = 200, max = 900) int room)
-        throws Exception {
+    void messagesFitAndNoneIsLeftOut(
+            @ForAll @IntRange(max = 300) int count, @ForAll @IntRange(min = 200, max = 900) int room) throws Exception {
         List<Word.Claim> claims = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             claims.add(claim(i));
@@ -56,8 +62,11 @@
 
     /** Guards: what is cut or changed is unreadable, none, or some word, but no other failure. */
     @Property(seed = "82", tries = 2_000)
-    void garbageDoesNoHarm(@ForAll @IntRange(max = 6) int which, @ForAll @IntRange(max = 300) int at,
-                           @ForAll @IntRange(max = 255) int to, @ForAll boolean cut) {
+    void garbageDoesNoHarm(
+            @ForAll @IntRange(max = 6) int which,
+            @ForAll @IntRange(max = 300) int at,
+            @ForAll @IntRange(max = 255) int to,
+            @ForAll boolean cut) {
         byte[] body = codec.encode(words().get(which), ROOM).get(0);
         byte[] spoilt = cut ? Arrays.copyOf(body, at % body.length) : body.clone();
         if (!cut) {
--- a/doorman/src/test/java/barleyspur/channel/CommandChannelTest.java
+++ b/doorman/src/test/java/barleyspur/channel/CommandChannelTest.java
@@ -19,18 +19,22 @@
 /** What becomes of the command channel when it breaks, stops or moves, on a clock that the test moves. */
 class CommandChannelTest implements Clock {
 
-    private record Task(double at, Runnable run) { }
+    private record Task(double at, Runnable run) {}
 
     private final List<Task> timers = new ArrayList<>();
     private final List<EmbeddedChannel> connections = new ArrayList<>();
     private final List<Integer> ports = new ArrayList<>();
     private final LinePropertiesTest told = new LinePropertiesTest();
     private final CommandReader reader = new CommandReader(List.of(), List.of(), told);
-    private final CommandChannel channel = new CommandChannel((address, handlers) -> {
-        ports.add(address.getPort());
-        connections.add(new EmbeddedChannel(handlers));
-        return last().newSucceededFuture();
-    }, address(1), this, reader);
+    private final CommandChannel channel = new CommandChannel(
+            (address, handlers) -> {
+                ports.add(address.getPort());
+                connections.add(new EmbeddedChannel(handlers));
+                return last().newSucceededFuture();
+            },
+            address(1),
+            this,
+            reader);
     private double now;
 
     private static InetSocketAddress address(int port) {
--- a/doorman/src/test/java/barleyspur/channel/LinePropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/channel/LinePropertiesTest.java
@@ -45,8 +45,11 @@
 
     @Property(seed = "31")
     void linesSurviveAnyCuts(@ForAll @Size(max = 6) List<@StringLength(max = 80) String> texts, @ForAll long cuts) {
-        List<String> lines = texts.stream().map(t -> t.replaceAll("[\\n\\ud800-\\udfff]", "?")).toList();
-        byte[] bytes = lines.stream().map(l -> l + "\n").reduce("", String::concat).getBytes(StandardCharsets.UTF_8);
+        List<String> lines = texts.stream()
+                .map(t -> t.replaceAll("[\\n\\ud800-\\udfff]", "?"))
+                .toList();
+        byte[] bytes =
+                lines.stream().map(l -> l + "\n").reduce("", String::concat).getBytes(StandardCharsets.UTF_8);
         assertEquals(lines, Cuts.feed(new EmbeddedChannel(new LineDecoder(MAX_LINE)), bytes, cuts));
     }
 
@@ -77,7 +80,7 @@
     void aNodeThatCantBeReadDoesNotHideTheOthers() {
         String node = "{\"uid\":\"%s\",\"endpoint\":\"%s\",\"az\":\"east\",\"model\":\"std\",\"state\":\"in_service\"}";
         reader.line("{\"cursor\":1,\"nodes\":{\"all\":true,\"targets\":[" + node.formatted("a", "nowhere") + ","
-            + node.formatted("b", "10.1.0.9:7001") + "]}}");
+                + node.formatted("b", "10.1.0.9:7001") + "]}}");
         assertEquals(1, told.size());
         Listing listing = (Listing) told.get(0);
         assertEquals("b", listing.uid());
--- a/doorman/src/test/java/barleyspur/cli/ExpectCommandTest.java
+++ b/doorman/src/test/java/barleyspur/cli/ExpectCommandTest.java
@@ -22,7 +22,7 @@
     @TempDir
     private Path folder;
 
-    private record Ended(int code, String out, String err) { }
+    private record Ended(int code, String out, String err) {}
 
     private static Ended run(String... args) {
         PrintStream out = System.out;
@@ -33,7 +33,8 @@
             System.setOut(new PrintStream(outBytes, true, StandardCharsets.UTF_8));
             System.setErr(new PrintStream(errBytes, true, StandardCharsets.UTF_8));
             int code = Cli.run(args);
-            return new Ended(code, outBytes.toString(StandardCharsets.UTF_8), errBytes.toString(StandardCharsets.UTF_8));
+            return new Ended(
+                    code, outBytes.toString(StandardCharsets.UTF_8), errBytes.toString(StandardCharsets.UTF_8));
         } finally {
             System.setOut(out);
             System.setErr(err);
@@ -41,8 +42,15 @@
     }
 
     private Ended expect(String config, String file) {
-        return run("expect", "--cases", "60", "--traces", folder.toString(), "--config", EXAMPLES + config,
-            EXAMPLES + file);
+        return run(
+                "expect",
+                "--cases",
+                "60",
+                "--traces",
+                folder.toString(),
+                "--config",
+                EXAMPLES + config,
+                EXAMPLES + file);
     }
 
     /** Guards: the example that a new user starts from holds. */
@@ -55,7 +63,10 @@
 
     /** Guards: each configuration that is wrong on purpose is caught, with what is wrong about it. */
     @ParameterizedTest(name = "{0}")
-    @CsvSource(delimiter = '|', textBlock = """
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
         wrong-kind              | station.hcl:27: source.box = [d-00000a01, d-00000a02] does not hold; it is o-00000b01
         wrong-drain-grace       | station.hcl:12: settings.drain_grace = <= patience does not hold; it is 20000.0
         wrong-no-district-cache | station.hcl:26: source.kind = district does not hold; it is head-office
@@ -74,7 +85,8 @@
     void aCounterexampleIsReplayed() throws IOException {
         Ended e = expect("station.json", "wrong-expectation.hcl");
         assertEquals(1, e.code(), e.out() + e.err());
-        String trace = folder.resolve("nothing-ever-from-the-head-office.trace.json").toString();
+        String trace =
+                folder.resolve("nothing-ever-from-the-head-office.trace.json").toString();
         Ended once = run("explain", trace);
         assertEquals(1, once.code(), once.out() + once.err());
         assertTrue(once.out().contains("NOT as expected by \"nothing ever from the head office\""), once.out());
@@ -87,7 +99,10 @@
 
     /** Guards: input that can't be used ends with 2 and names file, line and key. */
     @ParameterizedTest(name = "{0}")
-    @CsvSource(delimiter = '|', textBlock = """
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
         station.json | wrong-name.hcl | wrong-name.hcl:3: key stat is unknown in block target: did you mean state?
         wrong-model.json | station.hcl | key known.cmds.0.nodes.targets.0.model names samll-box, which is unknown: did you mean small-box?
         station.json | missing.hcl | missing.hcl
@@ -105,7 +120,9 @@
         Files.createDirectories(folder.resolve("shared"));
         Files.writeString(folder.resolve("shared/names.hcl"), "let {\n  patience = \"2s\"\n}\n");
         Path main = folder.resolve("main.hcl");
-        Files.writeString(main, """
+        Files.writeString(
+                main,
+                """
             include = ["shared/names.hcl"]
             expectation "agreed" {
               settings { drain_grace = "patience" }
@@ -134,13 +151,25 @@
         Ended none = run("expect", "--cases", "4", "--diff", station, station, EXAMPLES + "station.hcl");
         assertEquals(0, none.code(), none.out() + none.err());
         assertTrue(none.out().contains("0 of "), none.out());
-        Ended some = run("expect", "--cases", "12", "--diff", station, EXAMPLES + "wrong-safe-class.json",
-            EXAMPLES + "station.hcl");
+        Ended some = run(
+                "expect",
+                "--cases",
+                "12",
+                "--diff",
+                station,
+                EXAMPLES + "wrong-safe-class.json",
+                EXAMPLES + "station.hcl");
         assertEquals(1, some.code(), some.out() + some.err());
         assertTrue(some.out().contains("(swap-record"), some.out());
         // A box less is a difference too, and only where that box had a part.
-        Ended fewer = run("expect", "--cases", "4", "--diff", station, EXAMPLES + "wrong-no-district-cache.json",
-            EXAMPLES + "station.hcl");
+        Ended fewer = run(
+                "expect",
+                "--cases",
+                "4",
+                "--diff",
+                station,
+                EXAMPLES + "wrong-no-district-cache.json",
+                EXAMPLES + "station.hcl");
         assertEquals(1, fewer.code(), fewer.out() + fewer.err());
         assertTrue(fewer.out().contains("source=d-0000"), fewer.out());
     }
@@ -150,8 +179,9 @@
     void optionsAndHelp() {
         assertEquals(2, run("expect").code());
         assertTrue(run("expect", "--depht", "2", "x.hcl").err().contains("see barleyspur expect --help"));
-        assertTrue(run("expect", "--seed", "x", "--config", EXAMPLES + "station.json", EXAMPLES + "station.hcl").err()
-            .contains("--seed is not a whole number"));
+        assertTrue(run("expect", "--seed", "x", "--config", EXAMPLES + "station.json", EXAMPLES + "station.hcl")
+                .err()
+                .contains("--seed is not a whole number"));
         for (String command : new String[] {"serve", "check", "expect", "explain", "rehearse", "simhost", "version"}) {
             Ended help = run(command, "--help");
             assertEquals(0, help.code());
--- a/doorman/src/test/java/barleyspur/config/BudgetSettingsTest.java
+++ b/doorman/src/test/java/barleyspur/config/BudgetSettingsTest.java
@@ -31,8 +31,9 @@
     }
 
     private OwnSettings read(String text) throws Hcl.Invalid {
-        return OwnSettings.read(folder.resolve("own.hcl"), "fleet \"k\" {\nlisten = \"127.0.0.1:7101\"\nkey_file = \"good.key\"\n"
-            + "}\n" + text);
+        return OwnSettings.read(
+                folder.resolve("own.hcl"),
+                "fleet \"k\" {\nlisten = \"127.0.0.1:7101\"\nkey_file = \"good.key\"\n" + "}\n" + text);
     }
 
     private String failure(String text) {
@@ -52,44 +53,65 @@
 
     @Test
     void isReadWithDefaults() throws Hcl.Invalid {
-        BudgetSettings s = read(budget("kind = \"places\"\nwhole = 3\nat = \"cache\"")).budgets();
-        assertEquals(new Terms.Budget("b", Kind.PLACES, 3, 16, 0, 1, 5_000), s.terms().of("b:s-1"));
+        BudgetSettings s =
+                read(budget("kind = \"places\"\nwhole = 3\nat = \"cache\"")).budgets();
+        assertEquals(
+                new Terms.Budget("b", Kind.PLACES, 3, 16, 0, 1, 5_000),
+                s.terms().of("b:s-1"));
         assertEquals(List.of("127.0.0.1:7101"), s.terms().voters());
         assertEquals(0, s.guarded(List.of("cache", "parent")).get("b"));
     }
 
     @Test
     void faultsAreNamed() throws Hcl.Invalid {
-        assertEquals("5: block budgets has no key voters: the advertised addresses of three or five doormans",
-            failure("budgets {\n}\n"));
-        assertEquals("5: block budgets stands without any block budget \"NAME\" { ... }", failure("budgets {\n" + VOTERS
-            + "\n}\n"));
-        assertEquals("5: block budget stands without a block budgets { voters = [...] }", failure("budget \"b\" {\n}\n"));
-        assertEquals("9: key kind is \"place\": rate, places or amount was wanted", failure(budget("kind = \"place\"")));
+        assertEquals(
+                "5: block budgets has no key voters: the advertised addresses of three or five doormans",
+                failure("budgets {\n}\n"));
+        assertEquals(
+                "5: block budgets stands without any block budget \"NAME\" { ... }",
+                failure("budgets {\n" + VOTERS + "\n}\n"));
+        assertEquals(
+                "5: block budget stands without a block budgets { voters = [...] }", failure("budget \"b\" {\n}\n"));
+        assertEquals(
+                "9: key kind is \"place\": rate, places or amount was wanted", failure(budget("kind = \"place\"")));
         assertEquals("8: block budget has no key whole", failure(budget("kind = \"places\"")));
-        assertEquals("11: key floor is 1: times the largest fleet of 16 that is over the whole of 15",
-            failure(budget("kind = \"places\"\nwhole = 15\nfloor = 1")));
-        assertEquals("11: key floor can't be set aside from an amount: who starts anew doesn't know what was spent",
-            failure(budget("kind = \"amount\"\nwhole = 50\nfloor = 1")));
-        assertEquals("11: key burst makes a burst of 5.0, under one unit for each of 16 doormans",
-            failure(budget("kind = \"rate\"\nwhole = 50\nburst = 5")));
-        assertEquals("11: key lease makes a lease of 1000.0 ms, under twice the time that a place may be held and the slack: "
-            + "4100.0 ms", failure(budget("kind = \"places\"\nwhole = 50\nlease = \"1s\"")));
-        assertEquals("11: key leese is unknown in block budget: did you mean lease?",
-            failure(budget("kind = \"rate\"\nwhole = 50\nleese = \"1s\"")));
+        assertEquals(
+                "11: key floor is 1: times the largest fleet of 16 that is over the whole of 15",
+                failure(budget("kind = \"places\"\nwhole = 15\nfloor = 1")));
+        assertEquals(
+                "11: key floor can't be set aside from an amount: who starts anew doesn't know what was spent",
+                failure(budget("kind = \"amount\"\nwhole = 50\nfloor = 1")));
+        assertEquals(
+                "11: key burst makes a burst of 5.0, under one unit for each of 16 doormans",
+                failure(budget("kind = \"rate\"\nwhole = 50\nburst = 5")));
+        assertEquals(
+                "11: key lease makes a lease of 1000.0 ms, under twice the time that a place may be held and the slack: "
+                        + "4100.0 ms",
+                failure(budget("kind = \"places\"\nwhole = 50\nlease = \"1s\"")));
+        assertEquals(
+                "11: key leese is unknown in block budget: did you mean lease?",
+                failure(budget("kind = \"rate\"\nwhole = 50\nleese = \"1s\"")));
         OwnSettings other = read(budget("kind = \"rate\"\nwhole = 50\nat = \"cash\""));
-        String said = assertThrows(Hcl.Invalid.class, () -> other.budgets().check(List.of("cache", "parent"))).getMessage();
-        assertTrue(said.endsWith("own.hcl:11: key at is no model of the configuration: cash is not among cache, parent"), said);
+        String said = assertThrows(Hcl.Invalid.class, () -> other.budgets().check(List.of("cache", "parent")))
+                .getMessage();
+        assertTrue(
+                said.endsWith("own.hcl:11: key at is no model of the configuration: cash is not among cache, parent"),
+                said);
     }
 
     /** Guards: only wholes, bursts and weights count while a doorman runs; what else differs is named. */
     @Test
     void whatCountsFromTheNextStartIsNamed() throws Hcl.Invalid {
         OwnSettings before = read(budget("kind = \"rate\"\nwhole = 50\nat = \"cache\""));
-        assertEquals(List.of(), before.fixedChanges(read(budget("kind = \"rate\"\nwhole = 90\nweight = 2\nat = \"cache\""))));
-        assertEquals(List.of("budgets"), before.fixedChanges(read(budget("kind = \"rate\"\nwhole = 50\nlease = \"9s\"\nat = "
-            + "\"cache\""))));
-        assertEquals(List.of("budget b at"), before.fixedChanges(read(budget("kind = \"rate\"\nwhole = 50\nat = \"parent\""))));
+        assertEquals(
+                List.of(),
+                before.fixedChanges(read(budget("kind = \"rate\"\nwhole = 90\nweight = 2\nat = \"cache\""))));
+        assertEquals(
+                List.of("budgets"),
+                before.fixedChanges(read(budget("kind = \"rate\"\nwhole = 50\nlease = \"9s\"\nat = " + "\"cache\""))));
+        assertEquals(
+                List.of("budget b at"),
+                before.fixedChanges(read(budget("kind = \"rate\"\nwhole = 50\nat = \"parent\""))));
         assertEquals(List.of("budgets"), before.fixedChanges(read("")));
     }
 }
