--- a/doorman/src/test/java/barleyspur/config/ConfigurationTest.java
+++ b/doorman/src/test/java/barleyspur/config/ConfigurationTest.java
@@ -16,7 +16,8 @@
 /** The node's configuration: what it comes to, and which key is named where it is faulty. */
 class ConfigurationTest {
 
-    private static final String CONFIG = """
+    private static final String CONFIG =
+            """
         {"name":"n3","listen":"10.0.0.4:7001","seed":"8c1f30d27a5be964","channel":"10.2.0.1:2379",
          "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"cursor":3,"cmds":[]},
          "settings":{"areas":["central","edge-1"],"flavors":["small","large","parent","origin"],
@@ -30,8 +31,10 @@
         """;
 
     private static String fault(String from, String to) {
-        return assertThrows(Configuration.Invalid.class,
-            () -> Configuration.read(new JSONObject(CONFIG.replace(from, to)), Map.of())).getMessage();
+        return assertThrows(
+                        Configuration.Invalid.class,
+                        () -> Configuration.read(new JSONObject(CONFIG.replace(from, to)), Map.of()))
+                .getMessage();
     }
 
     @Test
@@ -52,8 +55,11 @@
     void aReloadNamesWhatOnlyCountsFromTheNextStart() throws Configuration.Invalid {
         Configuration before = Configuration.read(new JSONObject(CONFIG), Map.of());
         Configuration moved = Configuration.read(new JSONObject(CONFIG.replace(":2379", ":2380")), Map.of());
-        Configuration other = Configuration.read(new JSONObject(CONFIG.replace("1024", "512")
-            .replace("\"fallMs\":3000", "\"fallMs\":2000").replace("n3", "n4")), Map.of());
+        Configuration other = Configuration.read(
+                new JSONObject(CONFIG.replace("1024", "512")
+                        .replace("\"fallMs\":3000", "\"fallMs\":2000")
+                        .replace("n3", "n4")),
+                Map.of());
         assertEquals(List.of(), before.fixedChanges(moved));
         assertEquals(List.of("name", "limits", "settings"), before.fixedChanges(other));
         assertEquals(2380, before.retuned(moved).channel().getPort());
@@ -72,15 +78,19 @@
         assertEquals("key settings is missing or no object", fault("\"settings\"", "\"setting\""));
         assertEquals("setting grades.1.name is missing", fault("\"name\":\"record\",", ""));
         assertEquals("setting areas is missing or empty", fault("\"areas\"", "\"zones\""));
-        assertEquals("setting limits.multiplex is not a number from 1 on: '0'", fault("\"multiplex\":16", "\"multiplex\":0"));
+        assertEquals(
+                "setting limits.multiplex is not a number from 1 on: '0'",
+                fault("\"multiplex\":16", "\"multiplex\":0"));
         assertEquals("setting rules.fallMs is not a number", fault("\"fallMs\":3000.0", "\"fallMs\":\"long\""));
         assertEquals("setting limits.sendCap is missing", fault("\"sendCap\":8,", ""));
     }
 
     @Test
     void namesAMissingVariable() {
-        assertEquals("variable RELAY_CONFIG is missing",
-            assertThrows(Configuration.Invalid.class, () -> Configuration.load(Map.of())).getMessage());
+        assertEquals(
+                "variable RELAY_CONFIG is missing",
+                assertThrows(Configuration.Invalid.class, () -> Configuration.load(Map.of()))
+                        .getMessage());
     }
 
     /**
@@ -103,14 +113,20 @@
         Path file = folder.resolve("config.json");
         Map<String, String> variables = Map.of("RELAY_CONFIG", file.toString());
         Files.writeString(file, CONFIG.replace("6000.0", "-5"));
-        assertEquals(file + ":5: setting grades.0.hardLimitMs is not a number above 0",
-            assertThrows(Configuration.Invalid.class, () -> Configuration.load(variables)).getMessage());
+        assertEquals(
+                file + ":5: setting grades.0.hardLimitMs is not a number above 0",
+                assertThrows(Configuration.Invalid.class, () -> Configuration.load(variables))
+                        .getMessage());
         Files.writeString(file, CONFIG.replace("\"listen\":\"10.0.0.4:7001\",", ""));
-        assertTrue(assertThrows(Configuration.Invalid.class, () -> Configuration.load(variables)).getMessage()
-            .startsWith(file + ": key listen is not an address"), "a missing key has no line");
+        assertTrue(
+                assertThrows(Configuration.Invalid.class, () -> Configuration.load(variables))
+                        .getMessage()
+                        .startsWith(file + ": key listen is not an address"),
+                "a missing key has no line");
         for (String broken : List.of("", CONFIG.substring(0, CONFIG.length() / 2), "{}")) {
             Files.writeString(file, broken);
-            String message = assertThrows(Configuration.Invalid.class, () -> Configuration.load(variables)).getMessage();
+            String message = assertThrows(Configuration.Invalid.class, () -> Configuration.load(variables))
+                    .getMessage();
             assertTrue(message.startsWith(file.toString()), message);
         }
     }
--- a/doorman/src/test/java/barleyspur/config/FleetSettingsTest.java
+++ b/doorman/src/test/java/barleyspur/config/FleetSettingsTest.java
@@ -31,7 +31,8 @@
     }
 
     private FleetSettings read(String more) throws Hcl.Invalid {
-        return OwnSettings.read(folder.resolve("own.hcl"), "fleet \"kartli\" {\n" + more + "\n}\n").fleet();
+        return OwnSettings.read(folder.resolve("own.hcl"), "fleet \"kartli\" {\n" + more + "\n}\n")
+                .fleet();
     }
 
     private String failure(String more) {
@@ -61,20 +62,27 @@
         assertEquals("1: block fleet has no key listen", failure(""));
         assertEquals("1: block fleet has no key key_file", failure(at));
         assertEquals("2: key listen is not an address with a port: 'here'", failure("listen = \"here\""));
-        assertEquals("4: key seeds names this doorman itself: 127.0.0.1:7101",
-            failure(good + "seeds = [\"127.0.0.1:7101\"]"));
-        assertEquals("4: key seeds names 127.0.0.2:1 twice",
-            failure(good + "seeds = [\"127.0.0.2:1\", \"127.0.0.2:1\"]"));
-        assertEquals("4: key period is no time from 100.0 to 10000.0 ms, as \"500ms\" or \"2s\": 1ms",
-            failure(good + "period = \"1ms\""));
+        assertEquals(
+                "4: key seeds names this doorman itself: 127.0.0.1:7101",
+                failure(good + "seeds = [\"127.0.0.1:7101\"]"));
+        assertEquals(
+                "4: key seeds names 127.0.0.2:1 twice", failure(good + "seeds = [\"127.0.0.2:1\", \"127.0.0.2:1\"]"));
+        assertEquals(
+                "4: key period is no time from 100.0 to 10000.0 ms, as \"500ms\" or \"2s\": 1ms",
+                failure(good + "period = \"1ms\""));
         assertEquals("4: key perod is unknown in block fleet: did you mean period?", failure(good + "perod = \"1s\""));
-        assertTrue(failure(at + "key_file = \"none.key\"").startsWith("3: key key_file names DIR/none.key, which can't be"));
+        assertTrue(failure(at + "key_file = \"none.key\"")
+                .startsWith("3: key key_file names DIR/none.key, which can't be"));
         key("weak.key", "1111", "rw-------");
         assertTrue(failure(at + "key_file = \"weak.key\"").contains("whose key is weak"));
         key("open.key", "q8Zt1Lw5Vb2Nc7Xs4Kd9Jf6Hg3Ap0Yr1", "rw-r--r--");
         assertTrue(failure(at + "key_file = \"open.key\"").contains("which everybody may read"));
-        String twice = assertThrows(Hcl.Invalid.class, () -> OwnSettings.read(folder.resolve("own.hcl"), "fleet \"a\" {\n"
-            + good + "}\nfleet \"b\" {\n" + good + "}\n")).getMessage();
+        String twice = assertThrows(
+                        Hcl.Invalid.class,
+                        () -> OwnSettings.read(
+                                folder.resolve("own.hcl"),
+                                "fleet \"a\" {\n" + good + "}\nfleet \"b\" {\n" + good + "}\n"))
+                .getMessage();
         assertTrue(twice.endsWith("own.hcl:5: block fleet stands twice: a doorman has one fleet"), twice);
     }
 }
--- a/doorman/src/test/java/barleyspur/config/HclPropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/config/HclPropertiesTest.java
@@ -15,7 +15,8 @@
 /** Reading HCL: bad text gets a message with file, line and key, never a wrong value or another exception. */
 class HclPropertiesTest {
 
-    private static final String GOOD = """
+    private static final String GOOD =
+            """
         # all that the language has
         include = ["a.hcl", "b.hcl"]
         let {
@@ -54,11 +55,13 @@
     @Test
     void whatTheLibraryLetsThrough() {
         assertEquals("f.hcl:1: block a has no end: a } is missing", failure("a {\n b = 1\n"));
-        assertEquals("f.hcl:2: key b is neither a number, true, false, a string in quotes nor a list: ",
-            failure("a {\n b = \n}"));
+        assertEquals(
+                "f.hcl:2: key b is neither a number, true, false, a string in quotes nor a list: ",
+                failure("a {\n b = \n}"));
         assertEquals("f.hcl:1: key b: after its value comes *", failure("b = 2 * 3"));
-        assertEquals("f.hcl:1: key b is neither a number, true, false, a string in quotes nor a list: c.d",
-            failure("b = c.d"));
+        assertEquals(
+                "f.hcl:1: key b is neither a number, true, false, a string in quotes nor a list: c.d",
+                failure("b = c.d"));
         assertEquals("f.hcl:2: key b stands twice", failure("b = 1\nb = 2"));
         assertEquals("f.hcl:2: a } without a {", failure("a {}\n}"));
         assertEquals("f.hcl:1: key b: a string has no end", failure("b = \"x\n\""));
@@ -100,8 +103,7 @@
     }
 
     private static double of(String text) throws Hcl.Invalid {
-        return new Quantity(Map.of("drain_grace", 2_000.0, "let_go", 7.0))
-            .of(new Hcl.Value("f.hcl", 3, "k", text));
+        return new Quantity(Map.of("drain_grace", 2_000.0, "let_go", 7.0)).of(new Hcl.Value("f.hcl", 3, "k", text));
     }
 
     /** Guards: units, names, sums and products. */
@@ -113,9 +115,11 @@
         assertEquals(4_007, of("2 * drain_grace + let_go"));
         assertEquals(0.3, of("30%"), 1e-12);
         assertEquals(90_000, of("1.5min"));
-        assertEquals("f.hcl:3: key k names drain_grase, which nothing defines: did you mean drain_grace?",
-            assertThrows(Hcl.Invalid.class, () -> of("drain_grase")).getMessage());
-        assertEquals("f.hcl:3: key k is no time or number: '2 weeks'",
-            assertThrows(Hcl.Invalid.class, () -> of("2 weeks")).getMessage());
+        assertEquals(
+                "f.hcl:3: key k names drain_grase, which nothing defines: did you mean drain_grace?",
+                assertThrows(Hcl.Invalid.class, () -> of("drain_grase")).getMessage());
+        assertEquals(
+                "f.hcl:3: key k is no time or number: '2 weeks'",
+                assertThrows(Hcl.Invalid.class, () -> of("2 weeks")).getMessage());
     }
 }
--- a/doorman/src/test/java/barleyspur/config/JsonLinesPropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/config/JsonLinesPropertiesTest.java
@@ -18,14 +18,15 @@
 
     /** Guards the line in an error: one key a line, with lists of objects between, each key is found on its own. */
     @Property(seed = "51")
-    void eachKeyIsFoundOnItsLine(@ForAll @Size(min = 1, max = 8) List<@AlphaChars @StringLength(min = 1, max = 6)
-                                     String> keys, @ForAll @IntRange(min = 0, max = 3) int blank) {
+    void eachKeyIsFoundOnItsLine(
+            @ForAll @Size(min = 1, max = 8) List<@AlphaChars @StringLength(min = 1, max = 6) String> keys,
+            @ForAll @IntRange(min = 0, max = 3) int blank) {
         List<String> distinct = keys.stream().distinct().toList();
         List<String> lines = new ArrayList<>();
         lines.add("{\"top\": {");
         for (int i = 0; i < distinct.size(); i++) {
             lines.add("\n".repeat(blank) + "  \"" + distinct.get(i) + "\": [{\"a\": 1},\n {\"deep\": \"x\"}]"
-                + (i + 1 < distinct.size() ? "," : ""));
+                    + (i + 1 < distinct.size() ? "," : ""));
         }
         lines.add("}}");
         String text = String.join("\n", lines);
@@ -41,8 +42,9 @@
 
     /** Guards the error path itself: text that is no JSON gives no line, and no fault of its own. */
     @Property(seed = "52")
-    void garbageHasNoLineAndNoFault(@ForAll @StringLength(max = 80) String garbage,
-                                    @ForAll @AlphaChars @StringLength(min = 1, max = 4) String key) {
+    void garbageHasNoLineAndNoFault(
+            @ForAll @StringLength(max = 80) String garbage,
+            @ForAll @AlphaChars @StringLength(min = 1, max = 4) String key) {
         assertTrue(JsonLines.lineOf(garbage, key) >= 0);
         assertTrue(JsonLines.lineOf("{\"" + key + "\": [" + garbage, key + ".2") >= 0);
     }
--- a/doorman/src/test/java/barleyspur/config/OwnSettingsTest.java
+++ b/doorman/src/test/java/barleyspur/config/OwnSettingsTest.java
@@ -15,7 +15,8 @@
     private static final Path EXAMPLES = Path.of("../examples/expectations");
 
     private static String failure(String text) {
-        return assertThrows(Hcl.Invalid.class, () -> OwnSettings.read(Path.of("own.hcl"), text)).getMessage();
+        return assertThrows(Hcl.Invalid.class, () -> OwnSettings.read(Path.of("own.hcl"), text))
+                .getMessage();
     }
 
     @Test
@@ -25,19 +26,23 @@
 
     @Test
     void theDeployedGateIsRead() throws Hcl.Invalid {
-        OwnSettings.Expectations e = OwnSettings.load(Path.of("../deploy/expectations-gate.hcl")).expectations();
+        OwnSettings.Expectations e =
+                OwnSettings.load(Path.of("../deploy/expectations-gate.hcl")).expectations();
         assertEquals(List.of(Path.of("../deploy/expectations.hcl")), e.files());
         assertEquals(60, e.scenarios());
     }
 
     @Test
     void faultsAreNamed() {
-        assertEquals("own.hcl:1: block expectation is unknown: did you mean expectations?", failure("expectation {\n}"));
+        assertEquals(
+                "own.hcl:1: block expectation is unknown: did you mean expectations?", failure("expectation {\n}"));
         assertEquals("own.hcl:1: block expectations has no key files", failure("expectations {\n}"));
-        assertEquals("own.hcl:3: key scenarios is out of range: 0.0 is not from 1.0 to 100000.0",
-            failure("expectations {\n files = [\"a\"]\n scenarios = 0\n}"));
-        assertEquals("own.hcl:3: key scenario is unknown in block expectations: did you mean scenarios?",
-            failure("expectations {\n files = [\"a\"]\n scenario = 1\n}"));
+        assertEquals(
+                "own.hcl:3: key scenarios is out of range: 0.0 is not from 1.0 to 100000.0",
+                failure("expectations {\n files = [\"a\"]\n scenarios = 0\n}"));
+        assertEquals(
+                "own.hcl:3: key scenario is unknown in block expectations: did you mean scenarios?",
+                failure("expectations {\n files = [\"a\"]\n scenario = 1\n}"));
     }
 
     /** Guards: a reload takes no configuration that breaks an expectation, and says which; a good one passes. */
@@ -45,12 +50,17 @@
     void aReloadIsRefusedByABrokenExpectation() throws Configuration.Invalid {
         OwnSettings.Expectations wanted = new OwnSettings.Expectations(List.of(EXAMPLES.resolve("station.hcl")), 12, 1);
         ExpectationCheck.require(EXAMPLES.resolve("station.json"), wanted);
-        String said = assertThrows(Configuration.Invalid.class, () -> ExpectationCheck.require(
-            EXAMPLES.resolve("wrong-drain-grace.json"), wanted)).getMessage();
+        String said = assertThrows(
+                        Configuration.Invalid.class,
+                        () -> ExpectationCheck.require(EXAMPLES.resolve("wrong-drain-grace.json"), wanted))
+                .getMessage();
         assertTrue(said.startsWith("expectation \"settings as agreed\""), said);
-        String unreadable = assertThrows(Configuration.Invalid.class, () -> ExpectationCheck.require(
-            EXAMPLES.resolve("station.json"), new OwnSettings.Expectations(List.of(EXAMPLES.resolve("wrong-name.hcl")),
-                12, 1))).getMessage();
+        String unreadable = assertThrows(
+                        Configuration.Invalid.class,
+                        () -> ExpectationCheck.require(
+                                EXAMPLES.resolve("station.json"),
+                                new OwnSettings.Expectations(List.of(EXAMPLES.resolve("wrong-name.hcl")), 12, 1)))
+                .getMessage();
         assertTrue(unreadable.contains("did you mean state?"), unreadable);
     }
 }
--- a/doorman/src/test/java/barleyspur/depot/DepotClientTest.java
+++ b/doorman/src/test/java/barleyspur/depot/DepotClientTest.java
@@ -6,10 +6,10 @@
 
 import barleyspur.decision.Director;
 import barleyspur.decision.Director.Result;
-import barleyspur.doorman.Request;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Depots;
 import barleyspur.doorman.Listing;
+import barleyspur.doorman.Request;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.net.InetSocketAddress;
@@ -41,24 +41,31 @@
             if (delayMs == 0) {
                 soon.add(task);
             }
-            return () -> { };
+            return () -> {};
         }
     };
-    private final DepotClient client = new DepotClient((address, handlers) -> {
-        EmbeddedChannel channel = new EmbeddedChannel(handlers);
-        channels.add(channel);
-        connects.add(address);
-        return channel.newSucceededFuture();
-    }, clock, new DepotClient.Limits(STREAMS, 15_000, CONNECTIONS), List.of());
+    private final DepotClient client = new DepotClient(
+            (address, handlers) -> {
+                EmbeddedChannel channel = new EmbeddedChannel(handlers);
+                channels.add(channel);
+                connects.add(address);
+                return channel.newSucceededFuture();
+            },
+            clock,
+            new DepotClient.Limits(STREAMS, 15_000, CONNECTIONS),
+            List.of());
 
     private static Listing box(int number, InetSocketAddress address, double bootMs) {
         return new Listing("s-" + number, address, 0, 0, 0, Director.State.READY, 1, bootMs);
     }
 
     private void send(long node, String id) {
-        Request request = new Request(id, 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 0, 1_000, 0, null, null, Unpooled.EMPTY_BUFFER);
-        client.send(node, new Depots.Order(request, 500, null, 0, 0, false, false, false, false),
-            answer -> ends.add(answer.result()));
+        Request request = new Request(
+                id, 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 0, 1_000, 0, null, null, Unpooled.EMPTY_BUFFER);
+        client.send(
+                node,
+                new Depots.Order(request, 500, null, 0, 0, false, false, false, false),
+                answer -> ends.add(answer.result()));
         channels.forEach(EmbeddedChannel::runPendingTasks);
     }
 
@@ -125,7 +132,8 @@
         send(1_000, "c");
         assertEquals(CONNECTIONS + 1, connects.size());
         assertFalse(channels.get(7).isOpen());
-        assertEquals(CONNECTIONS, channels.stream().filter(EmbeddedChannel::isOpen).count());
+        assertEquals(
+                CONNECTIONS, channels.stream().filter(EmbeddedChannel::isOpen).count());
     }
 
     /** What was never listed, or has gone twice, is no box: a call there ends as one that never ran. */
--- a/doorman/src/test/java/barleyspur/depot/DepotConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/depot/DepotConnectionTest.java
@@ -42,9 +42,11 @@
     };
     private final List<Runnable> later = new ArrayList<>();
     private final RespDecoder decoder = new RespDecoder();
-    private final DepotConnection connection = new DepotConnection("s-1",
-        new DepotConnection.Shared(clock, List.of(), 32, new CappedLog(LoggerFactory.getLogger("depot"), clock)), decoder,
-        () -> closed++);
+    private final DepotConnection connection = new DepotConnection(
+            "s-1",
+            new DepotConnection.Shared(clock, List.of(), 32, new CappedLog(LoggerFactory.getLogger("depot"), clock)),
+            decoder,
+            () -> closed++);
     private final EmbeddedChannel channel = new EmbeddedChannel(decoder, connection);
     private final ChannelPromise connect = channel.newPromise();
 
@@ -146,10 +148,14 @@
     void theTimeThatACallWaitedIsToldToItsHead() {
         List<Double> waited = new ArrayList<>();
         connection.connecting(connect);
-        connection.open("a", ms -> {
-            waited.add(ms);
-            return head("a");
-        }, null, answer -> { });
+        connection.open(
+                "a",
+                ms -> {
+                    waited.add(ms);
+                    return head("a");
+                },
+                null,
+                answer -> {});
         now += 300;
         connect.setSuccess();
         channel.runPendingTasks();
--- a/doorman/src/test/java/barleyspur/depot/RespPropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/depot/RespPropertiesTest.java
@@ -24,13 +24,17 @@
     private static byte[] answer(String id, String word, String fields, byte[] body) {
         ByteBuf words = Resp.message(UnpooledByteBufAllocator.DEFAULT, id, word, fields);
         words.setByte(1, '4');
-        words.writeBytes(("$" + body.length + "\r\n").getBytes()).writeBytes(body).writeBytes(Resp.END);
+        words.writeBytes(("$" + body.length + "\r\n").getBytes())
+                .writeBytes(body)
+                .writeBytes(Resp.END);
         return Cuts.take(words);
     }
 
     @Property(seed = "21")
-    void answersSurviveAnyCuts(@ForAll @AlphaChars @StringLength(max = 40) String id, @ForAll @Size(max = 300) byte[] body,
-                               @ForAll long cuts) {
+    void answersSurviveAnyCuts(
+            @ForAll @AlphaChars @StringLength(max = 40) String id,
+            @ForAll @Size(max = 300) byte[] body,
+            @ForAll long cuts) {
         byte[] one = answer(id, "DONE", "digest=ab,how=h", body);
         byte[] twice = Unpooled.wrappedBuffer(one, one).copy().array();
         List<Object> read = Cuts.feed(new EmbeddedChannel(new RespDecoder()), twice, cuts);
@@ -45,7 +49,11 @@
 
     @Property(seed = "22")
     void garbageEndsInOneWayOnly(@ForAll @Size(max = 200) byte[] garbage, @ForAll boolean headed, @ForAll long cuts) {
-        byte[] bytes = headed ? Unpooled.wrappedBuffer("*4\r\n$2\r\nab\r\n".getBytes(), garbage).copy().array() : garbage;
+        byte[] bytes = headed
+                ? Unpooled.wrappedBuffer("*4\r\n$2\r\nab\r\n".getBytes(), garbage)
+                        .copy()
+                        .array()
+                : garbage;
         check(Cuts.feedGarbage(new EmbeddedChannel(new RespDecoder()), bytes, cuts));
     }
 
@@ -58,8 +66,10 @@
 
     private static void check(List<Object> read) {
         if (read != null) {
-            read.stream().map(o -> ((RespDecoder.Message) o).body()).filter(Objects::nonNull)
-                .forEach(body -> assertTrue(body.release()));
+            read.stream()
+                    .map(o -> ((RespDecoder.Message) o).body())
+                    .filter(Objects::nonNull)
+                    .forEach(body -> assertTrue(body.release()));
         }
     }
 
@@ -73,8 +83,9 @@
     }
 
     @Property(seed = "24")
-    void fieldsAreFoundByTheirWholeNames(@ForAll @AlphaChars @StringLength(min = 1, max = 5) String name,
-                                         @ForAll @AlphaChars @StringLength(max = 9) String value) {
+    void fieldsAreFoundByTheirWholeNames(
+            @ForAll @AlphaChars @StringLength(min = 1, max = 5) String name,
+            @ForAll @AlphaChars @StringLength(max = 9) String value) {
         assertEquals(value, Resp.field("x" + name + "=no," + name + "=" + value + ",z=1", name));
         assertEquals(null, Resp.field("x" + name + "=no," + name + "y=1", name));
     }
--- a/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
+++ b/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
@@ -22,10 +22,11 @@
 /** The director's contract, with a director that does as each test says and a clock that the test moves. */
 class DoormanTest {
 
-    private static final Listing NODE = new Listing("s-1", new InetSocketAddress("127.0.0.1", 1), 0, 0, 0,
-        Director.State.READY, 1, 0);
+    private static final Listing NODE =
+            new Listing("s-1", new InetSocketAddress("127.0.0.1", 1), 0, 0, 0, Director.State.READY, 1, 0);
 
-    private static final String SETTINGS = """
+    private static final String SETTINGS =
+            """
         groupSize=1\nmyNumber=0\nmyZone=0\nresolutionMs=2\ngrades.count=1\ngrades.0.promiseMs=400
         grades.0.hardLimitMs=5000\ngrades.0.repeat=repeatable\nfamilyInfo.midKind=2\nfamilyInfo.masterKind=3
         familyInfo.paceKbPerS=7600\nlimits.sendCap=2\nrules.fallMs=1500\nrules.answerSlackMs=8
@@ -33,19 +34,19 @@
         limits.retryAfter=true\nlimits.maxRetryAfterMs=700
         """;
 
-    private record Task(double at, int order, Runnable run, boolean[] cancelled) { }
+    private record Task(double at, int order, Runnable run, boolean[] cancelled) {}
 
     private double now = 1_000;
     private int tasks;
-    private final PriorityQueue<Task> timers = new PriorityQueue<>(
-        Comparator.comparingDouble(Task::at).thenComparingInt(Task::order));
+    private final PriorityQueue<Task> timers =
+            new PriorityQueue<>(Comparator.comparingDouble(Task::at).thenComparingInt(Task::order));
     private final List<Director.Event> events = new ArrayList<>();
     private final List<Depots.End> sent = new ArrayList<>();
     private final List<Long> retired = new ArrayList<>();
     private final List<String> cancelled = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
     private final ByteBuf body = Unpooled.copiedBuffer(new byte[3]);
-    private Consumer<Director.Event> decide = e -> { };
+    private Consumer<Director.Event> decide = e -> {};
     private Consumer<Director.Action> out;
     private Doorman doorman;
     private Doorman.Ticket ticket;
@@ -66,7 +67,7 @@
 
     private final Depots depots = new Depots() {
         @Override
-        public void list(long node, Listing listing) { }
+        public void list(long node, Listing listing) {}
 
         @Override
         public void retire(long node) {
@@ -86,7 +87,7 @@
         }
 
         @Override
-        public void hangUp(long node) { }
+        public void hangUp(long node) {}
     };
 
     private final ResponseHandler caller = new ResponseHandler() {
@@ -115,18 +116,38 @@
     @BeforeEach
     void start() {
         Director.Settings settings = SettingsReader.read(SettingsReader.lines(SETTINGS));
-        doorman = new Doorman(settings, 1, (at, event, sink) -> {
-            events.add(event);
-            out = sink;
-            decide.accept(event);
-        }, clock, depots);
+        doorman = new Doorman(
+                settings,
+                1,
+                (at, event, sink) -> {
+                    events.add(event);
+                    out = sink;
+                    decide.accept(event);
+                },
+                clock,
+                depots);
         doorman.listed(true, List.of(NODE));
     }
 
     private void take(Consumer<Director.Event> decisions) {
         decide = decisions;
-        ticket = doorman.take(new Request("9b1f03aa5c7e2d41", 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 7, 1_000, 0, null, null,
-            body.refCnt() > 0 ? body : Unpooled.copiedBuffer(new byte[3])), clock.nowMs(), caller);
+        ticket = doorman.take(
+                new Request(
+                        "9b1f03aa5c7e2d41",
+                        0,
+                        "small",
+                        "7f3a9c21e0b4d655",
+                        5,
+                        "0",
+                        0,
+                        7,
+                        1_000,
+                        0,
+                        null,
+                        null,
+                        body.refCnt() > 0 ? body : Unpooled.copiedBuffer(new byte[3])),
+                clock.nowMs(),
+                caller);
     }
 
     private void send(long id) {
@@ -157,7 +178,10 @@
     }
 
     private List<Director.Outcome> outcomes() {
-        return events.stream().filter(e -> e instanceof Director.Outcome).map(e -> (Director.Outcome) e).toList();
+        return events.stream()
+                .filter(e -> e instanceof Director.Outcome)
+                .map(e -> (Director.Outcome) e)
+                .toList();
     }
 
     @Test
@@ -170,7 +194,9 @@
         assertEquals(List.of("served 5 tag"), answers);
         assertEquals(0, late.refCnt());
         assertEquals(0, body.refCnt());
-        assertEquals(List.of(1, 0), outcomes().stream().map(Director.Outcome::attempt).toList());
+        assertEquals(
+                List.of(1, 0),
+                outcomes().stream().map(Director.Outcome::attempt).toList());
         assertTrue(outcomes().stream().allMatch(Director.Outcome::closed));
         assertEquals(40, outcomes().get(0).latencyMs());
     }
@@ -200,7 +226,9 @@
     void moreAttemptsThanAllowedNeverRan() {
         take(e -> sendAll(3, e));
         assertEquals(2, sent.size());
-        assertEquals(List.of(Result.MOOT), outcomes().stream().map(Director.Outcome::result).toList());
+        assertEquals(
+                List.of(Result.MOOT),
+                outcomes().stream().map(Director.Outcome::result).toList());
     }
 
     /** A silent machine keeps its connections open: the time-out is the host's to keep. */
@@ -209,7 +237,9 @@
         take(e -> sendAll(1, e));
         moveTo(2_000);
         assertEquals(List.of("attempt 0"), cancelled);
-        assertEquals(List.of(Result.TIMEOUT), outcomes().stream().map(Director.Outcome::result).toList());
+        assertEquals(
+                List.of(Result.TIMEOUT),
+                outcomes().stream().map(Director.Outcome::result).toList());
         assertFalse(outcomes().get(0).closed(), "the final answer is still owed");
     }
 
@@ -296,13 +326,13 @@
     @Test
     void whatIsToldOvertakesWhatHasNotGoneOut() {
         List<Runnable> news = List.of(
-            () -> doorman.listed(false, List.of(listing(Director.State.DRAINING, 0, 1))),
-            () -> doorman.listed(false, List.of(listing(Director.State.GONE, 0, 1))),
-            () -> doorman.listed(true, List.of()),
-            () -> doorman.listed(false, List.of(listing(Director.State.READY, 900, 1))),
-            () -> doorman.listed(false, List.of(listing(Director.State.READY, 0, 2))),
-            () -> doorman.purgedObject(5, 900),
-            () -> doorman.purgedGroup(7, 900));
+                () -> doorman.listed(false, List.of(listing(Director.State.DRAINING, 0, 1))),
+                () -> doorman.listed(false, List.of(listing(Director.State.GONE, 0, 1))),
+                () -> doorman.listed(true, List.of()),
+                () -> doorman.listed(false, List.of(listing(Director.State.READY, 900, 1))),
+                () -> doorman.listed(false, List.of(listing(Director.State.READY, 0, 2))),
+                () -> doorman.purgedObject(5, 900),
+                () -> doorman.purgedGroup(7, 900));
         for (Runnable one : news) {
             doorman.listed(true, List.of(NODE));
             events.clear();
@@ -316,7 +346,9 @@
             assertEquals(List.of(), outcomes(), "news of others");
             one.run();
             assertEquals(List.of("attempt 1"), cancelled, "what has gone out goes on");
-            assertEquals(List.of(Result.MOOT), outcomes().stream().map(Director.Outcome::result).toList());
+            assertEquals(
+                    List.of(Result.MOOT),
+                    outcomes().stream().map(Director.Outcome::result).toList());
             assertFalse(events.get(events.size() - 2) instanceof Director.Outcome, "the news come first");
             sent.get(0).ended(ok(Unpooled.copiedBuffer(new byte[5])));
         }
@@ -329,7 +361,8 @@
     /** Guards repeats of keyed requests: one decided in time may not go out when its key is forgotten. */
     @Test
     void aKeyedRepeatThatWaitedPastItsWindowDoesNotGo() {
-        doorman.retune(SettingsReader.read(SettingsReader.lines(SETTINGS + "grades.0.repeat=by_key\ngrades.0.keyTtlMs=300")));
+        doorman.retune(
+                SettingsReader.read(SettingsReader.lines(SETTINGS + "grades.0.repeat=by_key\ngrades.0.keyTtlMs=300")));
         take(e -> sendAll(2, e));
         assertEquals(Result.OK, sent.get(0).admit());
         sent.get(0).sent();
@@ -348,7 +381,9 @@
         sent.get(0).ended(new Answer(Result.OK, Director.Note.HIT, List.of(), null, "tag"));
         sent.get(1).ended(new Answer(Result.OK, Director.Note.HIT, List.of(), null, null));
         assertEquals(List.of(), answers);
-        assertEquals(List.of(Result.ERROR, Result.ERROR), outcomes().stream().map(Director.Outcome::result).toList());
+        assertEquals(
+                List.of(Result.ERROR, Result.ERROR),
+                outcomes().stream().map(Director.Outcome::result).toList());
     }
 
     /** Guards the last answers: what is still open when SIGKILL may come is failed, not left. */
@@ -367,9 +402,24 @@
 
     @Test
     void requestsBeyondTheLimitAreRefused() {
-        take(e -> { });
-        doorman.take(new Request("9b1f03aa5c7e2d42", 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 0, 1_000, 0, null, null,
-            Unpooled.EMPTY_BUFFER), clock.nowMs(), caller);
+        take(e -> {});
+        doorman.take(
+                new Request(
+                        "9b1f03aa5c7e2d42",
+                        0,
+                        "small",
+                        "7f3a9c21e0b4d655",
+                        5,
+                        "0",
+                        0,
+                        0,
+                        1_000,
+                        0,
+                        null,
+                        null,
+                        Unpooled.EMPTY_BUFFER),
+                clock.nowMs(),
+                caller);
         assertEquals(List.of("refused 700.0"), answers);
     }
 
@@ -394,8 +444,9 @@
         assertEquals(List.of(), retired);
         doorman.listed(true, List.of(other));
         assertEquals(List.of(NODE.node()), retired);
-        assertEquals(List.of(Director.ListKind.CACHED, Director.ListKind.DELTA, Director.ListKind.FULL),
-            events.stream().map(e -> ((Director.Members) e).kind()).toList());
+        assertEquals(
+                List.of(Director.ListKind.CACHED, Director.ListKind.DELTA, Director.ListKind.FULL),
+                events.stream().map(e -> ((Director.Members) e).kind()).toList());
     }
 
     /**
@@ -404,13 +455,21 @@
      */
     @Test
     void listEventsThatComeTwiceOrForUnknownBoxesHarmNothing() {
-        for (Director.State state : List.of(Director.State.GONE, Director.State.DRAINING, Director.State.DRAINING,
-            Director.State.GONE, Director.State.GONE, Director.State.READY, Director.State.READY)) {
+        for (Director.State state : List.of(
+                Director.State.GONE,
+                Director.State.DRAINING,
+                Director.State.DRAINING,
+                Director.State.GONE,
+                Director.State.GONE,
+                Director.State.READY,
+                Director.State.READY)) {
             Listing changed = new Listing("s-2", NODE.address(), 0, 0, 0, state, 1, 0);
             events.clear();
             doorman.listed(false, List.of(changed, NODE));
-            assertEquals(List.of(state, Director.State.READY), ((Director.Members) events.get(0)).nodes().stream()
-                .map(Director.Node::state).toList());
+            assertEquals(
+                    List.of(state, Director.State.READY),
+                    ((Director.Members) events.get(0))
+                            .nodes().stream().map(Director.Node::state).toList());
         }
         assertEquals(List.of(2L, 2L, 2L), retired);
     }
@@ -423,8 +482,10 @@
         assertEquals(NODE.node(), same.node());
         assertTrue(named.node() >= 1L << 32, "no number that an id may end in");
         doorman.listed(false, List.of(same, named));
-        assertEquals(List.of(named.node()), ((Director.Members) events.get(1)).nodes().stream()
-            .map(Director.Node::id).toList());
+        assertEquals(
+                List.of(named.node()),
+                ((Director.Members) events.get(1))
+                        .nodes().stream().map(Director.Node::id).toList());
     }
 
     @Test
@@ -434,8 +495,23 @@
     }
 
     private void takeThatWaited(int number, double waitedMs) {
-        doorman.take(new Request("9b1f03aa5c7e2d4" + number, 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, 7, 1_000, 0, null, null,
-            Unpooled.EMPTY_BUFFER), clock.nowMs() - waitedMs, caller);
+        doorman.take(
+                new Request(
+                        "9b1f03aa5c7e2d4" + number,
+                        0,
+                        "small",
+                        "7f3a9c21e0b4d655",
+                        5,
+                        "0",
+                        0,
+                        7,
+                        1_000,
+                        0,
+                        null,
+                        null,
+                        Unpooled.EMPTY_BUFFER),
+                clock.nowMs() - waitedMs,
+                caller);
     }
 
     /** Guards the last answer of each request: a process that has stood still for a while may do so again when it is due. */
--- a/doorman/src/test/java/barleyspur/doorman/SilentDepots.java
+++ b/doorman/src/test/java/barleyspur/doorman/SilentDepots.java
@@ -4,19 +4,19 @@
 public final class SilentDepots implements Depots {
 
     @Override
-    public void list(long node, Listing listing) { }
+    public void list(long node, Listing listing) {}
 
     @Override
-    public void retire(long node) { }
+    public void retire(long node) {}
 
     @Override
     public Call send(long node, Order order, End end) {
-        return () -> { };
+        return () -> {};
     }
 
     @Override
-    public void probe(long node, double timeoutMs, End end) { }
+    public void probe(long node, double timeoutMs, End end) {}
 
     @Override
-    public void hangUp(long node) { }
+    public void hangUp(long node) {}
 }
--- a/doorman/src/test/java/barleyspur/expect/ExplorerTest.java
+++ b/doorman/src/test/java/barleyspur/expect/ExplorerTest.java
@@ -17,14 +17,18 @@
 class ExplorerTest {
 
     private static Site site() throws Hcl.Invalid {
-        return Texts.read(Texts.site(), """
+        return Texts.read(
+                        Texts.site(),
+                        """
             fleet "pair" {
               stations        = 1
               caches          = 2
               district_caches = 1
               doormans        = 1
             }
-            """).fleets().get(0);
+            """)
+                .fleets()
+                .get(0);
     }
 
     private static Load load() {
@@ -38,10 +42,15 @@
         Map<Site.Role, Integer> used = new HashMap<>();
         StringBuilder text = new StringBuilder();
         for (Fault f : faults) {
-            String name = f.node() < 0 || f.kind() == Fault.Kind.LINK ? "" : names.computeIfAbsent(f.node(), n -> {
-                Site.Role role = site.role(site.boxes().stream().filter(b -> b.node() == n).findFirst().orElseThrow());
-                return role.word() + used.merge(role, 1, Integer::sum);
-            });
+            String name = f.node() < 0 || f.kind() == Fault.Kind.LINK
+                    ? ""
+                    : names.computeIfAbsent(f.node(), n -> {
+                        Site.Role role = site.role(site.boxes().stream()
+                                .filter(b -> b.node() == n)
+                                .findFirst()
+                                .orElseThrow());
+                        return role.word() + used.merge(role, 1, Integer::sum);
+                    });
             text.append(f.kind().word()).append(' ').append(name).append(", ");
         }
         return text.toString();
@@ -58,13 +67,15 @@
             Explorer.Plan plan = explorer.next();
             if (!explorer.covered().endsWith("all there are")) {
                 all++;
-                assertTrue(played.add(named(site, plan.scenario().faults())), "twice: " + plan.scenario().faults());
+                assertTrue(
+                        played.add(named(site, plan.scenario().faults())),
+                        "twice: " + plan.scenario().faults());
             }
         }
         assertEquals(all, played.size());
         // Those that always have an effect, in all orders and on all boxes.
-        EnumSet<Fault.Kind> plain = EnumSet.of(Fault.Kind.HANG, Fault.Kind.SLOW, Fault.Kind.FULL, Fault.Kind.FAIL,
-            Fault.Kind.RESTART);
+        EnumSet<Fault.Kind> plain =
+                EnumSet.of(Fault.Kind.HANG, Fault.Kind.SLOW, Fault.Kind.FULL, Fault.Kind.FAIL, Fault.Kind.RESTART);
         List<Fault> symbols = new ArrayList<>();
         for (Box b : site.boxes()) {
             for (Fault.Kind kind : plain) {
--- a/doorman/src/test/java/barleyspur/expect/HardCasesTest.java
+++ b/doorman/src/test/java/barleyspur/expect/HardCasesTest.java
@@ -20,13 +20,16 @@
     }
 
     private static Checker.Finding finding(Checker.Result r, String name) {
-        return r.findings().stream().filter(f -> f.expectation().name().equals(name)).findFirst().orElseThrow();
+        return r.findings().stream()
+                .filter(f -> f.expectation().name().equals(name))
+                .findFirst()
+                .orElseThrow();
     }
 
     /** The text of an expectation in a fleet of one station with this many caches. */
     private static String fleet(int caches, int doormans, String rest) {
-        return "fleet \"small\" {\n stations = 1\n caches = " + caches + "\n district_caches = 2\n doormans = " + doormans
-            + "\n}\n" + rest;
+        return "fleet \"small\" {\n stations = 1\n caches = " + caches + "\n district_caches = 2\n doormans = "
+                + doormans + "\n}\n" + rest;
     }
 
     // ---- a box that changes while a request is in flight ------------------------------------------------
@@ -34,7 +37,10 @@
     /** Guards: what was sent before a drain may end there; only what is sent after the grace breaks an expectation. */
     @Test
     void aBoxThatDrainsWhileARequestIsInFlight() {
-        String text = fleet(2, 1, """
+        String text = fleet(
+                2,
+                1,
+                """
             case "drain" {
               event "drain" {
                 kind = "cache"
@@ -66,7 +72,10 @@
     /** Guards: a request whose box ends under it is judged with what the doorman was told at each of its attempts. */
     @Test
     void aBoxThatGoesMissingWhileARequestIsInFlight() {
-        String text = fleet(3, 1, """
+        String text = fleet(
+                3,
+                1,
+                """
             case "gone" {
               event "missing" {
                 kind = "cache"
@@ -106,7 +115,10 @@
     /** Guards: a box that turns cold under a request counts with its new start, at attempts that follow as well. */
     @Test
     void aBoxThatTurnsColdWhileARequestIsInFlight() {
-        String text = fleet(2, 2, """
+        String text = fleet(
+                2,
+                2,
+                """
             case "restart" {
               event "restart" {
                 kind = "cache"
@@ -147,7 +159,10 @@
     /** Guards: a new box in the place of another is another box, cold from its start, and what was known is void. */
     @Test
     void aBoxReplacedUnderANewId() {
-        String text = fleet(2, 1, """
+        String text = fleet(
+                2,
+                1,
+                """
             case "replaced" {
               event "replace" {
                 kind = "cache"
@@ -176,7 +191,10 @@
     /** Guards: with a stale list a box that has gone is named, and an expectation about what a doorman was told holds. */
     @Test
     void aListThatIsStaleWhileTheBoxHasGone() {
-        String text = fleet(3, 1, """
+        String text = fleet(
+                3,
+                1,
+                """
             case "stale" {
               event "stale" {
                 at    = "100ms"
@@ -218,7 +236,10 @@
     /** Guards: with all district caches out, fills come from the head office, and an expectation on sources sees it. */
     @Test
     void allDistrictCachesOfAHubOut() {
-        String text = fleet(3, 2, """
+        String text = fleet(
+                3,
+                2,
+                """
             case "hub out" {
               event "gone" {
                 kind  = "district"
@@ -257,7 +278,10 @@
     /** Guards: a station with one box, which has nowhere to turn to when that box drains. */
     @Test
     void aStationWithOneBox() {
-        String text = fleet(1, 1, """
+        String text = fleet(
+                1,
+                1,
+                """
             case "its only box drains" {
               event "drain" {
                 kind = "cache"
@@ -291,7 +315,10 @@
     /** Guards: one expectation about the box and the source of its fill at once. */
     @Test
     void theSourceOfAFillAsWellAsTheBox() {
-        String text = fleet(2, 1, """
+        String text = fleet(
+                2,
+                1,
+                """
             expectation "small files by way of a district" {
               given {
                 request { class = "small-files" }
@@ -313,14 +340,19 @@
         Checker.Finding f = finding(Texts.check(text, Decide::new, 60), "small files by way of a district");
         assertEquals(Checker.Verdict.REFUTED, f.verdict());
         // Only events at district caches can bring a fill from elsewhere: what is left of the scenario shows it.
-        assertTrue(f.counterexample().scenario().faults().stream().allMatch(fault -> f.counterexample().scenario()
-            .site().boxes().stream().noneMatch(b -> b.node() == fault.node()) || fault.kind() != Fault.Kind.SLOW));
+        assertTrue(f.counterexample().scenario().faults().stream()
+                .allMatch(fault ->
+                        f.counterexample().scenario().site().boxes().stream().noneMatch(b -> b.node() == fault.node())
+                                || fault.kind() != Fault.Kind.SLOW));
     }
 
     /** Guards: a second purge does not bring back what boxes dropped for the first one. */
     @Test
     void aSecondPurgeOfTheSameObject() {
-        String text = fleet(3, 1, """
+        String text = fleet(
+                3,
+                1,
+                """
             load "one video" {
               objects = 1
               hot     = 1
@@ -372,28 +404,45 @@
             @Override
             public void handle(double now, Event event, java.util.function.Consumer<Action> out) {
                 if (event instanceof Members m) {
-                    m.nodes().stream().filter(n -> n.startedAtMs() > 0 && n.kind() == 0).forEach(n -> cold = n);
+                    m.nodes().stream()
+                            .filter(n -> n.startedAtMs() > 0 && n.kind() == 0)
+                            .forEach(n -> cold = n);
                 }
                 rest.handle(now, event, a -> {
                     if (cold == null || !(a instanceof Get g)) {
                         out.accept(a);
                         return;
                     }
-                    double age = (now - cold.startedAtMs()) / settings.coldCache().warmAfterMs();
-                    double can = settings.coldCache().fromShare() + (1 - settings.coldCache().fromShare()) * age;
+                    double age =
+                            (now - cold.startedAtMs()) / settings.coldCache().warmAfterMs();
+                    double can = settings.coldCache().fromShare()
+                            + (1 - settings.coldCache().fromShare()) * age;
                     double rate = share * settings.coldCache().fallMultiple() * can * cold.size();
                     tokens = Math.min(2_000, tokens + (Double.isNaN(at) ? 0 : now - at) * rate);
                     at = now;
                     boolean may = tokens > 0;
                     tokens -= may ? 200 : 0;
-                    out.accept(may ? new Get(g.request(), cold.id(), g.timeoutMs(), g.source(), g.rank(), g.maxAgeMs(),
-                        g.join(), g.onlyHeld(), g.parentKeepsNone(), g.renew()) : g);
+                    out.accept(
+                            may
+                                    ? new Get(
+                                            g.request(),
+                                            cold.id(),
+                                            g.timeoutMs(),
+                                            g.source(),
+                                            g.rank(),
+                                            g.maxAgeMs(),
+                                            g.join(),
+                                            g.onlyHeld(),
+                                            g.parentKeepsNone(),
+                                            g.renew())
+                                    : g);
                 });
             }
         };
     }
 
-    private static final String COLD = """
+    private static final String COLD =
+            """
         load "rush" {
           utilisation = 4
           requests    = 2500
@@ -423,8 +472,12 @@
         Checker.Result both = Texts.check(fleet(4, 2, COLD), greedy(0.7), 1);
         assertEquals(Checker.Verdict.REFUTED, verdict(both, name));
         // What is left of the counterexample still needs both.
-        assertEquals(2, finding(both, name).counterexample().scenario().asks().stream().map(Ask::doorman)
-            .distinct().count());
+        assertEquals(
+                2,
+                finding(both, name).counterexample().scenario().asks().stream()
+                        .map(Ask::doorman)
+                        .distinct()
+                        .count());
         assertEquals(Checker.Verdict.HOLDS, verdict(Texts.check(fleet(4, 2, COLD), Decide::new, 1), name));
     }
 
@@ -435,18 +488,36 @@
         Decide decide = new Decide(settings, seed);
         int[] news = {0};
         return (now, event, out) -> {
-            boolean late = event instanceof Director.Members m && m.kind() == Director.ListKind.DELTA
-                && ++news[0] >= 10;
-            decide.handle(now, late ? new Director.Members(Director.ListKind.DELTA,
-                ((Director.Members) event).nodes().stream().map(n -> new Director.Node(n.id(), n.zone(), n.kind(),
-                    n.cell(), Director.State.READY, n.size(), n.startedAtMs())).toList()) : event, out);
+            boolean late =
+                    event instanceof Director.Members m && m.kind() == Director.ListKind.DELTA && ++news[0] >= 10;
+            decide.handle(
+                    now,
+                    late
+                            ? new Director.Members(
+                                    Director.ListKind.DELTA,
+                                    ((Director.Members) event)
+                                            .nodes().stream()
+                                                    .map(n -> new Director.Node(
+                                                            n.id(),
+                                                            n.zone(),
+                                                            n.kind(),
+                                                            n.cell(),
+                                                            Director.State.READY,
+                                                            n.size(),
+                                                            n.startedAtMs()))
+                                                    .toList())
+                            : event,
+                    out);
         };
     }
 
     /** Guards: what only fails with the tenth event is found by random orders, and its ten events stay. */
     @Test
     void anExpectationThatOnlyFailsWithTheTenthEvent() {
-        String text = fleet(3, 1, """
+        String text = fleet(
+                3,
+                1,
+                """
             expectation "drains are kept" {
               never { target {
                 state    = ["terminating", "terminated"]
@@ -458,18 +529,21 @@
         assertEquals(Checker.Verdict.REFUTED, f.verdict());
         int events = f.counterexample().scenario().faults().size();
         assertTrue(events >= 5 && events <= 12, events + " events");
-        long news = f.counterexample().scenario().faults().stream().mapToInt(x -> switch (x.kind()) {
-            case REPLACE -> 2;
-            case DRAIN, RETURN, GONE, RESTART -> 1;
-            default -> 0;
-        }).sum();
+        long news = f.counterexample().scenario().faults().stream()
+                .mapToInt(x -> switch (x.kind()) {
+                    case REPLACE -> 2;
+                    case DRAIN, RETURN, GONE, RESTART -> 1;
+                    default -> 0;
+                })
+                .sum();
         assertTrue(news >= 10, "only " + news + " pieces of news are left");
     }
 
     /** Guards: repeats reach the module where clients mark them, and further tries are told from first ones. */
     @Test
     void clientsRepeatsAreMarkedWhereTheLoadSaysSo() {
-        String text = """
+        String text =
+                """
             load "marked" {
               utilisation   = 1.5
               requests      = 1500
@@ -502,7 +576,8 @@
     /** Guards: an expectation that nothing met is said to be vacuous, and two that no moment meets both of are named. */
     @Test
     void vacuousAndContradictingExpectationsAreNamed() {
-        String text = """
+        String text =
+                """
             expectation "of a class with no such state" {
               given { target { state = "missing" } }
               must { target { own = true } }
@@ -526,7 +601,10 @@
     /** Guards: the same input gives the same verdicts, counts and counterexamples. */
     @Test
     void theSameSeedFindsTheSame() {
-        String text = fleet(2, 2, """
+        String text = fleet(
+                2,
+                2,
+                """
             expectation "never a second attempt" {
               never { attempt { number = 2 } }
             }
@@ -539,7 +617,8 @@
         List<Story.Step> told = Story.of(one.counterexample().scenario(), one.expectation());
         assertEquals(told, Story.of(two.counterexample().scenario(), two.expectation()));
         String all = told.stream().map(Story.Step::text).collect(Collectors.joining("\n"));
-        assertTrue(all.contains("NOT as expected by \"never a second attempt\" (test.hcl:7): test.hcl:8: attempt.number"),
-            all);
+        assertTrue(
+                all.contains("NOT as expected by \"never a second attempt\" (test.hcl:7): test.hcl:8: attempt.number"),
+                all);
     }
 }
--- a/doorman/src/test/java/barleyspur/expect/Mutants.java
+++ b/doorman/src/test/java/barleyspur/expect/Mutants.java
@@ -19,14 +19,14 @@
 
     private static final Path SOURCES = Path.of("..", "decision", "src", "main", "java", "barleyspur", "decision");
 
-    private Mutants() { }
+    private Mutants() {}
 
     /** The module with {@code from}, which its file must hold exactly once, made into {@code to}. */
     static World.Maker mutant(Path folder, String file, String from, String to) throws IOException {
         Path sources = Files.createDirectories(folder.resolve("source"));
         Path classes = Files.createDirectories(folder.resolve("classes"));
-        List<String> arguments = new ArrayList<>(List.of("-nowarn", "-d", classes.toString(), "-cp",
-            System.getProperty("java.class.path")));
+        List<String> arguments = new ArrayList<>(
+                List.of("-nowarn", "-d", classes.toString(), "-cp", System.getProperty("java.class.path")));
         try (Stream<Path> all = Files.list(SOURCES)) {
             for (Path p : all.toList()) {
                 String text = Files.readString(p);
@@ -46,30 +46,36 @@
         }
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
         StringWriter said = new StringWriter();
-        if (!compiler.getTask(said, null, null, arguments.subList(0, 5), null,
-            compiler.getStandardFileManager(null, null, null).getJavaFileObjectsFromStrings(
-                arguments.subList(5, arguments.size()))).call()) {
+        if (!compiler.getTask(
+                        said,
+                        null,
+                        null,
+                        arguments.subList(0, 5),
+                        null,
+                        compiler.getStandardFileManager(null, null, null)
+                                .getJavaFileObjectsFromStrings(arguments.subList(5, arguments.size())))
+                .call()) {
             throw new IllegalArgumentException("the mutant does not compile: " + said);
         }
         return maker(classes);
     }
 
     private static World.Maker maker(Path classes) throws IOException {
-        URLClassLoader loader = new URLClassLoader(new URL[] {classes.toUri().toURL()},
-            Mutants.class.getClassLoader()) {
-            @Override
-            protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
-                boolean mutated = name.startsWith("barleyspur.decision.")
-                    && !name.startsWith("barleyspur.decision.Director");
-                synchronized (getClassLoadingLock(name)) {
-                    Class<?> loaded = findLoadedClass(name);
-                    return loaded != null ? loaded : mutated ? findClass(name) : super.loadClass(name, resolve);
-                }
-            }
-        };
+        URLClassLoader loader =
+                new URLClassLoader(new URL[] {classes.toUri().toURL()}, Mutants.class.getClassLoader()) {
+                    @Override
+                    protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
+                        boolean mutated = name.startsWith("barleyspur.decision.")
+                                && !name.startsWith("barleyspur.decision.Director");
+                        synchronized (getClassLoadingLock(name)) {
+                            Class<?> loaded = findLoadedClass(name);
+                            return loaded != null ? loaded : mutated ? findClass(name) : super.loadClass(name, resolve);
+                        }
+                    }
+                };
         try {
-            Constructor<?> made = loader.loadClass("barleyspur.decision.Decide").getConstructor(
-                Director.Settings.class, long.class);
+            Constructor<?> made =
+                    loader.loadClass("barleyspur.decision.Decide").getConstructor(Director.Settings.class, long.class);
             return (settings, seed) -> {
                 try {
                     return (Director) made.newInstance(settings, seed);
--- a/doorman/src/test/java/barleyspur/expect/MutantsTest.java
+++ b/doorman/src/test/java/barleyspur/expect/MutantsTest.java
@@ -28,20 +28,29 @@
 
     private static Checker.Book book(String only) throws Configuration.Invalid, Hcl.Invalid {
         Site site = ExpectationCheck.site(Path.of("../examples/expectations/station.json"));
-        return ExpectationCheck.of(site, List.of("../deploy/expectations.hcl"), false).book(only, 1);
+        return ExpectationCheck.of(site, List.of("../deploy/expectations.hcl"), false)
+                .book(only, 1);
     }
 
     @Test
     void theModuleAsItIsKeepsToAllAndNoneIsVacuous() throws Configuration.Invalid, Hcl.Invalid {
         int[] left = {SCENARIOS};
         Checker.Result result = Checker.of(book(""), Checker.Progress.NONE).run(1, () -> left[0]-- > 0);
-        assertTrue(result.good(true), result.findings().stream().filter(f -> f.verdict() != Checker.Verdict.HOLDS)
-            .map(f -> f.expectation().name() + " is " + f.verdict()).collect(Collectors.joining(", ")));
+        assertTrue(
+                result.good(true),
+                result.findings().stream()
+                        .filter(f -> f.verdict() != Checker.Verdict.HOLDS)
+                        .map(f -> f.expectation().name() + " is " + f.verdict())
+                        .collect(Collectors.joining(", ")));
         assertEquals(List.of(), result.conflicts());
     }
 
     @ParameterizedTest(name = "{0}")
-    @CsvSource(delimiter = '|', quoteCharacter = '`', textBlock = """
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '`',
+            textBlock =
+                    """
         a draining cache stays a target      | no new work for a draining box | Fleet.java | if (s.ready() && isCache(s)) { | if (isCache(s)) {
         a draining parent stays a source     | no new work for a draining box | Fleet.java | s.ready() && s.node.kind() == settings.parentKind() | s.node.kind() == settings.parentKind()
         a list that leaves a box out is not heard | no new work for a draining box | Decide.java | if (e.kind() != ListKind.DELTA) { | if (e.kind() == ListKind.FAILED) {
@@ -61,7 +70,7 @@
         losses make no copies                | hot_spread | Decide.java | private static final int RANK_LOST = 3; | private static final int RANK_LOST = 2;
         """)
     void eachIsCaught(String what, String expectation, String file, String from, String to)
-        throws IOException, Configuration.Invalid, Hcl.Invalid {
+            throws IOException, Configuration.Invalid, Hcl.Invalid {
         String newline = "\n            ";
         World.Maker mutant = Mutants.mutant(folder, file, from.replace("¶", newline), to.replace("¶", newline));
         int[] left = {SCENARIOS};
@@ -73,15 +82,22 @@
             }
 
             @Override
-            public void shrinking(String name) { }
+            public void shrinking(String name) {}
         };
-        Checker.Result result = new Checker(book(expectation), mutant, progress).run(1,
-            () -> !found[0] && left[0]-- > 0);
+        Checker.Result result =
+                new Checker(book(expectation), mutant, progress).run(1, () -> !found[0] && left[0]-- > 0);
         Checker.Finding f = result.findings().get(0);
         assertEquals(Checker.Verdict.REFUTED, f.verdict(), what + ": held in " + f.held() + " of " + f.judged());
         Checker.Counterexample c = f.counterexample();
-        System.out.printf("mutant: %s: caught in scenario %d; %d events, %d requests, %d boxes -> %d, %d, %d%n", what,
-            f.refutedAtScenario(), c.foundEvents(), c.foundRequests(), c.foundBoxes(), c.scenario().faults().size(),
-            c.scenario().asks().size(), c.scenario().site().boxes().size());
+        System.out.printf(
+                "mutant: %s: caught in scenario %d; %d events, %d requests, %d boxes -> %d, %d, %d%n",
+                what,
+                f.refutedAtScenario(),
+                c.foundEvents(),
+                c.foundRequests(),
+                c.foundBoxes(),
+                c.scenario().faults().size(),
+                c.scenario().asks().size(),
+                c.scenario().site().boxes().size());
     }
 }
--- a/doorman/src/test/java/barleyspur/expect/Texts.java
+++ b/doorman/src/test/java/barleyspur/expect/Texts.java
@@ -12,7 +12,7 @@
 
     static final Path STATION = Path.of("../examples/expectations/station.json");
 
-    private Texts() { }
+    private Texts() {}
 
     static Site site() {
         try {
@@ -23,12 +23,15 @@
     }
 
     static ExpectationFiles.Read read(Site site, String text) throws Hcl.Invalid {
-        return ExpectationFiles.read(List.of("test.hcl"), (from, name) -> {
-            if (!name.equals("test.hcl")) {
-                throw new Hcl.Invalid("test.hcl", 1, "file " + name + " can't be read");
-            }
-            return text;
-        }, site);
+        return ExpectationFiles.read(
+                List.of("test.hcl"),
+                (from, name) -> {
+                    if (!name.equals("test.hcl")) {
+                        throw new Hcl.Invalid("test.hcl", 1, "file " + name + " can't be read");
+                    }
+                    return text;
+                },
+                site);
     }
 
     /** Checks a text in its fleets, or in the station where it describes none: this many scenarios. */
@@ -39,8 +42,12 @@
             List<Site> fleets = read.fleets().isEmpty() ? List.of(site) : read.fleets();
             List<Load> loads = read.loads().isEmpty() ? List.of(Load.usual(site.any())) : read.loads();
             int[] left = {scenarios};
-            return new Checker(new Checker.Book(read.expectations(), fleets, loads, read.cases(),
-                Math.max(1, read.depth())), maker, Checker.Progress.NONE).run(1, () -> left[0]-- > 0);
+            return new Checker(
+                            new Checker.Book(
+                                    read.expectations(), fleets, loads, read.cases(), Math.max(1, read.depth())),
+                            maker,
+                            Checker.Progress.NONE)
+                    .run(1, () -> left[0]-- > 0);
         } catch (Hcl.Invalid e) {
             throw new AssertionError(e);
         }
--- a/doorman/src/test/java/barleyspur/fleet/net/CodecPropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/fleet/net/CodecPropertiesTest.java
@@ -25,23 +25,35 @@
 
     private static Saying saying(SplittableRandom r) {
         Standing standing = Standing.values()[r.nextInt(4)];
-        return new Saying("d" + r.nextInt(1_000), r.nextLong(Saying.MOST), r.nextLong() >>> 12, r.nextLong(Saying.MOST),
-            standing, standing == Standing.ALIVE ? "" : "d" + r.nextInt(9), new About("127.0.0." + r.nextInt(255)
-                + ":7301", r.nextBoolean() ? "" : "zone é" + r.nextInt(9), "serving", "0.1.0", r.nextLong(),
-                1 + r.nextInt(2), r.nextBoolean() ? null : new byte[r.nextInt(1, 60)]));
+        return new Saying(
+                "d" + r.nextInt(1_000),
+                r.nextLong(Saying.MOST),
+                r.nextLong() >>> 12,
+                r.nextLong(Saying.MOST),
+                standing,
+                standing == Standing.ALIVE ? "" : "d" + r.nextInt(9),
+                new About(
+                        "127.0.0." + r.nextInt(255) + ":7301",
+                        r.nextBoolean() ? "" : "zone é" + r.nextInt(9),
+                        "serving",
+                        "0.1.0",
+                        r.nextLong(),
+                        1 + r.nextInt(2),
+                        r.nextBoolean() ? null : new byte[r.nextInt(1, 60)]));
     }
 
     private static Datagram datagram(long seed) {
         SplittableRandom r = new SplittableRandom(seed);
         long number = r.nextLong();
-        Message message = switch (r.nextInt(6)) {
-            case 0 -> new Message.Ping(number, r.nextBoolean() ? "" : "d1");
-            case 1 -> new Message.Ack(number, "d2");
-            case 2 -> new Message.PingFor(number, "d3", "127.0.0.1:7301");
-            case 3 -> new Message.Nack(number);
-            case 4 -> new Message.Compare(number, r.longs(64).toArray(), r.nextBoolean());
-            default -> new Message.News();
-        };
+        Message message =
+                switch (r.nextInt(6)) {
+                    case 0 -> new Message.Ping(number, r.nextBoolean() ? "" : "d1");
+                    case 1 -> new Message.Ack(number, "d2");
+                    case 2 -> new Message.PingFor(number, "d3", "127.0.0.1:7301");
+                    case 3 -> new Message.Nack(number);
+                    case 4 -> new Message.Compare(number, r.longs(64).toArray(), r.nextBoolean());
+                    default -> new Message.News();
+                };
         Saying sender = saying(r);
         List<Saying> news = new ArrayList<>();
         Datagram d = new Datagram(sender, r.nextLong(), message, List.of());
@@ -95,8 +107,14 @@
         About about = saying(r).about();
         Saying[] s = new Saying[3];
         for (int i = 0; i < 3; i++) {
-            s[i] = new Saying("d1", r.nextInt(2), r.nextInt(2), r.nextInt(2), Standing.values()[r.nextInt(4)],
-                "d" + r.nextInt(3), about);
+            s[i] = new Saying(
+                    "d1",
+                    r.nextInt(2),
+                    r.nextInt(2),
+                    r.nextInt(2),
+                    Standing.values()[r.nextInt(4)],
+                    "d" + r.nextInt(3),
+                    about);
         }
         assertEquals(Saying.join(s[0], s[1]), Saying.join(s[1], s[0]));
         assertEquals(Saying.join(Saying.join(s[0], s[1]), s[2]), Saying.join(s[0], Saying.join(s[1], s[2])));
--- a/doorman/src/test/java/barleyspur/front/thrift/EndingsTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/EndingsTest.java
@@ -39,15 +39,17 @@
     Path folder;
 
     private Loopback start() throws Exception {
-        Loopback doorman = new Loopback(folder, c -> { });
+        Loopback doorman = new Loopback(folder, c -> {});
         doorman.box.serve();
         doorman.origin.serve();
         return doorman;
     }
 
     private static byte[] dispatch(int seqid, String className, String id) {
-        return Cuts.take(ThriftPropertiesTest.dispatch(seqid, Map.of("c", className, "i", id, "d", "2500", "o",
-            "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"), new byte[4]));
+        return Cuts.take(ThriftPropertiesTest.dispatch(
+                seqid,
+                Map.of("c", className, "i", id, "d", "2500", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"),
+                new byte[4]));
     }
 
     private static byte[] dispatch(int seqid, String id) {
@@ -59,7 +61,10 @@
     }
 
     private static byte[] alive(int seqid) {
-        ByteBuf out = Unpooled.buffer().writeInt(0).writeInt(Thrift.VERSION | Thrift.CALL).writeInt(5);
+        ByteBuf out = Unpooled.buffer()
+                .writeInt(0)
+                .writeInt(Thrift.VERSION | Thrift.CALL)
+                .writeInt(5);
         out.writeCharSequence("alive", StandardCharsets.US_ASCII);
         out.writeInt(seqid).writeByte(Thrift.STOP);
         return Cuts.take(out.setInt(0, out.readableBytes() - Integer.BYTES));
@@ -100,7 +105,8 @@
     /** A busy loop reads a request late: its time counts from before that, so its final answer comes in time all the same. */
     @Test
     void aRequestThatWaitedToBeReadEndsInItsOwnTime() throws Exception {
-        try (Loopback doorman = start(); Wire client = doorman.client()) {
+        try (Loopback doorman = start();
+                Wire client = doorman.client()) {
             client.write(alive(1));
             assertEquals(SERVED, answer(client, 1));
             Runnable release = doorman.hold();
@@ -116,7 +122,8 @@
     /** One that comes as soon as the loop looks has all its time: it waited for nobody. */
     @Test
     void aRequestThatIsReadAtOnceHasAllItsTime() throws Exception {
-        try (Loopback doorman = start(); Wire client = doorman.client()) {
+        try (Loopback doorman = start();
+                Wire client = doorman.client()) {
             client.write(alive(1));
             assertEquals(SERVED, answer(client, 1));
             doorman.pass(1_500);
@@ -131,7 +138,8 @@
     /** A first request in pieces is taken when it is whole, however slowly it comes, while it goes on coming. */
     @Test
     void aFirstRequestThatComesSlowlyIsServed() throws Exception {
-        try (Loopback doorman = start(); Wire client = doorman.client()) {
+        try (Loopback doorman = start();
+                Wire client = doorman.client()) {
             byte[] request = dispatch(1, id(1));
             for (int i = 0; i < 4; i++) {
                 client.write(part(request, request.length * i / 4, request.length * (i + 1) / 4));
@@ -146,7 +154,8 @@
     /** But no longer than any request may take. */
     @Test
     void aRequestThatNeverBecomesWholeIsGivenUp() throws Exception {
-        try (Loopback doorman = start(); Wire client = doorman.client()) {
+        try (Loopback doorman = start();
+                Wire client = doorman.client()) {
             byte[] request = dispatch(1, id(1));
             for (int i = 0; i < 4; i++) {
                 client.write(part(request, i, i + 1));
@@ -163,7 +172,8 @@
     /** FIN, RST and a cancel that have come by the time in which their requests are read: no first attempt begins. */
     @Test
     void noAttemptBeginsForWhoHasGoneInTheSameTurn() throws Exception {
-        try (Loopback doorman = start(); Wire cancels = doorman.client()) {
+        try (Loopback doorman = start();
+                Wire cancels = doorman.client()) {
             List<Wire> burst = new ArrayList<>();
             for (int i = 0; i < 40; i++) {
                 Wire client = doorman.client();
@@ -196,8 +206,11 @@
     /** The same while the request waits for a connection to the box that comes up late. */
     @Test
     void noAttemptBeginsForWhoHasGoneWhileItWaitedForAConnect() throws Exception {
-        try (Loopback doorman = new Loopback(folder, c -> { }, 1); Wire fin = doorman.client(); Wire rst = doorman.client();
-            Wire cancels = doorman.client(); Wire probe = doorman.client()) {
+        try (Loopback doorman = new Loopback(folder, c -> {}, 1);
+                Wire fin = doorman.client();
+                Wire rst = doorman.client();
+                Wire cancels = doorman.client();
+                Wire probe = doorman.client()) {
             // The listener's queue is full, so that the doorman's connects come up only once it is emptied.
             List<Wire> crowd = doorman.box.fillQueue();
             fin.write(dispatch(1, id(1)));
@@ -236,8 +249,10 @@
     /** A client that takes no answers is heard all the same: its cancel gives up what is out, and nothing is tried again. */
     @Test
     void aCancelBehindUnreadAnswersIsHeard() throws Exception {
-        try (Loopback doorman = new Loopback(folder, c -> c.getJSONObject("limits").put("memory_mb", 2_000));
-            Wire client = doorman.narrowClient(); Wire probe = doorman.client()) {
+        try (Loopback doorman =
+                        new Loopback(folder, c -> c.getJSONObject("limits").put("memory_mb", 2_000));
+                Wire client = doorman.narrowClient();
+                Wire probe = doorman.client()) {
             doorman.box.serve();
             client.write(dispatch(1, id(1)));
             Request waits = doorman.box.next();
@@ -257,7 +272,8 @@
     /** A client that shuts its side has gone: the protocol knows no half-closed clients. */
     @Test
     void whoShutsItsSideHasGone() throws Exception {
-        try (Loopback doorman = start(); Wire client = doorman.client()) {
+        try (Loopback doorman = start();
+                Wire client = doorman.client()) {
             client.write(dispatch(1, id(1)));
             Request out = doorman.box.next();
             client.shutOutput();
@@ -273,7 +289,8 @@
     /** All places taken by idle clients, discovery down: a newcomer is let in, and the channel and the box are reached. */
     @Test
     void idleClientsMakeRoomWhileDiscoveryIsDown() throws Exception {
-        try (Loopback doorman = new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 96))) {
+        try (Loopback doorman =
+                new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 96))) {
             doorman.box.serve();
             doorman.channel.accept().close();
             List<Wire> idle = new ArrayList<>();
@@ -300,7 +317,8 @@
      */
     @Test
     void bytesThatCrossAnEvictionDoNotResetTheConnection() throws Exception {
-        try (Loopback doorman = new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 96))) {
+        try (Loopback doorman =
+                new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 96))) {
             doorman.box.serve();
             List<Wire> idle = new ArrayList<>();
             Wire oldest = doorman.client();
@@ -340,8 +358,9 @@
      */
     @Test
     void badClientsAreLetGoAndHarmNobody() throws Exception {
-        try (Loopback doorman = new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 160));
-            Wire good = doorman.client()) {
+        try (Loopback doorman =
+                        new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 160));
+                Wire good = doorman.client()) {
             doorman.box.serve();
             good.write(dispatch(1, id(1)));
             Request out = doorman.box.next();
@@ -356,7 +375,7 @@
                     case 1 -> client.write(part(request, 0, request.length - 1));
                     case 2 -> client.write(part(request, 0, 3));
                     case 3 -> client.writeWhatGoes(flood);
-                    default -> { }
+                    default -> {}
                 }
             }
             try (Wire last = doorman.client()) {
@@ -380,7 +399,8 @@
     /** A whole request in the very turn in which its idle connection would be shut keeps the connection. */
     @Test
     void aRequestInTheTurnOfItsEvictionIsServed() throws Exception {
-        try (Loopback doorman = new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 96))) {
+        try (Loopback doorman =
+                new Loopback(folder, c -> c.getJSONObject("limits").put("sockets", 96))) {
             doorman.box.serve();
             List<Wire> idle = new ArrayList<>();
             for (int i = 0; i < 30; i++) {
@@ -432,12 +452,15 @@
     /** A depot that hangs past the last moment before SIGKILL: its request is failed while there is time. */
     @Test
     void aHungDepotIsHeldNoLongerThanSigkillLeaves() throws Exception {
-        Loopback doorman = new Loopback(folder, c -> ((JSONObject) c.getJSONObject("settings").getJSONArray("grades").get(0))
-            .put("hardLimitMs", 60_000));
+        Loopback doorman = new Loopback(folder, c -> ((JSONObject)
+                        c.getJSONObject("settings").getJSONArray("grades").get(0))
+                .put("hardLimitMs", 60_000));
         doorman.box.serve();
         Wire client = doorman.client();
-        client.write(Cuts.take(ThriftPropertiesTest.dispatch(1, Map.of("c", "segment", "i", id(1), "d", "50000", "o",
-            "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"), new byte[4])));
+        client.write(Cuts.take(ThriftPropertiesTest.dispatch(
+                1,
+                Map.of("c", "segment", "i", id(1), "d", "50000", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"),
+                new byte[4])));
         doorman.box.next();
         doorman.node.drain();
         doorman.pass(3_499);
@@ -480,7 +503,8 @@
     /** A box that reads so much of an unsafe request and resets: it is failed, and never sent again, whatever its class is called. */
     @Test
     void anUnsafeRequestNeverGoesOutTwice() throws Exception {
-        try (Loopback doorman = new Loopback(folder, c -> { }); Wire client = doorman.client()) {
+        try (Loopback doorman = new Loopback(folder, c -> {});
+                Wire client = doorman.client()) {
             for (int read = 1; read < 110; read++) {
                 client.write(dispatch(read, "order", id(read)));
                 Wire at = doorman.box.accept();
@@ -496,21 +520,41 @@
     /** Guards keyed requests: depots drop repeats by the key that the client gave, so each attempt carries it, and no other does. */
     @Test
     void aKeyedRequestCarriesItsKeyWithEachAttempt() throws Exception {
-        try (Loopback doorman = start(); Wire client = doorman.client()) {
-            client.write(Cuts.take(ThriftPropertiesTest.dispatch(1, Map.of("c", "stamp", "i", id(1), "d", "2500", "o",
-                "7f3a9c21e0b4d655", "seg", "0", "bucket", "17", "k", "645b707de91bf3071eae83015509ede1"), new byte[4])));
+        try (Loopback doorman = start();
+                Wire client = doorman.client()) {
+            client.write(Cuts.take(ThriftPropertiesTest.dispatch(
+                    1,
+                    Map.of(
+                            "c",
+                            "stamp",
+                            "i",
+                            id(1),
+                            "d",
+                            "2500",
+                            "o",
+                            "7f3a9c21e0b4d655",
+                            "seg",
+                            "0",
+                            "bucket",
+                            "17",
+                            "k",
+                            "645b707de91bf3071eae83015509ede1"),
+                    new byte[4])));
             Request first = doorman.box.next();
             first.answer("BROKE", "-", null);
             Request again = doorman.box.next();
             for (Request attempt : List.of(first, again)) {
                 assertEquals(id(1), attempt.id());
-                assertTrue(attempt.words().get(2).contains(",once=645b707de91bf3071eae83015509ede1"), attempt.words().get(2));
+                assertTrue(
+                        attempt.words().get(2).contains(",once=645b707de91bf3071eae83015509ede1"),
+                        attempt.words().get(2));
             }
             again.answer("DONE", DONE, new byte[10]);
             assertEquals(SERVED, answer(client, 1));
             client.write(dispatch(2, "stamp", id(2)));
             Request without = doorman.box.next();
-            assertFalse(without.words().get(2).contains("once="), without.words().get(2));
+            assertFalse(
+                    without.words().get(2).contains("once="), without.words().get(2));
             without.answer("DONE", DONE, new byte[10]);
             assertEquals(SERVED, answer(client, 2));
         }
@@ -519,7 +563,8 @@
     /** A request keeps the effect of the class that it was taken under, also where a reload changes it meanwhile. */
     @Test
     void anOpenRequestKeepsItsEffectThroughAReload() throws Exception {
-        try (Loopback doorman = start(); Wire client = doorman.client()) {
+        try (Loopback doorman = start();
+                Wire client = doorman.client()) {
             Wire channel = doorman.channel.accept();
             assertEquals("resume 1", channel.line());
             client.write(dispatch(1, "order", id(1)));
@@ -545,16 +590,28 @@
     // ---- the command channel ---------------------------------------------------------------------------------
 
     private static String state(Loopback doorman, int cursor, String state) {
-        return new JSONObject().put("cursor", cursor).put("nodes", new JSONObject().put("rev", cursor).put("all", false)
-            .put("targets", new JSONArray().put(Loopback.target("s-1", doorman.box, "cache").put("state", state))))
-            .toString() + "\n";
+        return new JSONObject()
+                        .put("cursor", cursor)
+                        .put(
+                                "nodes",
+                                new JSONObject()
+                                        .put("rev", cursor)
+                                        .put("all", false)
+                                        .put(
+                                                "targets",
+                                                new JSONArray()
+                                                        .put(Loopback.target("s-1", doorman.box, "cache")
+                                                                .put("state", state))))
+                        .toString()
+                + "\n";
     }
 
     /** Mute from its first second, mute after a reconnect, and mute after half a line: each time it is given up and asked anew. */
     @Test
     void aChannelThatSaysNothingIsGivenUp() throws Exception {
         try (Loopback doorman = start()) {
-            for (String last : List.of("", "1\n", state(doorman, 2, "terminating").substring(0, 40))) {
+            for (String last :
+                    List.of("", "1\n", state(doorman, 2, "terminating").substring(0, 40))) {
                 Wire mute = doorman.channel.accept();
                 assertEquals("resume 1", mute.line());
                 mute.write(last);
@@ -583,8 +640,9 @@
     /** What waits for a connection to a box that is told to drain meanwhile goes elsewhere. */
     @Test
     void aDrainOvertakesWhatWaitsForAConnect() throws Exception {
-        try (Loopback doorman = new Loopback(folder, c -> { }, 1); Wire client = doorman.client();
-            Wire probe = doorman.client()) {
+        try (Loopback doorman = new Loopback(folder, c -> {}, 1);
+                Wire client = doorman.client();
+                Wire probe = doorman.client()) {
             doorman.origin.serve();
             List<Wire> crowd = doorman.box.fillQueue();
             Wire channel = doorman.channel.accept();
@@ -609,7 +667,8 @@
      */
     @Test
     void aSpoiltAnswerHarmsNobody() throws Exception {
-        try (Loopback doorman = start(); Wire client = doorman.client()) {
+        try (Loopback doorman = start();
+                Wire client = doorman.client()) {
             client.write(dispatch(1, id(1)));
             Request first = doorman.box.next();
             first.answer("DONE", DONE, new byte[10]);
--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -33,7 +33,9 @@
 /** One client connection before a core whose director does as each test says. */
 class FrontConnectionTest implements Clock {
 
-    static final Director.Settings SETTINGS = SettingsReader.read(SettingsReader.lines("""
+    static final Director.Settings SETTINGS = SettingsReader.read(
+            SettingsReader.lines(
+                    """
         groupSize=1\nmyNumber=0\nmyZone=0\nresolutionMs=2\ngrades.count=1\ngrades.0.promiseMs=400
         grades.0.hardLimitMs=5000\ngrades.0.repeat=repeatable\nfamilyInfo.midKind=2\nfamilyInfo.masterKind=3
         familyInfo.paceKbPerS=7600\nlimits.sendCap=2\nrules.fallMs=1500\nrules.answerSlackMs=8
@@ -44,10 +46,15 @@
 
     private final List<Director.Event> events = new ArrayList<>();
     private Consumer<Director.Action> out;
-    private final Doorman doorman = new Doorman(SETTINGS, 9, (now, event, sink) -> {
-        events.add(event);
-        out = sink;
-    }, this, new SilentDepots());
+    private final Doorman doorman = new Doorman(
+            SETTINGS,
+            9,
+            (now, event, sink) -> {
+                events.add(event);
+                out = sink;
+            },
+            this,
+            new SilentDepots());
     private final ConnectionRegistry<FrontConnection> registry = new ConnectionRegistry<>();
     private final Lifecycle lifecycle = new Lifecycle();
     private final List<Runnable> timers = new ArrayList<>();
@@ -57,8 +64,15 @@
     private EmbeddedChannel connect() {
         lifecycle.serving(now);
         ThriftFrameDecoder decoder = new ThriftFrameDecoder(100_000);
-        FrontConnection.Shared shared = new FrontConnection.Shared(doorman, this, () -> CLASSES, MOST_OPEN, new UnreadAnswers(1_000, full -> { }),
-            registry, new CappedLog(LoggerFactory.getLogger("front"), this), lifecycle);
+        FrontConnection.Shared shared = new FrontConnection.Shared(
+                doorman,
+                this,
+                () -> CLASSES,
+                MOST_OPEN,
+                new UnreadAnswers(1_000, full -> {}),
+                registry,
+                new CappedLog(LoggerFactory.getLogger("front"), this),
+                lifecycle);
         return new EmbeddedChannel(decoder, new FrontConnection(shared, decoder));
     }
 
@@ -88,8 +102,8 @@
     }
 
     private void dispatch(int seqid, String className, String id) {
-        Map<String, String> fields = new HashMap<>(Map.of("c", className, "i", id, "d", "1500", "o",
-            "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"));
+        Map<String, String> fields = new HashMap<>(
+                Map.of("c", className, "i", id, "d", "1500", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"));
         channel.writeInbound(ThriftPropertiesTest.dispatch(seqid, fields, new byte[4]));
     }
 
@@ -110,8 +124,19 @@
     /** Guards a client that writes in pieces of any size, down to one byte: its request is taken once, when whole. */
     @Test
     void aRequestThatComesOneByteAtATimeIsTakenWhenWhole() {
-        Map<String, String> fields = Map.of("c", "small", "i", "9b1f03aa5c7e2d41", "d", "1500", "o", "7f3a9c21e0b4d655",
-            "seg", "3", "bucket", "17");
+        Map<String, String> fields = Map.of(
+                "c",
+                "small",
+                "i",
+                "9b1f03aa5c7e2d41",
+                "d",
+                "1500",
+                "o",
+                "7f3a9c21e0b4d655",
+                "seg",
+                "3",
+                "bucket",
+                "17");
         ByteBuf whole = ThriftPropertiesTest.dispatch(1, fields, new byte[4]);
         while (whole.isReadable()) {
             assertEquals(List.of(), events, "nothing before the last byte");
@@ -194,10 +219,21 @@
     /** Guards: what a client has cancelled, or closed on, in the turn in which it asked is never begun. */
     @Test
     void aRequestThatComesWithItsCancelIsNotBegun() {
-        Map<String, String> fields = Map.of("c", "small", "i", "9b1f03aa5c7e2d41", "d", "1500", "o",
-            "7f3a9c21e0b4d655", "seg", "3", "bucket", "17");
-        channel.writeInbound(Unpooled.wrappedBuffer(ThriftPropertiesTest.dispatch(1, fields, new byte[4]),
-            ThriftPropertiesTest.cancelRequest(2, 1)));
+        Map<String, String> fields = Map.of(
+                "c",
+                "small",
+                "i",
+                "9b1f03aa5c7e2d41",
+                "d",
+                "1500",
+                "o",
+                "7f3a9c21e0b4d655",
+                "seg",
+                "3",
+                "bucket",
+                "17");
+        channel.writeInbound(Unpooled.wrappedBuffer(
+                ThriftPropertiesTest.dispatch(1, fields, new byte[4]), ThriftPropertiesTest.cancelRequest(2, 1)));
         assertEquals(List.of(), events);
         channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
             @Override
@@ -212,10 +248,22 @@
     /** Guards requests before a fault: what was whole gets its answer, though it can't be taken any more. */
     @Test
     void aRequestBeforeAFaultIsAnswered() {
-        Map<String, String> fields = Map.of("c", "small", "i", "9b1f03aa5c7e2d41", "d", "1500", "o",
-            "7f3a9c21e0b4d655", "seg", "3", "bucket", "17");
-        channel.writeInbound(Unpooled.wrappedBuffer(ThriftPropertiesTest.dispatch(1, fields, new byte[4]),
-            Unpooled.wrappedBuffer(new byte[] {-1, -1, -1, -1})));
+        Map<String, String> fields = Map.of(
+                "c",
+                "small",
+                "i",
+                "9b1f03aa5c7e2d41",
+                "d",
+                "1500",
+                "o",
+                "7f3a9c21e0b4d655",
+                "seg",
+                "3",
+                "bucket",
+                "17");
+        channel.writeInbound(Unpooled.wrappedBuffer(
+                ThriftPropertiesTest.dispatch(1, fields, new byte[4]),
+                Unpooled.wrappedBuffer(new byte[] {-1, -1, -1, -1})));
         assertEquals(List.of(), events);
         ByteBuf first = channel.readOutbound();
         assertEquals(Thrift.VERSION | Thrift.REPLY, first.getInt(Integer.BYTES));
@@ -370,7 +418,8 @@
         channel.runPendingTasks();
         assertAnswer(Thrift.REPLY, 2, "");
         dispatch(3, "small");
-        assertEquals(2, events.stream().filter(Director.Request.class::isInstance).count(), "nothing is taken any more");
+        assertEquals(
+                2, events.stream().filter(Director.Request.class::isInstance).count(), "nothing is taken any more");
         pass(FrontConnection.LINGER_MS);
         assertFalse(channel.isOpen(), "nothing is open any more");
     }
--- a/doorman/src/test/java/barleyspur/front/thrift/ResponseWriterTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ResponseWriterTest.java
@@ -33,8 +33,13 @@
             }
         }
     });
-    private final ResponseWriter responses = new ResponseWriter(channel, this, new UnreadAnswers(1_000, full -> { }),
-        new CappedLog(LoggerFactory.getLogger("front"), this), () -> 5_000, this);
+    private final ResponseWriter responses = new ResponseWriter(
+            channel,
+            this,
+            new UnreadAnswers(1_000, full -> {}),
+            new CappedLog(LoggerFactory.getLogger("front"), this),
+            () -> 5_000,
+            this);
     private boolean failing;
 
     @Override
@@ -44,7 +49,7 @@
 
     @Override
     public Timer after(double delayMs, Runnable task) {
-        return () -> { };
+        return () -> {};
     }
 
     @Override
--- a/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
@@ -5,8 +5,8 @@
 
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.LoopClock;
-import barleyspur.doorman.SocketPolls;
 import barleyspur.doorman.SilentDepots;
+import barleyspur.doorman.SocketPolls;
 import barleyspur.lifecycle.Lifecycle;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -34,9 +34,10 @@
     private ThriftFront front(boolean share) {
         Lifecycle lifecycle = new Lifecycle();
         lifecycle.serving(0);
-        Doorman doorman = new Doorman(FrontConnectionTest.SETTINGS, 9, (now, event, sink) -> { }, clock, new SilentDepots());
-        return new ThriftFront(group, doorman, clock, FrontConnectionTest.CLASSES, 16, 1 << 20, full -> { }, lifecycle,
-            share);
+        Doorman doorman =
+                new Doorman(FrontConnectionTest.SETTINGS, 9, (now, event, sink) -> {}, clock, new SilentDepots());
+        return new ThriftFront(
+                group, doorman, clock, FrontConnectionTest.CLASSES, 16, 1 << 20, full -> {}, lifecycle, share);
     }
 
     private static InetSocketAddress freePort() throws IOException {
--- a/doorman/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
@@ -33,7 +33,11 @@
         ByteBuf out = Unpooled.buffer();
         out.writeInt(0).writeInt(Thrift.VERSION | Thrift.ONEWAY);
         string(out, "cancelRequest".getBytes(StandardCharsets.UTF_8));
-        out.writeInt(seqid).writeByte(Thrift.I32).writeShort(1).writeInt(cancelled).writeByte(Thrift.STOP);
+        out.writeInt(seqid)
+                .writeByte(Thrift.I32)
+                .writeShort(1)
+                .writeInt(cancelled)
+                .writeByte(Thrift.STOP);
         return out.setInt(0, out.readableBytes() - Integer.BYTES);
     }
 
@@ -42,7 +46,12 @@
         out.writeInt(0).writeInt(Thrift.VERSION | Thrift.CALL);
         string(out, "dispatch".getBytes(StandardCharsets.UTF_8));
         out.writeInt(seqid);
-        out.writeByte(Thrift.LIST).writeShort(9).writeByte(Thrift.I32).writeInt(2).writeInt(1).writeInt(2);
+        out.writeByte(Thrift.LIST)
+                .writeShort(9)
+                .writeByte(Thrift.I32)
+                .writeInt(2)
+                .writeInt(1)
+                .writeInt(2);
         out.writeByte(Thrift.MAP).writeShort(1).writeByte(Thrift.STRING).writeByte(Thrift.STRING);
         out.writeInt(fields.size());
         fields.forEach((name, value) -> {
@@ -60,9 +69,12 @@
     }
 
     @Property(seed = "11")
-    void callsSurviveAnyCuts(@ForAll @Size(max = 5) List<@StringLength(max = 30) String> values,
-                             @ForAll @Size(max = 200) byte[] body, @ForAll int seqid, @ForAll long cuts)
-        throws ThriftCall.Malformed {
+    void callsSurviveAnyCuts(
+            @ForAll @Size(max = 5) List<@StringLength(max = 30) String> values,
+            @ForAll @Size(max = 200) byte[] body,
+            @ForAll int seqid,
+            @ForAll long cuts)
+            throws ThriftCall.Malformed {
         Map<String, String> fields = new HashMap<>();
         values.forEach(v -> fields.put("f" + fields.size(), v.replaceAll("[\\ud800-\\udfff]", "?")));
         ByteBuf twice = Unpooled.buffer();
@@ -102,7 +114,8 @@
 
     @Property(seed = "13")
     void aDamagedCallIsMalformedOrACall(@ForAll byte damage, @ForAll int at) {
-        ByteBuf frame = dispatch(5, Map.of("c", "video-parts", "seg", "3"), new byte[20]).skipBytes(Integer.BYTES);
+        ByteBuf frame = dispatch(5, Map.of("c", "video-parts", "seg", "3"), new byte[20])
+                .skipBytes(Integer.BYTES);
         frame.setByte(frame.readerIndex() + Math.floorMod(at, frame.readableBytes()), damage);
         try {
             assertNotNull(ThriftCall.read(frame));
@@ -123,30 +136,57 @@
     @Property(seed = "16")
     void figuresOutOfRangeAreNamed(@ForAll("beyond") String value) {
         for (String name : List.of("d", "seg", "bucket", "m")) {
-            Map<String, String> fields = new HashMap<>(Map.of("c", "small", "i", "9b1f03aa5c7e2d41", "d",
-                "5000", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "255", "m", "412.5"));
+            Map<String, String> fields = new HashMap<>(Map.of(
+                    "c",
+                    "small",
+                    "i",
+                    "9b1f03aa5c7e2d41",
+                    "d",
+                    "5000",
+                    "o",
+                    "7f3a9c21e0b4d655",
+                    "seg",
+                    "3",
+                    "bucket",
+                    "255",
+                    "m",
+                    "412.5"));
             RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.CLASSES);
             fields.put(name, value);
-            IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
-                () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.CLASSES));
+            IllegalArgumentException e = assertThrows(
+                    IllegalArgumentException.class,
+                    () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.CLASSES));
             assertTrue(e.getMessage().startsWith("field " + name), e.getMessage());
         }
     }
 
     @Provide
     Arbitrary<String> beyond() {
-        return Arbitraries.oneOf(Arbitraries.of("NaN", "-1", "1e30", "Infinity"),
-            Arbitraries.longs().greaterOrEqual(1 << 21).map(String::valueOf));
+        return Arbitraries.oneOf(
+                Arbitraries.of("NaN", "-1", "1e30", "Infinity"),
+                Arbitraries.longs().greaterOrEqual(1 << 21).map(String::valueOf));
     }
 
     @Property(seed = "15")
     void badFieldsAreNamed(@ForAll @StringLength(max = 20) String value) {
         for (String name : List.of("c", "i", "d", "o", "seg", "bucket", "etag", "k")) {
-            Map<String, String> fields = new HashMap<>(Map.of("c", "small", "i", "9b1f03aa5c7e2d41", "d",
-                "1500", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"));
+            Map<String, String> fields = new HashMap<>(Map.of(
+                    "c",
+                    "small",
+                    "i",
+                    "9b1f03aa5c7e2d41",
+                    "d",
+                    "1500",
+                    "o",
+                    "7f3a9c21e0b4d655",
+                    "seg",
+                    "3",
+                    "bucket",
+                    "17"));
             fields.put(name, "x," + value);
-            IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
-                () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.CLASSES));
+            IllegalArgumentException e = assertThrows(
+                    IllegalArgumentException.class,
+                    () -> RequestFields.read(fields, Unpooled.EMPTY_BUFFER, FrontConnectionTest.CLASSES));
             assertTrue(e.getMessage().startsWith("field " + name), e.getMessage());
         }
     }
--- a/doorman/src/test/java/barleyspur/lifecycle/LifecycleTest.java
+++ b/doorman/src/test/java/barleyspur/lifecycle/LifecycleTest.java
@@ -62,7 +62,8 @@
         assertFalse(lifecycle.listening());
         assertTrue(lifecycle.closeWhenIdle());
         assertTrue(lifecycle.takes(2_000 + Lifecycle.HANDING_OFF_TAKES_MS - 1, 4_000), "excused by SIGKILL's 0.7 s");
-        assertFalse(lifecycle.takes(2_000 + Lifecycle.HANDING_OFF_TAKES_MS, 4_000), "it could still be open at SIGKILL");
+        assertFalse(
+                lifecycle.takes(2_000 + Lifecycle.HANDING_OFF_TAKES_MS, 4_000), "it could still be open at SIGKILL");
         double left = 2_000 + kill - Lifecycle.KILL_MARGIN_MS - 3_000;
         assertTrue(lifecycle.takes(3_000, left - 1), "answered before SIGKILL");
         assertFalse(lifecycle.takes(3_000, left));
--- a/doorman/src/test/java/barleyspur/retune/ClassTableTest.java
+++ b/doorman/src/test/java/barleyspur/retune/ClassTableTest.java
@@ -14,7 +14,8 @@
 class ClassTableTest {
 
     private static RequestClass kind(Effect effect, double deadlineMs) {
-        return new RequestClass(effect, Scope.ALL, 0, deadlineMs / 4, 2, deadlineMs, 1, 0, false, false, false, 0, 0, 0);
+        return new RequestClass(
+                effect, Scope.ALL, 0, deadlineMs / 4, 2, deadlineMs, 1, 0, false, false, false, 0, 0, 0);
     }
 
     private static final RequestClass PARTS = kind(Effect.SAFE, 4_000);
@@ -26,8 +27,8 @@
     /** Guards open requests: an added class comes behind, and the numbers before stay as they were. */
     @Test
     void anAddedClassComesBehind() {
-        ClassTable.Retune r = start.retune(List.of("parts", "files", "record", "files-2"),
-            List.of(PARTS, FILES, RECORD, FILES));
+        ClassTable.Retune r =
+                start.retune(List.of("parts", "files", "record", "files-2"), List.of(PARTS, FILES, RECORD, FILES));
         assertEquals(List.of("files-2"), r.added());
         assertEquals(3, r.table().number("files-2"));
         assertEquals(1, r.table().number("files"));
@@ -63,11 +64,13 @@
 
     @Test
     void theSameSettingsChangeNothing() {
-        assertTrue(start.retune(List.of("parts", "files", "record"), List.of(PARTS, FILES, RECORD)).same());
+        assertTrue(start.retune(List.of("parts", "files", "record"), List.of(PARTS, FILES, RECORD))
+                .same());
     }
 
     @Test
     void aNameTwiceIsTurnedDown() {
-        assertThrows(IllegalArgumentException.class, () -> start.retune(List.of("parts", "parts"), List.of(PARTS, FILES)));
+        assertThrows(
+                IllegalArgumentException.class, () -> start.retune(List.of("parts", "parts"), List.of(PARTS, FILES)));
     }
 }
--- a/doorman/src/test/java/barleyspur/sim/WireTest.java
+++ b/doorman/src/test/java/barleyspur/sim/WireTest.java
@@ -22,7 +22,8 @@
 /** The codec against hand-made frames, and the settings text. */
 class WireTest {
 
-    static final String SETUP = """
+    static final String SETUP =
+            """
         groupSize=3
         myNumber=0
         myZone=1
@@ -51,8 +52,14 @@
 
     private static byte[] batch(long records, String hex) {
         byte[] body = HexFormat.of().parseHex(hex.replace(" ", ""));
-        return ByteBuffer.allocate(20 + body.length).order(ByteOrder.LITTLE_ENDIAN)
-            .putInt((int) records).putInt(body.length).putDouble(62_000).putInt(12).put(body).array();
+        return ByteBuffer.allocate(20 + body.length)
+                .order(ByteOrder.LITTLE_ENDIAN)
+                .putInt((int) records)
+                .putInt(body.length)
+                .putDouble(62_000)
+                .putInt(12)
+                .put(body)
+                .array();
     }
 
     private static Director.Event event(String hex) throws Exception {
@@ -74,15 +81,26 @@
 
     @Test
     void readsARequest() throws Exception {
-        assertEquals(new Director.Request(1563070916, 0, 0, 42, 4, 11, 240, 640, true, false),
-            event("03 0300 c4912a5d 00 00000000 2a00000000000000 0000000000006e40 00002044 00003041 00008040 02"));
+        assertEquals(
+                new Director.Request(1563070916, 0, 0, 42, 4, 11, 240, 640, true, false),
+                event("03 0300 c4912a5d 00 00000000 2a00000000000000 0000000000006e40 00002044 00003041 00008040 02"));
     }
 
     @Test
     void readsAnOutcomeWithItsLoad() throws Exception {
-        assertEquals(new Director.Outcome(1564119492, 0, 9, Director.Result.OK, 18.5, true,
-            Director.Note.FILLED, 9.25, List.of(0.5f, 7f)),
-            event("05 0300 c4913a5d 6400 0000000000803240 01 00 09000000 02000000 0000000000802240 02 0000003f 0000e040"));
+        assertEquals(
+                new Director.Outcome(
+                        1564119492,
+                        0,
+                        9,
+                        Director.Result.OK,
+                        18.5,
+                        true,
+                        Director.Note.FILLED,
+                        9.25,
+                        List.of(0.5f, 7f)),
+                event(
+                        "05 0300 c4913a5d 6400 0000000000803240 01 00 09000000 02000000 0000000000802240 02 0000003f 0000e040"));
     }
 
     @Test
@@ -90,23 +108,27 @@
         assertEquals(new Director.Gone(7), event("06 0300 07000000"));
         assertEquals(new Director.Alarm(77), event("07 0300 4d00000000000000"));
         assertEquals(new Director.FirstByte(7, 1, 9), event("04 0300 07000000 0000000000802240 09000000 01"));
-        assertEquals(new Director.Probed(9, Director.Result.TIMEOUT, 1, List.of()),
-            event("08 0300 2f01 000000000000f03f 09000000 00"));
+        assertEquals(
+                new Director.Probed(9, Director.Result.TIMEOUT, 1, List.of()),
+                event("08 0300 2f01 000000000000f03f 09000000 00"));
         assertEquals(new Director.Purged(11, 0, 85), event("0b 0300 0b00 0000000000405540 0000000000000000"));
-        assertArrayEquals("hi".getBytes(StandardCharsets.UTF_8),
-            ((Director.Told) event("09 0300 0200 0200 6869")).body());
+        assertArrayEquals(
+                "hi".getBytes(StandardCharsets.UTF_8), ((Director.Told) event("09 0300 0200 0200 6869")).body());
     }
 
     @Test
     void readsAList() throws Exception {
-        assertEquals(new Director.Members(Director.ListKind.DELTA, List.of(new Director.Node(9, 1, 2, 4,
-            Director.State.DRAINING, 1.5, 85))),
-            event("02 0300 03 2900000000000000 01000000 09000000 0100 0200 0400 00 0000c03f 0000000000405540"));
+        assertEquals(
+                new Director.Members(
+                        Director.ListKind.DELTA,
+                        List.of(new Director.Node(9, 1, 2, 4, Director.State.DRAINING, 1.5, 85))),
+                event("02 0300 03 2900000000000000 01000000 09000000 0100 0200 0400 00 0000c03f 0000000000405540"));
     }
 
     @Test
     void readsAStop() throws Exception {
-        Wire.Record record = Wire.read(new ByteArrayInputStream(batch(1, "0a 0300"))).next();
+        Wire.Record record =
+                Wire.read(new ByteArrayInputStream(batch(1, "0a 0300"))).next();
         assertNull(record.born());
         assertNull(record.event());
     }
@@ -116,8 +138,9 @@
     @Test
     void writesEveryAction() throws IOException {
         assertEquals("01030007000000090000000000000000005440", hex(new Director.Send(7, 9, 80)));
-        assertEquals("070300070000000900000000000000000054400b00000002000000000040554009",
-            hex(new Director.Get(7, 9, 80, 11, 2, 85, true, false, false, true)));
+        assertEquals(
+                "070300070000000900000000000000000054400b00000002000000000040554009",
+                hex(new Director.Get(7, 9, 80, 11, 2, 85, true, false, false, true)));
         assertEquals("0803000700000001", hex(new Director.Cancel(7, 1)));
         assertEquals("090300070000000000000000406f40", hex(new Director.Refuse(7, 250)));
         assertEquals("0b030007000000", hex(new Director.Fail(7)));
@@ -134,8 +157,13 @@
 
     private static String born() {
         byte[] text = SETUP.getBytes(StandardCharsets.UTF_8);
-        ByteBuffer b = ByteBuffer.allocate(15 + text.length).order(ByteOrder.LITTLE_ENDIAN)
-            .put((byte) 1).putShort((short) 3).putLong(5).putInt(text.length).put(text);
+        ByteBuffer b = ByteBuffer.allocate(15 + text.length)
+                .order(ByteOrder.LITTLE_ENDIAN)
+                .put((byte) 1)
+                .putShort((short) 3)
+                .putLong(5)
+                .putInt(text.length)
+                .put(text);
         return HexFormat.of().formatHex(b.array());
     }
 
@@ -167,8 +195,7 @@
 
     @Test
     void aCutListIsMalformedHoweverManyRowsItClaims() {
-        Wire.Malformed e = assertThrows(Wire.Malformed.class,
-            () -> event("02 0300 03 2900000000000000 ffffffff"));
+        Wire.Malformed e = assertThrows(Wire.Malformed.class, () -> event("02 0300 03 2900000000000000 ffffffff"));
         assertTrue(e.getMessage().contains("batch 12"), e.getMessage());
     }
 
@@ -186,9 +213,18 @@
 
     @Test
     void namesAMissingOrWrongSetting() {
-        assertEquals("setting limits.sendCap is missing", assertThrows(IllegalArgumentException.class,
-            () -> SettingsReader.read(SettingsReader.lines(SETUP.replace("limits.sendCap=8", "")))).getMessage());
-        assertEquals("setting limits.sendCap is not a number", assertThrows(IllegalArgumentException.class,
-            () -> SettingsReader.read(SettingsReader.lines(SETUP.replace("limits.sendCap=8", "limits.sendCap=many")))).getMessage());
+        assertEquals(
+                "setting limits.sendCap is missing",
+                assertThrows(
+                                IllegalArgumentException.class,
+                                () -> SettingsReader.read(SettingsReader.lines(SETUP.replace("limits.sendCap=8", ""))))
+                        .getMessage());
+        assertEquals(
+                "setting limits.sendCap is not a number",
+                assertThrows(
+                                IllegalArgumentException.class,
+                                () -> SettingsReader.read(
+                                        SettingsReader.lines(SETUP.replace("limits.sendCap=8", "limits.sendCap=many"))))
+                        .getMessage());
     }
 }
--- a/doorman/src/test/java/barleyspur/tier/RecurrentKeeperTest.java
+++ b/doorman/src/test/java/barleyspur/tier/RecurrentKeeperTest.java
@@ -22,7 +22,7 @@
     private static boolean ask(Keeper k, long object, int kb, double now) {
         boolean hit = k.asked(object, 0, kb, now);
         if (!hit) {
-            k.offered(object, 0, kb, now, (o, p) -> { });
+            k.offered(object, 0, kb, now, (o, p) -> {});
         }
         return hit;
     }
@@ -99,7 +99,7 @@
     void whatIsTooLargePushesNothingOut() {
         Keeper keeper = new RecurrentKeeper(100, 100, 1);
         ask(keeper, 1, 60, 0);
-        assertFalse(keeper.offered(2, 0, 101, 0, (o, p) -> { }));
+        assertFalse(keeper.offered(2, 0, 101, 0, (o, p) -> {}));
         assertEquals(60, keeper.keptKb());
     }
 
--- a/doorman/src/test/java/barleyspur/upgrade/HandOffNoteTest.java
+++ b/doorman/src/test/java/barleyspur/upgrade/HandOffNoteTest.java
@@ -38,7 +38,9 @@
             Files.writeString(files.findFirst().orElseThrow(), "half");
         }
         assertEquals(-1, note.successorOf(1));
-        assertEquals(-1, new HandOffNote(folder, new InetSocketAddress("127.0.0.1", 7002)).successorOf(1),
-            "another address has a note of its own");
+        assertEquals(
+                -1,
+                new HandOffNote(folder, new InetSocketAddress("127.0.0.1", 7002)).successorOf(1),
+                "another address has a note of its own");
     }
 }
--- a/lab/src/main/java/barleyspur/lab/BudgetScale.java
+++ b/lab/src/main/java/barleyspur/lab/BudgetScale.java
@@ -37,9 +37,14 @@
     /** Makes the shares that are measured. */
     @Setup
     public void start() {
-        Terms terms = new Terms(List.of("127.0.0.1:1"), 16, 1_500, 500, 50, Map.of("p", new Terms.Budget("p", Kind.PLACES,
-            1_000, 16, 0, 1, LEASE_MS)));
-        doorman = new Budgets(terms, "d1", "127.0.0.1:1", 1, 1, 0, a -> { });
+        Terms terms = new Terms(
+                List.of("127.0.0.1:1"),
+                16,
+                1_500,
+                500,
+                50,
+                Map.of("p", new Terms.Budget("p", Kind.PLACES, 1_000, 16, 0, 1, LEASE_MS)));
+        doorman = new Budgets(terms, "d1", "127.0.0.1:1", 1, 1, 0, a -> {});
         places = new Share[budgets];
         for (int i = 0; i < budgets; i++) {
             places[i] = doorman.share(0, "p:s" + i);
--- a/lab/src/main/java/barleyspur/lab/DecisionScale.java
+++ b/lab/src/main/java/barleyspur/lab/DecisionScale.java
@@ -40,8 +40,21 @@
     private int change;
 
     private static Director.RequestClass requestClass(double freshMs) {
-        return new Director.RequestClass(Director.Effect.SAFE, Director.Scope.ALL, 0, 400, 2, 5_000, 1, 0.2, false,
-            false, false, freshMs, 0, 0.7);
+        return new Director.RequestClass(
+                Director.Effect.SAFE,
+                Director.Scope.ALL,
+                0,
+                400,
+                2,
+                5_000,
+                1,
+                0.2,
+                false,
+                false,
+                false,
+                freshMs,
+                0,
+                0.7);
     }
 
     static Director.Settings settings(int stations) {
@@ -49,11 +62,38 @@
         for (int i = 0; i < stations; i++) {
             perZone.add(3);
         }
-        return new Director.Settings(List.of(requestClass(0), requestClass(8_000)), 0, 3 * stations, 1, perZone,
-            PARENT, ORIGIN, true, false, 0, 2, 8, 2_000, new Director.ColdRule(0.24, 17_000, 3),
-            new Director.ColdRule(0.068, 19_000, 2), 3_000, 1_000, 6_000, true, true, Director.Siblings.ANY,
-            Director.Notes.HIT, 5.8, Director.Reports.WITH_PROBES, List.of("load_share"), 8, true, true, true, false,
-            1_000);
+        return new Director.Settings(
+                List.of(requestClass(0), requestClass(8_000)),
+                0,
+                3 * stations,
+                1,
+                perZone,
+                PARENT,
+                ORIGIN,
+                true,
+                false,
+                0,
+                2,
+                8,
+                2_000,
+                new Director.ColdRule(0.24, 17_000, 3),
+                new Director.ColdRule(0.068, 19_000, 2),
+                3_000,
+                1_000,
+                6_000,
+                true,
+                true,
+                Director.Siblings.ANY,
+                Director.Notes.HIT,
+                5.8,
+                Director.Reports.WITH_PROBES,
+                List.of("load_share"),
+                8,
+                true,
+                true,
+                true,
+                false,
+                1_000);
     }
 
     /** The fleet's list. */
@@ -104,8 +144,8 @@
         tell(new Director.Request(id, (int) (id % 2), 0, 1 + random.nextInt(OBJECTS), 0, 5, 4_000, 400, false, false));
         for (Director.Action a : actions) {
             if (a instanceof Director.Get g) {
-                return tell(new Director.Outcome(id, 0, g.node(), Director.Result.OK, 50, true, Director.Note.FILLED, 0,
-                    List.of()));
+                return tell(new Director.Outcome(
+                        id, 0, g.node(), Director.Result.OK, 50, true, Director.Note.FILLED, 0, List.of()));
             }
         }
         return 0;
--- a/lab/src/main/java/barleyspur/lab/Keepers.java
+++ b/lab/src/main/java/barleyspur/lab/Keepers.java
@@ -14,9 +14,9 @@
 /** Policies that the tier's own is weighed against. */
 final class Keepers {
 
-    record Part(long object, int part) { }
+    record Part(long object, int part) {}
 
-    private Keepers() { }
+    private Keepers() {}
 
     /** Least recently used: the baseline. */
     static final class Lru implements Keeper {
@@ -278,8 +278,11 @@
         private final Cache<Part, Integer> cache;
 
         Tiny(long mostKb) {
-            cache = Caffeine.newBuilder().maximumWeight(mostKb).weigher((Part p, Integer kb) -> kb)
-                .executor(Runnable::run).build();
+            cache = Caffeine.newBuilder()
+                    .maximumWeight(mostKb)
+                    .weigher((Part p, Integer kb) -> kb)
+                    .executor(Runnable::run)
+                    .build();
         }
 
         @Override
--- a/lab/src/main/java/barleyspur/lab/Lab.java
+++ b/lab/src/main/java/barleyspur/lab/Lab.java
@@ -34,7 +34,8 @@
     private static final int OK = 0;
     private static final int FAILED = 1;
     private static final int USAGE = 2;
-    private static final String HELP = """
+    private static final String HELP =
+            """
         usage: barleyspur-lab COMMAND [OPTIONS]
           scale        measure the decision module at 12, 1,000 and 10,000 boxes, with a plot
           fleet run    play a schedule of faults on several doormans: real processes, or in virtual time
@@ -48,7 +49,7 @@
         barleyspur-lab COMMAND --help tells the options of each.
         """;
 
-    private Lab() { }
+    private Lab() {}
 
     /** Runs the command that the arguments name. */
     public static void main(String[] args) throws IOException {
@@ -62,31 +63,52 @@
             return OK;
         }
         Options options = new Options()
-            .addOption(value("plot", "FILE.png", "write a plot there"))
-            .addOption(Option.builder("h").longOpt("help").desc("print this").get());
+                .addOption(value("plot", "FILE.png", "write a plot there"))
+                .addOption(
+                        Option.builder("h").longOpt("help").desc("print this").get());
         switch (name) {
-            case "check" -> options = new Options().addOption(Option.builder("h").longOpt("help").desc("print this").get())
-                .addOption(value("faults", "N", "at most, placed in every way; 2"))
-                .addOption(value("steps", "N", "of 50 ms after all is divided for the first time; 14"))
-                .addOption(value("replay", "STEP:FAULT:N ...", "play these faults only, as a counterexample names them"));
-            case "fleet", "budget" -> options = new Options().addOption(Option.builder("h").longOpt("help").desc("print this").get())
-                .addOption(Option.builder().longOpt("virtual").desc("in virtual time").get())
-                .addOption(value("seeds", "N", "in virtual time: so many seeds, from the file's on; 1"))
-                .addOption(value("sizes", "N,N,...", "of fleets to measure; 3,14,100,1000"))
-                .addOption(value("minutes", "N", "for each row of false verdicts; 60"))
-                .addOption(value("jar", "FILE", "the doorman; doorman/target/barleyspur.jar"))
-                .addOption(value("folder", "DIR", "for logs and the report; found/fleet"));
-            case "scale" -> options.addOption(value("seconds", "N", "for each figure, 2"))
-                .addOption(Option.builder().longOpt("c1").desc("with the first compiler only, as the doorman runs")
-                    .get());
-            case "tier-replay" -> options.addOption(value("days", "N", "how many, from 3 on; 8"))
-                .addOption(value("requests", "N", "a day, roughly; 60000"))
-                .addOption(value("scan", "PERCENT", "of the requests during scans, 3.7 to 19; 10"))
-                .addOption(value("seed", "N", "of the days, 1"))
-                .addOption(value("mb", "N,N,...", "sizes of the store; 500,1000,2000,4000,8000"));
+            case "check" ->
+                options = new Options()
+                        .addOption(Option.builder("h")
+                                .longOpt("help")
+                                .desc("print this")
+                                .get())
+                        .addOption(value("faults", "N", "at most, placed in every way; 2"))
+                        .addOption(value("steps", "N", "of 50 ms after all is divided for the first time; 14"))
+                        .addOption(value(
+                                "replay",
+                                "STEP:FAULT:N ...",
+                                "play these faults only, as a counterexample names them"));
+            case "fleet", "budget" ->
+                options = new Options()
+                        .addOption(Option.builder("h")
+                                .longOpt("help")
+                                .desc("print this")
+                                .get())
+                        .addOption(Option.builder()
+                                .longOpt("virtual")
+                                .desc("in virtual time")
+                                .get())
+                        .addOption(value("seeds", "N", "in virtual time: so many seeds, from the file's on; 1"))
+                        .addOption(value("sizes", "N,N,...", "of fleets to measure; 3,14,100,1000"))
+                        .addOption(value("minutes", "N", "for each row of false verdicts; 60"))
+                        .addOption(value("jar", "FILE", "the doorman; doorman/target/barleyspur.jar"))
+                        .addOption(value("folder", "DIR", "for logs and the report; found/fleet"));
+            case "scale" ->
+                options.addOption(value("seconds", "N", "for each figure, 2"))
+                        .addOption(Option.builder()
+                                .longOpt("c1")
+                                .desc("with the first compiler only, as the doorman runs")
+                                .get());
+            case "tier-replay" ->
+                options.addOption(value("days", "N", "how many, from 3 on; 8"))
+                        .addOption(value("requests", "N", "a day, roughly; 60000"))
+                        .addOption(value("scan", "PERCENT", "of the requests during scans, 3.7 to 19; 10"))
+                        .addOption(value("seed", "N", "of the days, 1"))
+                        .addOption(value("mb", "N,N,...", "sizes of the store; 500,1000,2000,4000,8000"));
             default -> {
-                System.err.println("barleyspur-lab: " + (name.isEmpty() ? "a command is missing"
-                    : "unknown command " + name));
+                System.err.println(
+                        "barleyspur-lab: " + (name.isEmpty() ? "a command is missing" : "unknown command " + name));
                 System.err.print(HELP);
                 return USAGE;
             }
@@ -94,19 +116,30 @@
         try {
             CommandLine line = new DefaultParser().parse(options, Arrays.copyOfRange(args, 1, args.length));
             if (line.hasOption("help")) {
-                HelpFormatter.builder().setShowSince(false).get().printHelp("barleyspur-lab " + name
-                    + switch (name) {
-                        case "fleet" -> " run SCENARIO.hcl|demo|measure";
-                        case "budget" -> " run SCENARIO.hcl|measure|scale";
-                        case "check" -> " budget";
-                        default -> "";
-                    } + " [OPTIONS]", switch (name) {
-                        case "scale" -> "Measure the decision module by the size of the fleet.";
-                        case "fleet" -> "Play a schedule of faults on several doormans; docs/FLEET.md has the language.";
-                        case "budget" -> "Divide budgets among several doormans under faults; docs/BUDGETS.md.";
-                        case "check" -> "Explore a small world of three doormans and a budget of two units.";
-                        default -> "Replay generated days through policies for the disk tier.";
-                    }, options, "", false);
+                HelpFormatter.builder()
+                        .setShowSince(false)
+                        .get()
+                        .printHelp(
+                                "barleyspur-lab " + name
+                                        + switch (name) {
+                                            case "fleet" -> " run SCENARIO.hcl|demo|measure";
+                                            case "budget" -> " run SCENARIO.hcl|measure|scale";
+                                            case "check" -> " budget";
+                                            default -> "";
+                                        } + " [OPTIONS]",
+                                switch (name) {
+                                    case "scale" -> "Measure the decision module by the size of the fleet.";
+                                    case "fleet" ->
+                                        "Play a schedule of faults on several doormans; docs/FLEET.md has the language.";
+                                    case "budget" ->
+                                        "Divide budgets among several doormans under faults; docs/BUDGETS.md.";
+                                    case "check" ->
+                                        "Explore a small world of three doormans and a budget of two units.";
+                                    default -> "Replay generated days through policies for the disk tier.";
+                                },
+                                options,
+                                "",
+                                false);
                 return OK;
             }
             if (name.equals("fleet")) {
@@ -119,11 +152,16 @@
                 if (!line.getArgList().equals(List.of("budget"))) {
                     throw new IllegalArgumentException("budget was wanted, not " + String.join(" ", line.getArgList()));
                 }
-                return BudgetLab.check(number(line, "steps", 14, 1), number(line, "faults", 2, 0), line.getOptionValue("replay"))
-                    ? OK : FAILED;
+                return BudgetLab.check(
+                                number(line, "steps", 14, 1),
+                                number(line, "faults", 2, 0),
+                                line.getOptionValue("replay"))
+                        ? OK
+                        : FAILED;
             }
-            return name.equals("scale") ? scale(number(line, "seconds", 2, 1), line.getOptionValue("plot"),
-                line.hasOption("c1")) : replay(line);
+            return name.equals("scale")
+                    ? scale(number(line, "seconds", 2, 1), line.getOptionValue("plot"), line.hasOption("c1"))
+                    : replay(line);
         } catch (ParseException | IllegalArgumentException e) {
             System.err.println("barleyspur-lab: " + e.getMessage() + "; see barleyspur-lab " + name + " --help");
             return USAGE;
@@ -131,7 +169,12 @@
     }
 
     private static Option value(String name, String value, String about) {
-        return Option.builder().longOpt(name).hasArg().argName(value).desc(about).get();
+        return Option.builder()
+                .longOpt(name)
+                .hasArg()
+                .argName(value)
+                .desc(about)
+                .get();
     }
 
     private static int number(CommandLine line, String option, int otherwise, int least) {
@@ -170,14 +213,18 @@
             }
         }
         if (words.size() != 2 || !words.get(0).equals("run")) {
-            throw new IllegalArgumentException("run SCENARIO.hcl, demo or measure was wanted, not " + String.join(" ", words));
+            throw new IllegalArgumentException(
+                    "run SCENARIO.hcl, demo or measure was wanted, not " + String.join(" ", words));
         }
         Path scenario = Path.of(words.get(1));
         Path folder = Path.of(line.getOptionValue("folder", "found/fleet"));
         int seeds = number(line, "seeds", 1, 1);
         try {
-            return (line.hasOption("virtual") ? FleetLab.virtual(scenario, seeds, folder)
-                : FleetLab.real(scenario, jar(line), folder)) ? OK : FAILED;
+            return (line.hasOption("virtual")
+                            ? FleetLab.virtual(scenario, seeds, folder)
+                            : FleetLab.real(scenario, jar(line), folder))
+                    ? OK
+                    : FAILED;
         } catch (Hcl.Invalid e) {
             System.err.println("barleyspur-lab: " + e.getMessage());
             return USAGE;
@@ -198,14 +245,18 @@
             return bench(BudgetScale.class, 1, false) == null ? FAILED : OK;
         }
         if (words.size() != 2 || !words.get(0).equals("run")) {
-            throw new IllegalArgumentException("run SCENARIO.hcl, measure or scale was wanted, not " + String.join(" ", words));
+            throw new IllegalArgumentException(
+                    "run SCENARIO.hcl, measure or scale was wanted, not " + String.join(" ", words));
         }
         Path scenario = Path.of(words.get(1));
         Path folder = Path.of(line.getOptionValue("folder", "found/budget"));
         int seeds = number(line, "seeds", 1, 1);
         try {
-            return (line.hasOption("virtual") ? BudgetLab.virtual(scenario, seeds, folder)
-                : BudgetLab.real(scenario, jar(line), folder)) ? OK : FAILED;
+            return (line.hasOption("virtual")
+                            ? BudgetLab.virtual(scenario, seeds, folder)
+                            : BudgetLab.real(scenario, jar(line), folder))
+                    ? OK
+                    : FAILED;
         } catch (Hcl.Invalid e) {
             System.err.println("barleyspur-lab: " + e.getMessage());
             return USAGE;
@@ -230,8 +281,13 @@
         if (!(scan >= 0 && scan <= 25)) {
             throw new IllegalArgumentException("--scan is not from 0 to 25: " + scan);
         }
-        TierReplay.report(number(line, "days", 8, 3), number(line, "requests", 60_000, 100), scan / 100,
-            number(line, "seed", 1, 0), sizes, plot == null ? null : Path.of(plot));
+        TierReplay.report(
+                number(line, "days", 8, 3),
+                number(line, "requests", 60_000, 100),
+                scan / 100,
+                number(line, "seed", 1, 0),
+                sizes,
+                plot == null ? null : Path.of(plot));
         return OK;
     }
 
@@ -252,9 +308,15 @@
         if (firstCompiler) {
             jvm.add("-XX:TieredStopAtLevel=1");
         }
-        ChainedOptionsBuilder options = new OptionsBuilder().include(benchmark.getSimpleName()).forks(1)
-            .warmupIterations(2).warmupTime(TimeValue.seconds(seconds)).measurementIterations(3)
-            .measurementTime(TimeValue.seconds(seconds)).addProfiler("gc").jvmArgs(jvm.toArray(String[]::new));
+        ChainedOptionsBuilder options = new OptionsBuilder()
+                .include(benchmark.getSimpleName())
+                .forks(1)
+                .warmupIterations(2)
+                .warmupTime(TimeValue.seconds(seconds))
+                .measurementIterations(3)
+                .measurementTime(TimeValue.seconds(seconds))
+                .addProfiler("gc")
+                .jvmArgs(jvm.toArray(String[]::new));
         try {
             return new Runner(options.build()).run();
         } catch (RunnerException e) {
@@ -264,8 +326,13 @@
     }
 
     private static void plot(Collection<RunResult> results, Path file) throws IOException {
-        XYChart chart = new XYChartBuilder().width(900).height(500).title("Decision module by size of the fleet")
-            .xAxisTitle("boxes").yAxisTitle("microseconds").build();
+        XYChart chart = new XYChartBuilder()
+                .width(900)
+                .height(500)
+                .title("Decision module by size of the fleet")
+                .xAxisTitle("boxes")
+                .yAxisTitle("microseconds")
+                .build();
         chart.getStyler().setXAxisLogarithmic(true).setYAxisLogarithmic(true);
         for (String what : List.of("full", "delta", "requestWithOutcome")) {
             List<Double> boxes = new ArrayList<>();
--- a/lab/src/main/java/barleyspur/lab/TierReplay.java
+++ b/lab/src/main/java/barleyspur/lab/TierReplay.java
@@ -21,12 +21,13 @@
 
     /** Days that only fill what is empty at first. */
     private static final int WARM_UP_DAYS = 2;
+
     private static final int HISTORY = 200_000;
 
     /** Hits by requests and bytes, each a share from 0 to 1, and of those from 6:30 to 9:30 alone. */
-    record Ratio(double requests, double bytes, double morning) { }
+    record Ratio(double requests, double bytes, double morning) {}
 
-    private TierReplay() { }
+    private TierReplay() {}
 
     static Map<String, LongFunction<Keeper>> policies() {
         Map<String, LongFunction<Keeper>> policies = new LinkedHashMap<>();
@@ -44,7 +45,7 @@
         for (int i = 0; i < t.size(); i++) {
             boolean hit = keeper.asked(t.object[i], t.part[i], t.kb[i], t.atMs[i]);
             if (!hit) {
-                keeper.offered(t.object[i], t.part[i], t.kb[i], t.atMs[i], (object, part) -> { });
+                keeper.offered(t.object[i], t.part[i], t.kb[i], t.atMs[i], (object, part) -> {});
             }
             count.add(t, i, hit);
         }
@@ -119,11 +120,11 @@
 
     /** Prints a table and writes a plot. */
     static void report(int days, int perDay, double scan, long seed, List<Integer> sizesMb, Path plot)
-        throws IOException {
+            throws IOException {
         System.err.println("drawing " + days + " days");
         TierTrace t = TierTrace.draw(days, perDay, scan, seed);
-        System.out.printf(Locale.ROOT, "%d requests in %d days, scans of %.1f%%, seed %d%n", t.size(), days, 100 * scan,
-            seed);
+        System.out.printf(
+                Locale.ROOT, "%d requests in %d days, scans of %.1f%%, seed %d%n", t.size(), days, 100 * scan, seed);
         System.out.println("MB     policy      hits by requests  by bytes  of the mornings  us a request");
         Map<String, List<Double>> lines = new LinkedHashMap<>();
         for (int mb : sizesMb) {
@@ -138,8 +139,13 @@
             lines.computeIfAbsent("belady", k -> new ArrayList<>()).add(bound.requests());
         }
         if (plot != null) {
-            XYChart chart = new XYChartBuilder().width(900).height(500).title("Hits by requests, " + days + " days")
-                .xAxisTitle("MB kept").yAxisTitle("share").build();
+            XYChart chart = new XYChartBuilder()
+                    .width(900)
+                    .height(500)
+                    .title("Hits by requests, " + days + " days")
+                    .xAxisTitle("MB kept")
+                    .yAxisTitle("share")
+                    .build();
             chart.getStyler().setXAxisLogarithmic(true);
             List<Double> xs = sizesMb.stream().map(Integer::doubleValue).toList();
             lines.forEach((name, ys) -> chart.addSeries(name, xs, ys));
@@ -149,7 +155,14 @@
     }
 
     private static void print(int mb, String policy, Ratio r, double micros) {
-        System.out.printf(Locale.ROOT, "%-6d %-11s %16.3f %9.3f %16.3f %s%n", mb, policy, r.requests(), r.bytes(),
-            r.morning(), Double.isNaN(micros) ? "" : String.format(Locale.ROOT, "%13.2f", micros));
+        System.out.printf(
+                Locale.ROOT,
+                "%-6d %-11s %16.3f %9.3f %16.3f %s%n",
+                mb,
+                policy,
+                r.requests(),
+                r.bytes(),
+                r.morning(),
+                Double.isNaN(micros) ? "" : String.format(Locale.ROOT, "%13.2f", micros));
     }
 }
--- a/lab/src/main/java/barleyspur/lab/TierTrace.java
+++ b/lab/src/main/java/barleyspur/lab/TierTrace.java
@@ -79,7 +79,7 @@
                 double hour = random.nextDouble();
                 double at = start + 24 * HOUR_MS * hour;
                 boolean scanned = at >= scanAt && at < scanAt + 4 * HOUR_MS && random.nextDouble() < scan * 4
-                    || random.nextDouble() < 0.03;
+                        || random.nextDouble() < 0.03;
                 t.view(scanned ? once++ : ranks[steady.sample()], at, random);
             }
             for (int i = 0; i < perDay / 10; i++) {
--- a/lab/src/main/java/barleyspur/lab/fleet/BudgetChecker.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/BudgetChecker.java
@@ -58,7 +58,8 @@
         for (String word : text.strip().split(" +")) {
             String[] parts = word.split(":");
             try {
-                faults.add(new Placed(Integer.parseInt(parts[0]), Blow.valueOf(parts[1]), Integer.parseInt(parts[2]) - 1));
+                faults.add(
+                        new Placed(Integer.parseInt(parts[0]), Blow.valueOf(parts[1]), Integer.parseInt(parts[2]) - 1));
             } catch (RuntimeException e) {
                 throw new IllegalArgumentException("--replay is no fault, as 27:RESTART:1: " + word, e);
             }
@@ -67,7 +68,7 @@
     }
 
     /** What an exploration came to. */
-    record Result(long schedules, long steps, int states, List<Placed> counterexample, String broken) { }
+    record Result(long schedules, long steps, int states, List<Placed> counterexample, String broken) {}
 
     private static final int DOORMANS = 3;
     static final double STEP_MS = 50;
@@ -81,6 +82,7 @@
     private static final int WARM_UP = 34;
     /** An amount lasts so long, and is wanted for less from then on: its first units are spent in the warm-up. */
     private static final int AMOUNT_STEPS = 14;
+
     private static final int AMOUNT_FROM = 30;
     private static final double[] RATES = {1, 1 + Terms.DRIFT, 1 - Terms.DRIFT};
 
@@ -90,11 +92,16 @@
     BudgetChecker(Kind kind, int steps) {
         this.steps = steps;
         double lease = kind == Kind.AMOUNT ? AMOUNT_STEPS * STEP_MS : LEASE_MS;
-        terms = new Terms(BudgetWorld.voters(DOORMANS), DOORMANS, TERM_MS, HOLD_MS, 1, Map.of("b", new Terms.Budget("b", kind,
-            2, DOORMANS, 0, 1, lease)));
+        terms = new Terms(
+                BudgetWorld.voters(DOORMANS),
+                DOORMANS,
+                TERM_MS,
+                HOLD_MS,
+                1,
+                Map.of("b", new Terms.Budget("b", kind, 2, DOORMANS, 0, 1, lease)));
     }
 
-    private record Flying(int atStep, int from, int to, Word word) { }
+    private record Flying(int atStep, int from, int to, Word word) {}
 
     /** The world, played from its beginning for each schedule. */
     private final class World {
@@ -105,6 +112,7 @@
         private final int[] cutTo = new int[DOORMANS];
         /** Units in use: who took them, when they are given back there, and whether that process lives. */
         private final List<double[]> inUse = new ArrayList<>();
+
         private List<Flying> flying = new ArrayList<>();
         private List<Flying> sentNow = new ArrayList<>();
         private int step;
@@ -128,7 +136,8 @@
             frozenTo[i] = 0;
             budgets[i] = new Budgets(terms, "d" + (i + 1), BudgetWorld.address(i), nonces[i], lives, clock(i), a -> {
                 if (a instanceof Action.Send s) {
-                    sentNow.add(new Flying(step + 1, self, Integer.parseInt(s.address().substring(8, 9)) - 1, s.word()));
+                    sentNow.add(new Flying(
+                            step + 1, self, Integer.parseInt(s.address().substring(8, 9)) - 1, s.word()));
                 }
             });
             Set<String> others = new HashSet<>(terms.voters());
@@ -170,8 +179,8 @@
                     if (f.atStep > step || step < frozenTo[f.to] && budgets[f.to] != null) {
                         later.add(f);
                     } else if (!cut && budgets[f.to] != null) {
-                        budgets[f.to].receive(clock(f.to), BudgetWorld.address(f.from), "d" + (f.from + 1), nonces[f.from],
-                            f.word);
+                        budgets[f.to].receive(
+                                clock(f.to), BudgetWorld.address(f.from), "d" + (f.from + 1), nonces[f.from], f.word);
                     }
                 }
                 flying = later;
@@ -268,11 +277,20 @@
                     continue;
                 }
                 Ledger l = budgets[i].ledger(clock(i));
-                text.append(step - frozenTo[i] < 0 ? frozenTo[i] - step : 0).append(',').append(cutTo[i] - step < 0 ? 0
-                    : cutTo[i] - step).append(l.divides()).append(Math.round(l.termLeftMs())).append(l.divider()).append(
-                    l.silent()).append(l.own()).append(l.rows()).append(Math.round(budgets[i].dueMs() - clock(i))).append(';');
+                text.append(step - frozenTo[i] < 0 ? frozenTo[i] - step : 0)
+                        .append(',')
+                        .append(cutTo[i] - step < 0 ? 0 : cutTo[i] - step)
+                        .append(l.divides())
+                        .append(Math.round(l.termLeftMs()))
+                        .append(l.divider())
+                        .append(l.silent())
+                        .append(l.own())
+                        .append(l.rows())
+                        .append(Math.round(budgets[i].dueMs() - clock(i)))
+                        .append(';');
             }
-            flying.forEach(f -> text.append(f.atStep - step).append(f.from).append(f.to).append(f.word.getClass()));
+            flying.forEach(f ->
+                    text.append(f.atStep - step).append(f.from).append(f.to).append(f.word.getClass()));
             sentNow.forEach(f -> text.append(f.from).append(f.to).append(f.word.getClass()));
             return LongHashFunction.xx3().hashChars(text);
         }
@@ -292,7 +310,9 @@
         long sum = 0;
         for (int i = 0; i < DOORMANS; i++) {
             Share share = world.shares[i];
-            sum += share == null ? 0 : Math.max(share.allowed(world.clock(i)), kind() == Kind.AMOUNT ? share.using() : 0);
+            sum += share == null
+                    ? 0
+                    : Math.max(share.allowed(world.clock(i)), kind() == Kind.AMOUNT ? share.using() : 0);
         }
         return sum == terms.of("b").whole();
     }
--- a/lab/src/main/java/barleyspur/lab/fleet/BudgetFleet.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/BudgetFleet.java
@@ -34,6 +34,7 @@
     private static final int PARENTS = 2;
     /** The part of a whole that has to be held for it to count as divided anew, over that time. */
     private static final double ANEW = 0.9;
+
     private static final double ANEW_OVER_MS = 2_000;
     private static final double PATIENCE_MS = 40_000;
     private static final double RELOAD_MS = 3_000;
@@ -42,19 +43,28 @@
     private static final long CLOCKS_MS = 200;
 
     /** What a play came to; {@code young}: what came to the young box while it surely was one. */
-    record Result(Watch views, BudgetWatch shares, List<String> broken, List<Double> times, Map<String, Tally> boxes,
-                  List<String> rows, long young, List<RealFleet.Struck> struck, List<double[]> traffic, double endMs,
-                  double anewMs) { }
+    record Result(
+            Watch views,
+            BudgetWatch shares,
+            List<String> broken,
+            List<Double> times,
+            Map<String, Tally> boxes,
+            List<String> rows,
+            long young,
+            List<RealFleet.Struck> struck,
+            List<double[]> traffic,
+            double endMs,
+            double anewMs) {}
 
-    private BudgetFleet() { }
+    private BudgetFleet() {}
 
-    static Result play(Schedule schedule, Path jar, Path folder, Consumer<String> progress) throws IOException,
-        InterruptedException {
+    static Result play(Schedule schedule, Path jar, Path folder, Consumer<String> progress)
+            throws IOException, InterruptedException {
         Schedule.Use use = schedule.use();
         Watch views = new Watch(true);
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        String network = "127." + (20 + ProcessHandle.current().pid() % 200) + "." + (252 - PLAYS.getAndIncrement() % 40)
-            + ".";
+        String network =
+                "127." + (20 + ProcessHandle.current().pid() % 200) + "." + (252 - PLAYS.getAndIncrement() % 40) + ".";
         double[] rates = new double[StandBoxes.Kind.values().length];
         for (Terms.Budget b : use.terms().budgets().values()) {
             if (b.kind() == Kind.RATE) {
@@ -66,20 +76,37 @@
         JSONArray targets = new JSONArray();
         long bootMs = System.currentTimeMillis() + (long) use.coldMs();
         for (int i = 0; i < use.caches() + PARENTS + 1; i++) {
-            StandBoxes.Kind kind = i < use.caches() ? StandBoxes.Kind.CACHE : i < use.caches() + PARENTS
-                ? StandBoxes.Kind.PARENT : StandBoxes.Kind.ORIGIN;
+            StandBoxes.Kind kind = i < use.caches()
+                    ? StandBoxes.Kind.CACHE
+                    : i < use.caches() + PARENTS ? StandBoxes.Kind.PARENT : StandBoxes.Kind.ORIGIN;
             InetSocketAddress at = new InetSocketAddress(network + (i + 1), PORT);
             boxes.listen(at, kind);
             addresses.put("s-" + i, at);
-            targets.put(new JSONObject().put("uid", "s-" + i).put("endpoint", at.getHostString() + ":" + PORT)
-                .put("az", "central").put("model", List.of("cache", "parent", "origin").get(kind.ordinal()))
-                .put("pod_group", i % 2).put("state", "in_service").put("capacity_hint", 64)
-                .put("boot_ms", i == 0 && use.coldMs() > 0 ? bootMs : 0));
+            targets.put(new JSONObject()
+                    .put("uid", "s-" + i)
+                    .put("endpoint", at.getHostString() + ":" + PORT)
+                    .put("az", "central")
+                    .put("model", List.of("cache", "parent", "origin").get(kind.ordinal()))
+                    .put("pod_group", i % 2)
+                    .put("state", "in_service")
+                    .put("capacity_hint", 64)
+                    .put("boot_ms", i == 0 && use.coldMs() > 0 ? bootMs : 0));
         }
         InetSocketAddress channel = new InetSocketAddress(network + "100", PORT);
         StandChannel.listen(group, channel, 1);
-        JSONObject known = new JSONObject().put("cursor", 1).put("cmds", new JSONArray().put(new JSONObject()
-            .put("cursor", 1).put("nodes", new JSONObject().put("rev", 1).put("all", true).put("targets", targets))));
+        JSONObject known = new JSONObject()
+                .put("cursor", 1)
+                .put(
+                        "cmds",
+                        new JSONArray()
+                                .put(new JSONObject()
+                                        .put("cursor", 1)
+                                        .put(
+                                                "nodes",
+                                                new JSONObject()
+                                                        .put("rev", 1)
+                                                        .put("all", true)
+                                                        .put("targets", targets))));
         List<Double> times;
         List<String> rows;
         BudgetWatch shares;
@@ -97,17 +124,23 @@
             fleet.budgets(settings(terms, use), shares);
             fleet.configure(json -> {
                 json.put("channel", channel.getHostString() + ":" + PORT).put("known", known);
-                json.getJSONObject("settings").getJSONObject("familyInfo").put("zoneBalancers", new JSONArray()
-                    .put(schedule.started()));
+                json.getJSONObject("settings")
+                        .getJSONObject("familyInfo")
+                        .put("zoneBalancers", new JSONArray().put(schedule.started()));
                 return json;
             });
             List<InetSocketAddress> fronts = new ArrayList<>();
             for (int slot = 0; slot < schedule.slots(); slot++) {
                 fronts.add(fleet.front(slot));
             }
-            StandClients clients = new StandClients(group, List.of(new StandClients.Class("parts", 0.7, 600, 4_000),
-                new StandClients.Class("files", 0.2, 300, 2_500), new StandClients.Class("record", 0.1, 700, 3_000)), fronts,
-                schedule.seed());
+            StandClients clients = new StandClients(
+                    group,
+                    List.of(
+                            new StandClients.Class("parts", 0.7, 600, 4_000),
+                            new StandClients.Class("files", 0.2, 300, 2_500),
+                            new StandClients.Class("record", 0.1, 700, 3_000)),
+                    fronts,
+                    schedule.seed());
             clients.start(use.perS(), (slot, now) -> use.perS(slot, schedule.started(), now) / use.perS());
             // Doormans read the wall clock at their starts, each a little otherwise.
             tallies.get("s-0").watch(bootMs + CLOCKS_MS, bootMs + (long) youngMs(use) - CLOCKS_MS);
@@ -122,8 +155,12 @@
                 if (s.fault() instanceof Fault.Whole w) {
                     Long before = wholes.put(w.budget(), w.whole());
                     // Less has to hold once what was given of more must be over, and everybody has read its settings.
-                    shares.whole(w.budget(), w.whole() > (before == null ? terms.of(w.budget()).whole() : before) ? s.atMs() : s.atMs() + terms.of(
-                        w.budget()).leaseMs() + RELOAD_MS, w.whole());
+                    shares.whole(
+                            w.budget(),
+                            w.whole() > (before == null ? terms.of(w.budget()).whole() : before)
+                                    ? s.atMs()
+                                    : s.atMs() + terms.of(w.budget()).leaseMs() + RELOAD_MS,
+                            w.whole());
                 }
             }
             broken = new ArrayList<>(views.broken());
@@ -143,8 +180,8 @@
     }
 
     /** Waits until all that is divided for good is held again; one that can't be shared out changes hands now and then. */
-    private static double untilAnew(RealFleet fleet, BudgetWatch shares, Terms terms) throws IOException,
-        InterruptedException {
+    private static double untilAnew(RealFleet fleet, BudgetWatch shares, Terms terms)
+            throws IOException, InterruptedException {
         double from = fleet.nowMs();
         while (fleet.nowMs() - from < PATIENCE_MS) {
             fleet.pause(100);
@@ -169,18 +206,31 @@
 
     /** How long a box that has just started is young: as long as an amount lasts. */
     private static double youngMs(Schedule.Use use) {
-        return use.terms().budgets().values().stream().filter(b -> b.kind() == Kind.AMOUNT).mapToDouble(
-            Terms.Budget::leaseMs).min().orElse(0);
+        return use.terms().budgets().values().stream()
+                .filter(b -> b.kind() == Kind.AMOUNT)
+                .mapToDouble(Terms.Budget::leaseMs)
+                .min()
+                .orElse(0);
     }
 
     private static String settings(Terms terms, Schedule.Use use) {
         StringBuilder out = new StringBuilder("budgets {\n  voters = [");
         for (int i = 0; i < terms.voters().size(); i++) {
-            out.append(i > 0 ? ", " : "").append('"').append(terms.voters().get(i)).append('"');
+            out.append(i > 0 ? ", " : "")
+                    .append('"')
+                    .append(terms.voters().get(i))
+                    .append('"');
         }
-        out.append(String.format(Locale.ROOT, "]%n  largest = %d%n  term = \"%.0fms\"%n  hold = \"%.0fms\"%n  slack = "
-            + "\"%.0fms\"%n}%n", terms.largest(), terms.termMs(), terms.holdMs(), terms.slackMs()));
-        new TreeMap<>(terms.budgets()).values().forEach(b -> out.append(ScenarioFile.budget(b, use.at().get(b.name()), "")));
+        out.append(String.format(
+                Locale.ROOT,
+                "]%n  largest = %d%n  term = \"%.0fms\"%n  hold = \"%.0fms\"%n  slack = " + "\"%.0fms\"%n}%n",
+                terms.largest(),
+                terms.termMs(),
+                terms.holdMs(),
+                terms.slackMs()));
+        new TreeMap<>(terms.budgets())
+                .values()
+                .forEach(b -> out.append(ScenarioFile.budget(b, use.at().get(b.name()), "")));
         return out.toString();
     }
 
@@ -197,8 +247,8 @@
                 if (b.kind() == Kind.PLACES && t.mostAtOnce() > b.whole()) {
                     broken.add("at the box: " + e.getKey() + " had " + t.mostAtOnce() + " at once of " + b.whole());
                 } else if (b.kind() == Kind.RATE && t.mostSurelyOverRate() > b.burst() + 1e-6) {
-                    broken.add("at the box: " + e.getKey() + " got " + t.mostSurelyOverRate() + " over its rate, the burst is "
-                        + b.burst());
+                    broken.add("at the box: " + e.getKey() + " got " + t.mostSurelyOverRate()
+                            + " over its rate, the burst is " + b.burst());
                 } else if (b.kind() == Kind.AMOUNT && at == 0 && young > b.whole()) {
                     broken.add("at the box: " + e.getKey() + " got " + young + " while young of " + b.whole());
                 }
--- a/lab/src/main/java/barleyspur/lab/fleet/BudgetLab.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/BudgetLab.java
@@ -23,7 +23,7 @@
     static final double DRIFT = 0.01;
     private static final double PLOT_MS = 500;
 
-    private BudgetLab() { }
+    private BudgetLab() {}
 
     /** Plays a scenario with budgets on real processes; whether all promises were kept. */
     public static boolean real(Path scenario, Path jar, Path folder) throws Hcl.Invalid, IOException {
@@ -32,13 +32,25 @@
         try {
             BudgetFleet.Result r = BudgetFleet.play(schedule, jar, folder, System.out::println);
             r.rows().forEach(System.out::println);
-            r.boxes().forEach((uid, t) -> System.out.printf(Locale.ROOT, "%-6s %6d arrived, %3d at once at most, %.1f over its "
-                + "rate at most%n", uid, t.arrived(), t.mostAtOnce(), t.mostOverRate()));
-            System.out.printf(Locale.ROOT, "divided anew %.1f s after the last fault; a process began to divide %d times%n",
-                r.anewMs() / 1e3, r.shares().dividers());
-            System.out.printf(Locale.ROOT, "a member sent %.0f bytes a second on average, %.0f at most; %d came to the young box%n",
-                r.traffic().stream().mapToDouble(t -> t[1]).average().orElse(0),
-                r.traffic().stream().mapToDouble(t -> t[1]).max().orElse(0), r.young());
+            r.boxes()
+                    .forEach((uid, t) -> System.out.printf(
+                            Locale.ROOT,
+                            "%-6s %6d arrived, %3d at once at most, %.1f over its " + "rate at most%n",
+                            uid,
+                            t.arrived(),
+                            t.mostAtOnce(),
+                            t.mostOverRate()));
+            System.out.printf(
+                    Locale.ROOT,
+                    "divided anew %.1f s after the last fault; a process began to divide %d times%n",
+                    r.anewMs() / 1e3,
+                    r.shares().dividers());
+            System.out.printf(
+                    Locale.ROOT,
+                    "a member sent %.0f bytes a second on average, %.0f at most; %d came to the young box%n",
+                    r.traffic().stream().mapToDouble(t -> t[1]).average().orElse(0),
+                    r.traffic().stream().mapToDouble(t -> t[1]).max().orElse(0),
+                    r.young());
             report(folder, schedule, r);
             return FleetLab.judge(r.broken());
         } catch (InterruptedException e) {
@@ -50,14 +62,20 @@
     private static Schedule load(Path scenario) throws Hcl.Invalid {
         Schedule schedule = ScenarioFile.load(scenario);
         if (schedule.use() == null) {
-            throw new Hcl.Invalid(scenario.toString(), 1, "has no block load { ... } and no budgets: fleet run plays it");
+            throw new Hcl.Invalid(
+                    scenario.toString(), 1, "has no block load { ... } and no budgets: fleet run plays it");
         }
         return schedule;
     }
 
     private static void report(Path folder, Schedule schedule, BudgetFleet.Result r) throws IOException {
-        XYChart chart = new XYChartBuilder().width(1_000).height(400).title(schedule.name()).xAxisTitle("seconds")
-            .yAxisTitle("part of the whole that is held").build();
+        XYChart chart = new XYChartBuilder()
+                .width(1_000)
+                .height(400)
+                .title(schedule.name())
+                .xAxisTitle("seconds")
+                .yAxisTitle("part of the whole that is held")
+                .build();
         JSONArray held = new JSONArray();
         for (String budget : new TreeMap<>(schedule.use().terms().budgets()).keySet()) {
             List<Double> xs = new ArrayList<>();
@@ -70,25 +88,54 @@
             if (!xs.isEmpty()) {
                 chart.addSeries(budget, xs, ys).setMarker(SeriesMarkers.NONE);
             }
-            held.put(new JSONObject().put("budget", budget).put("every_ms", PLOT_MS).put("held", new JSONArray(ys)));
+            held.put(new JSONObject()
+                    .put("budget", budget)
+                    .put("every_ms", PLOT_MS)
+                    .put("held", new JSONArray(ys)));
         }
         BitmapEncoder.saveBitmap(chart, folder.resolve("held.png").toString(), BitmapEncoder.BitmapFormat.PNG);
         JSONArray boxes = new JSONArray();
-        r.boxes().forEach((uid, t) -> boxes.put(new JSONObject().put("box", uid).put("arrived", t.arrived())
-            .put("most_at_once", t.mostAtOnce()).put("most_over_rate", t.mostOverRate())));
+        r.boxes()
+                .forEach((uid, t) -> boxes.put(new JSONObject()
+                        .put("box", uid)
+                        .put("arrived", t.arrived())
+                        .put("most_at_once", t.mostAtOnce())
+                        .put("most_over_rate", t.mostOverRate())));
         StringBuilder struck = new StringBuilder();
-        r.struck().forEach(s -> struck.append(String.format(Locale.ROOT, "<tr><td>%.1f<td>%s", s.atMs() / 1e3,
-            FleetReport.escaped(s.fault().toString()))));
-        Files.writeString(folder.resolve("report.json"), new JSONObject().put("scenario", schedule.name())
-            .put("doormans", schedule.started()).put("seed", schedule.seed()).put("held", held).put("boxes", boxes)
-            .put("bytes_a_second_and_member", new JSONArray(r.traffic().stream().map(t -> t[1]).toList()))
-            .put("divided_anew_ms", Double.isInfinite(r.anewMs()) ? JSONObject.NULL : r.anewMs())
-            .put("broken", new JSONArray(r.broken())).toString(2) + "\n");
-        Files.writeString(folder.resolve("report.html"), "<!doctype html><meta charset=utf-8><title>" + FleetReport.escaped(
-            schedule.name()) + "</title><h1>" + FleetReport.escaped(schedule.name()) + "</h1><p>" + (r.broken().isEmpty()
-            ? "All promises kept." : "Broken: " + FleetReport.escaped(r.broken().toString())) + "</p><img src=held.png>"
-            + "<h2>Faults</h2><table border=1><tr><th>second<th>fault" + struck + "</table><h2>The scenario</h2><pre>"
-            + FleetReport.escaped(ScenarioFile.write(schedule)) + "</pre>\n");
+        r.struck()
+                .forEach(s -> struck.append(String.format(
+                        Locale.ROOT,
+                        "<tr><td>%.1f<td>%s",
+                        s.atMs() / 1e3,
+                        FleetReport.escaped(s.fault().toString()))));
+        Files.writeString(
+                folder.resolve("report.json"),
+                new JSONObject()
+                                .put("scenario", schedule.name())
+                                .put("doormans", schedule.started())
+                                .put("seed", schedule.seed())
+                                .put("held", held)
+                                .put("boxes", boxes)
+                                .put(
+                                        "bytes_a_second_and_member",
+                                        new JSONArray(r.traffic().stream()
+                                                .map(t -> t[1])
+                                                .toList()))
+                                .put("divided_anew_ms", Double.isInfinite(r.anewMs()) ? JSONObject.NULL : r.anewMs())
+                                .put("broken", new JSONArray(r.broken()))
+                                .toString(2)
+                        + "\n");
+        Files.writeString(
+                folder.resolve("report.html"),
+                "<!doctype html><meta charset=utf-8><title>" + FleetReport.escaped(schedule.name()) + "</title><h1>"
+                        + FleetReport.escaped(schedule.name()) + "</h1><p>"
+                        + (r.broken().isEmpty()
+                                ? "All promises kept."
+                                : "Broken: " + FleetReport.escaped(r.broken().toString()))
+                        + "</p><img src=held.png>"
+                        + "<h2>Faults</h2><table border=1><tr><th>second<th>fault" + struck
+                        + "</table><h2>The scenario</h2><pre>"
+                        + FleetReport.escaped(ScenarioFile.write(schedule)) + "</pre>\n");
         System.out.println("report: " + folder.resolve("report.html"));
     }
 
@@ -110,15 +157,25 @@
                 Files.createDirectories(folder);
                 Path file = folder.resolve("broken-" + played.seed() + ".hcl");
                 Files.writeString(file, ScenarioFile.write(small));
-                System.out.printf("seed %d; shrunk from %d to %d steps; again: barleyspur-lab budget run %s --virtual%n",
-                    played.seed(), played.steps().size(), small.steps().size(), file);
+                System.out.printf(
+                        "seed %d; shrunk from %d to %d steps; again: barleyspur-lab budget run %s --virtual%n",
+                        played.seed(), played.steps().size(), small.steps().size(), file);
                 return FleetLab.judge(world.broken());
             }
-            usable += played.use().terms().budgets().keySet().stream().mapToDouble(world::usable).min().orElse(0);
+            usable += played.use().terms().budgets().keySet().stream()
+                    .mapToDouble(world::usable)
+                    .min()
+                    .orElse(0);
         }
-        System.out.printf(Locale.ROOT, "%s: %d seeds of %d doormans in %.1f s; at the end %.3f of the least held budget could be "
-            + "used on average%n", schedule.name(), seeds, schedule.started(), (System.nanoTime() - start) / 1e9,
-            usable / seeds);
+        System.out.printf(
+                Locale.ROOT,
+                "%s: %d seeds of %d doormans in %.1f s; at the end %.3f of the least held budget could be "
+                        + "used on average%n",
+                schedule.name(),
+                seeds,
+                schedule.started(),
+                (System.nanoTime() - start) / 1e9,
+                usable / seeds);
         return FleetLab.judge(List.of());
     }
 
@@ -139,13 +196,24 @@
             }
             long start = System.nanoTime();
             BudgetChecker.Result r = checker.explore(faults);
-            System.out.printf(Locale.ROOT, "%s: %d schedules of up to %d faults in %d steps, %d steps played, %d different states "
-                + "after the last fault, %.1f s: %s%n", kind, r.schedules(), faults, steps, r.steps(), r.states(),
-                (System.nanoTime() - start) / 1e9, r.broken() == null ? "never over the whole" : "BROKEN " + r.broken());
+            System.out.printf(
+                    Locale.ROOT,
+                    "%s: %d schedules of up to %d faults in %d steps, %d steps played, %d different states "
+                            + "after the last fault, %.1f s: %s%n",
+                    kind,
+                    r.schedules(),
+                    faults,
+                    steps,
+                    r.steps(),
+                    r.states(),
+                    (System.nanoTime() - start) / 1e9,
+                    r.broken() == null ? "never over the whole" : "BROKEN " + r.broken());
             if (r.broken() != null) {
                 StringBuilder again = new StringBuilder();
-                r.counterexample().forEach(p -> again.append(again.isEmpty() ? "" : " ").append(p));
-                System.out.println("  again: barleyspur-lab check budget --steps " + steps + " --replay \"" + again + "\"");
+                r.counterexample()
+                        .forEach(p -> again.append(again.isEmpty() ? "" : " ").append(p));
+                System.out.println(
+                        "  again: barleyspur-lab check budget --steps " + steps + " --replay \"" + again + "\"");
             }
             good &= r.broken() == null;
         }
--- a/lab/src/main/java/barleyspur/lab/fleet/BudgetMeasure.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/BudgetMeasure.java
@@ -16,11 +16,18 @@
     private static final double WARM_MS = 15_000;
     private static final double OVER_MS = 20_000;
 
-    private BudgetMeasure() { }
+    private BudgetMeasure() {}
 
     private static BudgetWorld world(int doormans, long whole, BudgetWorld.Demand demand) {
-        Terms terms = new Terms(BudgetWorld.voters(Math.min(3, doormans)), doormans, TERM_MS, 500, 50, Map.of("calls",
-            new Terms.Budget("calls", Kind.RATE, whole, Math.max(doormans, whole), 0, 1, LEASE_MS)));
+        Terms terms = new Terms(
+                BudgetWorld.voters(Math.min(3, doormans)),
+                doormans,
+                TERM_MS,
+                500,
+                50,
+                Map.of(
+                        "calls",
+                        new Terms.Budget("calls", Kind.RATE, whole, Math.max(doormans, whole), 0, 1, LEASE_MS)));
         Schedule schedule = new Schedule("measure", doormans, doormans, List.of(0), 500, List.of(), 0, 1);
         return new BudgetWorld(schedule, terms, BudgetLab.DRIFT, List.of("calls:s0"), demand);
     }
@@ -36,7 +43,8 @@
 
     /** Prints a row for each size. */
     static void print(List<Integer> sizes) {
-        System.out.println("doormans  load      in use  fixed parts  Jain  words/s a doorman  real ms/virtual s  anew s after kill");
+        System.out.println(
+                "doormans  load      in use  fixed parts  Jain  words/s a doorman  real ms/virtual s  anew s after kill");
         for (int n : sizes) {
             long whole = 20L * n;
             Map<String, BudgetWorld.Demand> loads = new TreeMap<>();
@@ -86,8 +94,17 @@
             world.playTo(world.nowMs + 100);
             anew = world.usable("calls:s0") >= 0.95 && world.nowMs - killed > 1_000 ? world.nowMs - killed : anew;
         }
-        System.out.printf(Locale.ROOT, "%8d  %-8s  %5.3f   %5.3f        %5.3f %10.1f %15.1f %15.1f%s%n", n, name, used / could,
-            fixed(n, wants, whole) / could, sum * sum / squares / hungry, words, real, anew / 1e3, world.broken().isEmpty()
-                ? "" : "  BROKEN " + world.broken().get(0));
+        System.out.printf(
+                Locale.ROOT,
+                "%8d  %-8s  %5.3f   %5.3f        %5.3f %10.1f %15.1f %15.1f%s%n",
+                n,
+                name,
+                used / could,
+                fixed(n, wants, whole) / could,
+                sum * sum / squares / hungry,
+                words,
+                real,
+                anew / 1e3,
+                world.broken().isEmpty() ? "" : "  BROKEN " + world.broken().get(0));
     }
 }
--- a/lab/src/main/java/barleyspur/lab/fleet/BudgetWatch.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/BudgetWatch.java
@@ -16,7 +16,7 @@
 final class BudgetWatch {
 
     /** A share as a process told it. */
-    record Told(double atMs, int process, int slot, String budget, long amount, double untilMs) { }
+    record Told(double atMs, int process, int slot, String budget, long amount, double untilMs) {}
 
     /** Two readings of a clock lie between what is told of a moment and what was meant. */
     private static final double TOLERANCE_MS = 1;
@@ -25,6 +25,7 @@
     private final List<Told> told = new ArrayList<>();
     /** Wholes that were lowered or raised, with the time from which less has to hold. */
     private final Map<String, TreeMap<Double, Long>> wholes = new HashMap<>();
+
     private int dividers;
 
     BudgetWatch(Terms terms) {
@@ -34,8 +35,13 @@
     synchronized void told(int process, int slot, String event, Map<String, String> keys, double startMs) {
         double atMs = Double.parseDouble(keys.get("mono")) - startMs;
         if (event.equals("share")) {
-            told.add(new Told(atMs, process, slot, keys.get("budget"), Long.parseLong(keys.get("amount")),
-                Double.parseDouble(keys.get("until")) - startMs));
+            told.add(new Told(
+                    atMs,
+                    process,
+                    slot,
+                    keys.get("budget"),
+                    Long.parseLong(keys.get("amount")),
+                    Double.parseDouble(keys.get("until")) - startMs));
         } else if (event.endsWith("divides")) {
             dividers++;
         }
@@ -57,7 +63,8 @@
 
     private long whole(String subject, double atMs) {
         Terms.Budget b = terms.of(subject);
-        Map.Entry<Double, Long> entry = wholes.getOrDefault(b.name(), new TreeMap<>()).floorEntry(atMs);
+        Map.Entry<Double, Long> entry =
+                wholes.getOrDefault(b.name(), new TreeMap<>()).floorEntry(atMs);
         return entry == null ? b.whole() : entry.getValue();
     }
 
@@ -73,8 +80,9 @@
             of.values().removeIf(o -> o.untilMs <= t.atMs + TOLERANCE_MS);
             long sum = of.values().stream().mapToLong(Told::amount).sum();
             if (sum > whole(t.budget, t.atMs) && broken.size() < 20) {
-                broken.add(String.format("never over the whole: at %.1f ms %s: %d of %d are held: %s", t.atMs, t.budget, sum,
-                    whole(t.budget, t.atMs), of.values()));
+                broken.add(String.format(
+                        "never over the whole: at %.1f ms %s: %d of %d are held: %s",
+                        t.atMs, t.budget, sum, whole(t.budget, t.atMs), of.values()));
             }
         }
         return broken;
@@ -99,8 +107,10 @@
         }
         last.values().forEach(t -> area.merge(t.budget, area(t, t.untilMs, fromMs, toMs), Double::sum));
         area.keySet().retainAll(asked);
-        return area.values().stream().mapToDouble(a -> a / (toMs - fromMs) / terms.of(budget).whole()).average()
-            .orElse(Double.NaN);
+        return area.values().stream()
+                .mapToDouble(a -> a / (toMs - fromMs) / terms.of(budget).whole())
+                .average()
+                .orElse(Double.NaN);
     }
 
     private static double area(Told t, double nextMs, double fromMs, double toMs) {
--- a/lab/src/main/java/barleyspur/lab/fleet/BudgetWorld.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/BudgetWorld.java
@@ -59,8 +59,7 @@
             this.address = address(slot);
             offsetMs = random.nextDouble() * 1e6;
             rate = 1 + (random.nextDouble() * 2 - 1) * drift;
-            budgets = new Budgets(terms, "d" + (slot + 1), address, nonce, random.nextLong(), clock(),
-                this::carryOut);
+            budgets = new Budgets(terms, "d" + (slot + 1), address, nonce, random.nextLong(), clock(), this::carryOut);
         }
 
         /** The time on this process's own clock. */
@@ -92,7 +91,7 @@
         }
     }
 
-    private record Event(double atMs, long order, Runnable what) { }
+    private record Event(double atMs, long order, Runnable what) {}
 
     final Schedule schedule;
     final Terms terms;
@@ -100,7 +99,7 @@
     private final SplittableRandom random;
     private final Links links;
     private final PriorityQueue<Event> events = new PriorityQueue<>(
-        (a, b) -> a.atMs != b.atMs ? Double.compare(a.atMs, b.atMs) : Long.compare(a.order, b.order));
+            (a, b) -> a.atMs != b.atMs ? Double.compare(a.atMs, b.atMs) : Long.compare(a.order, b.order));
     final Process[] running;
     private final TreeMap<String, Box> boxes = new TreeMap<>();
     private final List<String> broken = new ArrayList<>();
@@ -108,9 +107,10 @@
     private final Demand demand;
     private final List<String> subjects;
     /** Told what each process does, and each fault: for a trace. */
-    BiConsumer<String, Object> log = (who, what) -> { };
+    BiConsumer<String, Object> log = (who, what) -> {};
     /** Changes words on their way from this slot; a null result is not sent. */
     UnaryOperator<Word> tampering;
+
     int tamperedSlot = -1;
     private long order;
     long sent;
@@ -200,12 +200,21 @@
     static BudgetWorld of(Schedule schedule, double drift) {
         Schedule.Use use = schedule.use();
         Terms terms = use.terms(voters(use.voters()));
-        double young = terms.budgets().values().stream().mapToDouble(Terms.Budget::leaseMs).max().orElse(0);
+        double young = terms.budgets().values().stream()
+                .mapToDouble(Terms.Budget::leaseMs)
+                .max()
+                .orElse(0);
         // After all silences and waits, and for less than a lease, as a young box is.
         double fromMs = terms.termMs() + 3 * young;
-        return new BudgetWorld(schedule, terms, drift, new ArrayList<>(new TreeMap<>(terms.budgets()).keySet()),
-            (budget, slot, now) -> terms.of(budget).kind() == Kind.AMOUNT && (now < fromMs || now > fromMs + young * 0.9) ? 0
-                : use.perS(slot, schedule.started(), now) / 3);
+        return new BudgetWorld(
+                schedule,
+                terms,
+                drift,
+                new ArrayList<>(new TreeMap<>(terms.budgets()).keySet()),
+                (budget, slot, now) ->
+                        terms.of(budget).kind() == Kind.AMOUNT && (now < fromMs || now > fromMs + young * 0.9)
+                                ? 0
+                                : use.perS(slot, schedule.started(), now) / 3);
     }
 
     static String address(int slot) {
@@ -279,12 +288,13 @@
                 if (p != null) {
                     Share share = p.shares.get(subject);
                     long allowed = share == null || p.leaving ? 0 : share.allowed(p.clock());
-                    long using = switch (box.budget.kind()) {
-                        case RATE -> 0;
-                        // Of a frozen process the box knows better.
-                        case PLACES -> box.inFlight.getOrDefault(p, 0);
-                        case AMOUNT -> share == null ? 0 : share.using();
-                    };
+                    long using =
+                            switch (box.budget.kind()) {
+                                case RATE -> 0;
+                                // Of a frozen process the box knows better.
+                                case PLACES -> box.inFlight.getOrDefault(p, 0);
+                                case AMOUNT -> share == null ? 0 : share.using();
+                            };
                     sum += Math.max(allowed, using);
                 }
             }
@@ -295,13 +305,16 @@
             } else if (box.budget.kind() == Kind.AMOUNT) {
                 long live = 0;
                 for (Process p : running) {
-                    live += p == null || p.shares.get(subject) == null ? 0 : p.shares.get(subject).using();
+                    live += p == null || p.shares.get(subject) == null
+                            ? 0
+                            : p.shares.get(subject).using();
                 }
                 sum += Math.max(0, box.arrived - live);
             }
             if (sum > whole(box.budget)) {
-                broken("never over the whole", subject + ": " + sum + " of " + whole(box.budget) + " could be used:" + detail(
-                    subject));
+                broken(
+                        "never over the whole",
+                        subject + ": " + sum + " of " + whole(box.budget) + " could be used:" + detail(subject));
             }
         }
     }
@@ -311,8 +324,14 @@
         for (Process p : running) {
             Share share = p == null ? null : p.shares.get(subject);
             if (share != null) {
-                text.append(" d").append(p.slot + 1).append(p.frozen ? " frozen" : "").append(p.leaving ? " leaving" : "")
-                    .append(" may take ").append(share.allowed(p.clock())).append(", uses ").append(share.using());
+                text.append(" d")
+                        .append(p.slot + 1)
+                        .append(p.frozen ? " frozen" : "")
+                        .append(p.leaving ? " leaving" : "")
+                        .append(" may take ")
+                        .append(share.allowed(p.clock()))
+                        .append(", uses ")
+                        .append(share.using());
             }
         }
         return text.toString();
@@ -354,7 +373,11 @@
             Set<String> there = new HashSet<>();
             for (Process q : running) {
                 boolean wrong = random.nextDouble() < WRONG_VIEWS;
-                if (q != null && q != p && q.runs() && links.open(p.slot, q.slot) && links.open(q.slot, p.slot) != wrong) {
+                if (q != null
+                        && q != p
+                        && q.runs()
+                        && links.open(p.slot, q.slot)
+                        && links.open(q.slot, p.slot) != wrong) {
                     there.add(q.address);
                 }
             }
--- a/lab/src/main/java/barleyspur/lab/fleet/FleetDemo.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/FleetDemo.java
@@ -26,18 +26,18 @@
     private static final double REQUESTS_PER_S = 150;
     private static final long ROW_MS = 5_000;
 
-    private FleetDemo() { }
+    private FleetDemo() {}
 
     /** Runs it; whether all promises were kept and nothing ran twice. */
     public static boolean run(Path jar, Path folder) throws IOException, InterruptedException {
         List<Schedule.Step> steps = List.of(
-            new Schedule.Step(true, 10_000, new Fault.Kill(Set.of(1))),
-            new Schedule.Step(10_000, new Fault.Start(Set.of(1), "", 0, 2)),
-            new Schedule.Step(8_000, new Fault.Split(List.of(Set.of(0, 1), Set.of(2, 3, 4)))),
-            new Schedule.Step(10_000, new Fault.Heal()),
-            new Schedule.Step(6_000, new Fault.Kill(Set.of(2, 3))),
-            new Schedule.Step(8_000, new Fault.Start(Set.of(2, 3), "", 0, 2)),
-            new Schedule.Step(8_000, new Fault.Heal()));
+                new Schedule.Step(true, 10_000, new Fault.Kill(Set.of(1))),
+                new Schedule.Step(10_000, new Fault.Start(Set.of(1), "", 0, 2)),
+                new Schedule.Step(8_000, new Fault.Split(List.of(Set.of(0, 1), Set.of(2, 3, 4)))),
+                new Schedule.Step(10_000, new Fault.Heal()),
+                new Schedule.Step(6_000, new Fault.Kill(Set.of(2, 3))),
+                new Schedule.Step(8_000, new Fault.Start(Set.of(2, 3), "", 0, 2)),
+                new Schedule.Step(8_000, new Fault.Heal()));
         Schedule schedule = new Schedule("demo", DOORMANS, DOORMANS, List.of(0, 1), 500, steps, 30_000, 1);
         Watch watch = new Watch(true);
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -46,39 +46,63 @@
         StandBoxes boxes = new StandBoxes(group, "record");
         JSONArray targets = new JSONArray();
         for (int i = 0; i < CACHES + PARENTS + 1; i++) {
-            StandBoxes.Kind kind = i < CACHES ? StandBoxes.Kind.CACHE : i < CACHES + PARENTS ? StandBoxes.Kind.PARENT
-                : StandBoxes.Kind.ORIGIN;
+            StandBoxes.Kind kind = i < CACHES
+                    ? StandBoxes.Kind.CACHE
+                    : i < CACHES + PARENTS ? StandBoxes.Kind.PARENT : StandBoxes.Kind.ORIGIN;
             InetSocketAddress at = new InetSocketAddress(network + (i + 1), PORT);
             boxes.listen(at, kind);
-            targets.put(new JSONObject().put("uid", "s-" + i).put("endpoint", at.getHostString() + ":" + PORT)
-                .put("az", "central").put("model", List.of("cache", "parent", "origin").get(kind.ordinal()))
-                .put("pod_group", i % 2).put("state", "in_service").put("capacity_hint", 4).put("boot_ms", 0));
+            targets.put(new JSONObject()
+                    .put("uid", "s-" + i)
+                    .put("endpoint", at.getHostString() + ":" + PORT)
+                    .put("az", "central")
+                    .put("model", List.of("cache", "parent", "origin").get(kind.ordinal()))
+                    .put("pod_group", i % 2)
+                    .put("state", "in_service")
+                    .put("capacity_hint", 4)
+                    .put("boot_ms", 0));
         }
         StandChannel.listen(group, channel, 1);
-        JSONObject known = new JSONObject().put("cursor", 1).put("cmds", new JSONArray().put(new JSONObject()
-            .put("cursor", 1).put("nodes", new JSONObject().put("rev", 1).put("all", true).put("targets", targets))));
+        JSONObject known = new JSONObject()
+                .put("cursor", 1)
+                .put(
+                        "cmds",
+                        new JSONArray()
+                                .put(new JSONObject()
+                                        .put("cursor", 1)
+                                        .put(
+                                                "nodes",
+                                                new JSONObject()
+                                                        .put("rev", 1)
+                                                        .put("all", true)
+                                                        .put("targets", targets))));
         try (RealFleet fleet = new RealFleet(schedule, watch, jar, folder, System.out::println)) {
             fleet.configure(json -> {
                 json.put("channel", channel.getHostString() + ":" + PORT).put("known", known);
-                json.getJSONObject("settings").getJSONObject("familyInfo").put("zoneBalancers", new JSONArray()
-                    .put(DOORMANS));
+                json.getJSONObject("settings")
+                        .getJSONObject("familyInfo")
+                        .put("zoneBalancers", new JSONArray().put(DOORMANS));
                 return json;
             });
             List<InetSocketAddress> fronts = new ArrayList<>();
             for (int i = 0; i < DOORMANS; i++) {
                 fronts.add(fleet.front(i));
             }
-            StandClients clients = new StandClients(group, List.of(new StandClients.Class("parts", 0.55, 600, 6_000),
-                new StandClients.Class("files", 0.41, 300, 2_500), new StandClients.Class("record", 0.04, 700, 3_000)),
-                fronts, 1);
+            StandClients clients = new StandClients(
+                    group,
+                    List.of(
+                            new StandClients.Class("parts", 0.55, 600, 6_000),
+                            new StandClients.Class("files", 0.41, 300, 2_500),
+                            new StandClients.Class("record", 0.04, 700, 3_000)),
+                    fronts,
+                    1);
             clients.start(REQUESTS_PER_S);
             fleet.every(ROW_MS, () -> {
                 System.out.println("             views: " + fleet.sizes());
                 clients.rows().forEach(r -> System.out.println("             " + r));
             });
             fleet.play();
-            System.out.println("requests that must not run twice and did: " + boxes.runsTwice() + "; attempts at boxes: "
-                + boxes.attempts());
+            System.out.println("requests that must not run twice and did: " + boxes.runsTwice()
+                    + "; attempts at boxes: " + boxes.attempts());
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
         }
--- a/lab/src/main/java/barleyspur/lab/fleet/FleetLab.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/FleetLab.java
@@ -14,7 +14,7 @@
     /** In larger fleets datagrams are handed over as objects and sized by their bound. */
     static final int MOST_ENCODED = 200;
 
-    private FleetLab() { }
+    private FleetLab() {}
 
     /**
      * Plays a scenario on real processes, and prints what happened.
@@ -29,9 +29,12 @@
         try (RealFleet fleet = new RealFleet(schedule, watch, jar, folder, System.out::println)) {
             List<Double> times = fleet.play();
             List<double[]> traffic = fleet.traffic();
-            System.out.printf(Locale.ROOT, "%s; a member sent %.0f bytes a second in the last second, %.0f at most%n",
-                fleet.costs(), traffic.isEmpty() ? 0 : traffic.get(traffic.size() - 1)[1],
-                traffic.stream().mapToDouble(t -> t[1]).max().orElse(0));
+            System.out.printf(
+                    Locale.ROOT,
+                    "%s; a member sent %.0f bytes a second in the last second, %.0f at most%n",
+                    fleet.costs(),
+                    traffic.isEmpty() ? 0 : traffic.get(traffic.size() - 1)[1],
+                    traffic.stream().mapToDouble(t -> t[1]).max().orElse(0));
             FleetReport.write(folder, schedule, watch, times, traffic);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -60,14 +63,17 @@
             VirtualFleet fleet = new VirtualFleet(played, watch, played.slots() <= MOST_ENCODED);
             List<Double> settled = fleet.play();
             times.addAll(settled);
-            bytes += fleet.processes().stream().mapToLong(p -> p.sentBytes).sum() / (fleet.nowMs / 1e3) / played.started();
+            bytes += fleet.processes().stream().mapToLong(p -> p.sentBytes).sum()
+                    / (fleet.nowMs / 1e3)
+                    / played.started();
             if (!watch.broken().isEmpty()) {
                 Schedule small = Shrinker.shrink(played);
                 Files.createDirectories(folder);
                 Path file = folder.resolve("broken-" + played.seed() + ".hcl");
                 Files.writeString(file, ScenarioFile.write(small));
-                System.out.printf("seed %d; shrunk from %d to %d steps; again: barleyspur-lab fleet run %s --virtual%n",
-                    played.seed(), played.steps().size(), small.steps().size(), file);
+                System.out.printf(
+                        "seed %d; shrunk from %d to %d steps; again: barleyspur-lab fleet run %s --virtual%n",
+                        played.seed(), played.steps().size(), small.steps().size(), file);
                 return judge(watch.broken());
             }
             if (seeds == 1) {
@@ -75,10 +81,18 @@
             }
         }
         times.sort(null);
-        System.out.printf(Locale.ROOT, "%s: %d seeds of %d doormans in %.1f s; settled after %.2f s (median), %.2f s "
-            + "(99 in 100), %.2f s (most); a member sent %.0f bytes a second%n", schedule.name(), seeds,
-            schedule.started(), (System.nanoTime() - start) / 1e9, times.get(times.size() / 2) / 1e3,
-            times.get(times.size() * 99 / 100) / 1e3, times.get(times.size() - 1) / 1e3, bytes / seeds);
+        System.out.printf(
+                Locale.ROOT,
+                "%s: %d seeds of %d doormans in %.1f s; settled after %.2f s (median), %.2f s "
+                        + "(99 in 100), %.2f s (most); a member sent %.0f bytes a second%n",
+                schedule.name(),
+                seeds,
+                schedule.started(),
+                (System.nanoTime() - start) / 1e9,
+                times.get(times.size() / 2) / 1e3,
+                times.get(times.size() * 99 / 100) / 1e3,
+                times.get(times.size() - 1) / 1e3,
+                bytes / seeds);
         return judge(List.of());
     }
 }
--- a/lab/src/main/java/barleyspur/lab/fleet/FleetMeasure.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/FleetMeasure.java
@@ -12,7 +12,7 @@
     /** News of a start that are surely told within one calm time. */
     private static final int NEWS_IN_CALM = 250;
 
-    private FleetMeasure() { }
+    private FleetMeasure() {}
 
     private static VirtualFleet start(int members, Watch watch) {
         Schedule schedule = new Schedule("measure", members, members, List.of(0, 1), 500, List.of(), 60_000, 1);
@@ -38,7 +38,8 @@
 
     /** Prints a row of figures for each size. */
     public static void print(List<Integer> sizes) {
-        System.out.println("members  join s  calm B/s  known s  settled s  split s  heal s  heal KB  real ms/virtual s");
+        System.out.println(
+                "members  join s  calm B/s  known s  settled s  split s  heal s  heal KB  real ms/virtual s");
         for (int n : sizes) {
             Watch watch = new Watch(true);
             VirtualFleet fleet = start(n, watch);
@@ -55,25 +56,43 @@
             watch.all().clear();
             fleet.apply(new Fault.Kill(Set.of(n - 1)));
             double settled = untilSettled(fleet, 120_000);
-            double known = watch.all().stream().filter(t -> t.kind().equals("Lost")).mapToDouble(Watch.Told::atMs).min()
-                .orElse(Double.NaN) - killed;
+            double known = watch.all().stream()
+                            .filter(t -> t.kind().equals("Lost"))
+                            .mapToDouble(Watch.Told::atMs)
+                            .min()
+                            .orElse(Double.NaN)
+                    - killed;
             fleet.apply(new Fault.Split(List.of(Schedule.range(0, n / 2), Schedule.range(n / 2, n))));
             double split = untilSettled(fleet, 240_000);
             before = sent(fleet);
             fleet.apply(new Fault.Heal());
             double heal = untilSettled(fleet, 120_000);
-            System.out.printf(Locale.ROOT, "%7d  %6.2f  %8.0f  %7.2f  %9.2f  %7.2f  %6.2f  %7.1f  %8.1f%n", n, join, calm,
-                known / 1e3, settled, split, heal, (sent(fleet) - before) / 1e3 / n, real);
+            System.out.printf(
+                    Locale.ROOT,
+                    "%7d  %6.2f  %8.0f  %7.2f  %9.2f  %7.2f  %6.2f  %7.1f  %8.1f%n",
+                    n,
+                    join,
+                    calm,
+                    known / 1e3,
+                    settled,
+                    split,
+                    heal,
+                    (sent(fleet) - before) / 1e3 / n,
+                    real);
         }
     }
 
     /** Prints false verdicts by member and hour under loss, slowness and a one-way cut. */
     public static void printVerdicts(int members, int minutes) {
         int n = Math.min(MOST_FOR_LOSS, members);
-        System.out.println("members  minutes  what                              false verdicts  a member and hour  suspicions");
+        System.out.println(
+                "members  minutes  what                              false verdicts  a member and hour  suspicions");
         for (double loss : new double[] {0, 0.1, 0.3}) {
-            row(n, minutes, String.format(Locale.ROOT, "%.0f%% loss", 100 * loss), new Fault.Weather(
-                Schedule.range(0, n), Schedule.range(0, n), new Fault.Noise(loss, 20, 0, 0)));
+            row(
+                    n,
+                    minutes,
+                    String.format(Locale.ROOT, "%.0f%% loss", 100 * loss),
+                    new Fault.Weather(Schedule.range(0, n), Schedule.range(0, n), new Fault.Noise(loss, 20, 0, 0)));
         }
         row(n, minutes, "a third at a fifth of a core", new Fault.Starve(Schedule.range(0, n / 3), 0.2));
         row(n, minutes, "one at a tenth of a core", new Fault.Starve(Set.of(1), 0.1));
@@ -88,8 +107,16 @@
         fleet.apply(fault);
         fleet.playTo(10_000 + minutes * 60_000.0);
         long wrong = watch.all().stream().filter(t -> t.kind().equals("Lost")).count();
-        long suspicions = watch.all().stream().filter(t -> t.standing().equals("SUSPECT")).count();
-        System.out.printf(Locale.ROOT, "%7d  %7d  %-32s  %14d  %17.4f  %10d%n", n, minutes, what, wrong,
-            wrong / (double) n / (minutes / 60.0), suspicions);
+        long suspicions =
+                watch.all().stream().filter(t -> t.standing().equals("SUSPECT")).count();
+        System.out.printf(
+                Locale.ROOT,
+                "%7d  %7d  %-32s  %14d  %17.4f  %10d%n",
+                n,
+                minutes,
+                what,
+                wrong,
+                wrong / (double) n / (minutes / 60.0),
+                suspicions);
     }
 }
