--- a/lab/src/main/java/barleyspur/lab/fleet/FleetReport.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/FleetReport.java
@@ -21,18 +21,26 @@
 /** What a play came to: report.html with a plot of the views' sizes over time, and report.json. */
 final class FleetReport {
 
-    private FleetReport() { }
+    private FleetReport() {}
 
     static void write(Path folder, Schedule schedule, Watch watch, List<Double> times, List<double[]> traffic)
-        throws IOException {
+            throws IOException {
         Files.createDirectories(folder);
         plot(folder.resolve("views.png"), schedule, watch);
         if (!traffic.isEmpty()) {
-            XYChart chart = new XYChartBuilder().width(1_000).height(300).title("traffic").xAxisTitle("seconds")
-                .yAxisTitle("bytes a second and member").build();
+            XYChart chart = new XYChartBuilder()
+                    .width(1_000)
+                    .height(300)
+                    .title("traffic")
+                    .xAxisTitle("seconds")
+                    .yAxisTitle("bytes a second and member")
+                    .build();
             chart.getStyler().setLegendVisible(false);
-            chart.addSeries("bytes", traffic.stream().mapToDouble(t -> t[0]).toArray(), traffic.stream()
-                .mapToDouble(t -> t[1]).toArray()).setMarker(SeriesMarkers.NONE);
+            chart.addSeries(
+                            "bytes",
+                            traffic.stream().mapToDouble(t -> t[0]).toArray(),
+                            traffic.stream().mapToDouble(t -> t[1]).toArray())
+                    .setMarker(SeriesMarkers.NONE);
             BitmapEncoder.saveBitmap(chart, folder.resolve("traffic.png").toString(), BitmapEncoder.BitmapFormat.PNG);
         }
         JSONArray settled = new JSONArray();
@@ -47,19 +55,29 @@
             what += (what.isEmpty() ? "" : ", ") + step.fault();
         }
         row(rows, settled, what, times, at);
-        JSONObject json = new JSONObject().put("scenario", schedule.name()).put("doormans", schedule.started())
-            .put("seed", schedule.seed()).put("period_ms", schedule.periodMs()).put("settled", settled)
-            .put("broken", new JSONArray(watch.broken())).put("changes", watch.all().size());
+        JSONObject json = new JSONObject()
+                .put("scenario", schedule.name())
+                .put("doormans", schedule.started())
+                .put("seed", schedule.seed())
+                .put("period_ms", schedule.periodMs())
+                .put("settled", settled)
+                .put("broken", new JSONArray(watch.broken()))
+                .put("changes", watch.all().size());
         Files.writeString(folder.resolve("report.json"), json.toString(2) + "\n");
         StringBuilder broken = new StringBuilder();
         watch.broken().forEach(b -> broken.append("<li>").append(escaped(b)).append("</li>"));
-        Files.writeString(folder.resolve("report.html"), "<!doctype html><meta charset=utf-8><title>"
-            + escaped(schedule.name()) + "</title><h1>" + escaped(schedule.name()) + "</h1><p>" + schedule.started()
-            + " doormans, period " + schedule.periodMs() + " ms, seed " + schedule.seed() + "</p><p>"
-            + (watch.broken().isEmpty() ? "All promises kept." : "Broken promises:<ul>" + broken + "</ul>")
-            + "</p><h2>Members in each view</h2><img src=views.png>" + (traffic.isEmpty() ? "" : "<h2>Traffic</h2><img src=traffic.png>") + "<h2>Time to settle</h2><table border=1>"
-            + "<tr><th>after<th>seconds" + rows + "</table><h2>The scenario</h2><pre>"
-            + escaped(ScenarioFile.write(schedule)) + "</pre>\n");
+        Files.writeString(
+                folder.resolve("report.html"),
+                "<!doctype html><meta charset=utf-8><title>"
+                        + escaped(schedule.name()) + "</title><h1>" + escaped(schedule.name()) + "</h1><p>"
+                        + schedule.started()
+                        + " doormans, period " + schedule.periodMs() + " ms, seed " + schedule.seed() + "</p><p>"
+                        + (watch.broken().isEmpty() ? "All promises kept." : "Broken promises:<ul>" + broken + "</ul>")
+                        + "</p><h2>Members in each view</h2><img src=views.png>"
+                        + (traffic.isEmpty() ? "" : "<h2>Traffic</h2><img src=traffic.png>")
+                        + "<h2>Time to settle</h2><table border=1>"
+                        + "<tr><th>after<th>seconds" + rows + "</table><h2>The scenario</h2><pre>"
+                        + escaped(ScenarioFile.write(schedule)) + "</pre>\n");
         System.out.println("report: " + folder.resolve("report.html"));
     }
 
@@ -68,10 +86,13 @@
             return at;
         }
         double seconds = times.get(at) / 1e3;
-        rows.append("<tr><td>").append(escaped(what)).append("<td>").append(Double.isInfinite(seconds) ? "never"
-            : String.format(Locale.ROOT, "%.2f", seconds));
-        settled.put(new JSONObject().put("after", what).put("seconds", Double.isInfinite(seconds) ? JSONObject.NULL
-            : seconds));
+        rows.append("<tr><td>")
+                .append(escaped(what))
+                .append("<td>")
+                .append(Double.isInfinite(seconds) ? "never" : String.format(Locale.ROOT, "%.2f", seconds));
+        settled.put(new JSONObject()
+                .put("after", what)
+                .put("seconds", Double.isInfinite(seconds) ? JSONObject.NULL : seconds));
         return at + 1;
     }
 
@@ -80,8 +101,13 @@
     }
 
     private static void plot(Path file, Schedule schedule, Watch watch) throws IOException {
-        XYChart chart = new XYChartBuilder().width(1_000).height(500).title(schedule.name()).xAxisTitle("seconds")
-            .yAxisTitle("members in a view").build();
+        XYChart chart = new XYChartBuilder()
+                .width(1_000)
+                .height(500)
+                .title(schedule.name())
+                .xAxisTitle("seconds")
+                .yAxisTitle("members in a view")
+                .build();
         chart.getStyler().setLegendVisible(schedule.slots() <= 20);
         Map<Integer, List<Double>> xs = new HashMap<>();
         Map<Integer, List<Double>> ys = new HashMap<>();
--- a/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
@@ -74,7 +74,15 @@
             return process.info().totalCpuDuration().orElse(Duration.ZERO).toMillis() / 1e3;
         }
 
-        Doorman(int number, int slot, String name, Process process, Path log, Path settings, double clockMs, int format) {
+        Doorman(
+                int number,
+                int slot,
+                String name,
+                Process process,
+                Path log,
+                Path settings,
+                double clockMs,
+                int format) {
             this.settings = settings;
             this.clockMs = clockMs;
             this.format = format;
@@ -94,7 +102,8 @@
     private final String network;
     private final Relays relays;
     private final InetSocketAddress channel;
-    private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).build();
+    private final HttpClient client =
+            HttpClient.newBuilder().connectTimeout(PATIENCE).build();
     private final Doorman[] running;
     private final List<Doorman> all = new ArrayList<>();
     private final long startNanos = System.nanoTime();
@@ -102,7 +111,7 @@
     /** Seconds from the start, and bytes a second that a member sent since the sample before. */
     private final List<double[]> traffic = new ArrayList<>();
     /** A fault and when it was. */
-    record Struck(double atMs, Fault fault) { }
+    record Struck(double atMs, Fault fault) {}
 
     private final List<Struck> struck = new ArrayList<>();
     private double sampledMs;
@@ -110,6 +119,7 @@
     private double calmFromMs;
     /** What stands in each process's own settings beside its fleet. */
     private String more = "";
+
     private BudgetWatch budgets;
     private Runnable every;
     private double everyMs;
@@ -117,7 +127,7 @@
     private final Thread hook = new Thread(this::end, "end children");
 
     RealFleet(Schedule schedule, Watch watch, Path jar, Path folder, Consumer<String> progress)
-        throws IOException, InterruptedException {
+            throws IOException, InterruptedException {
         this.schedule = schedule;
         this.watch = watch;
         this.jar = jar.toAbsolutePath();
@@ -259,46 +269,70 @@
         Path settings = own.resolve("settings.hcl");
         Files.writeString(settings, settings(slot, clockMs, format));
         Path log = own.resolve("log");
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:ActiveProcessorCount=1", "-Xshare:auto", "-Xms24m",
-            "-Xmx64m", "-Xss512k", "-XX:-UsePerfData", "-Djava.net.preferIPv4Stack=true", "-Dio.netty.jfr.enabled=false",
-            "-Dorg.slf4j.simpleLogger.log.fleet=debug", "-Dorg.slf4j.simpleLogger.log.budget=debug", "-jar", jar.toString(), "serve", "--settings",
-            settings.toString());
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:ActiveProcessorCount=1",
+                "-Xshare:auto",
+                "-Xms24m",
+                "-Xmx64m",
+                "-Xss512k",
+                "-XX:-UsePerfData",
+                "-Djava.net.preferIPv4Stack=true",
+                "-Dio.netty.jfr.enabled=false",
+                "-Dorg.slf4j.simpleLogger.log.fleet=debug",
+                "-Dorg.slf4j.simpleLogger.log.budget=debug",
+                "-jar",
+                jar.toString(),
+                "serve",
+                "--settings",
+                settings.toString());
         builder.environment().put("RELAY_CONFIG", config.toString());
         builder.environment().put("TMPDIR", own.toString());
         builder.redirectErrorStream(true).redirectOutput(log.toFile());
         synchronized (this) {
-            Doorman d = new Doorman(number, slot, name, builder.start(), log, settings, clockMs,
-                format);
+            Doorman d = new Doorman(number, slot, name, builder.start(), log, settings, clockMs, format);
             all.add(d);
             running[slot] = d;
         }
     }
 
     private JSONObject configuration(int slot, String name, int number) {
-        JSONObject json = new JSONObject(new JSONTokener(RealFleet.class.getResourceAsStream(
-            "/barleyspur/rehearsal.json"))).put("channel", channel.getHostString() + ":" + CHANNEL);
-        return configure.apply(json).put("name", name).put("listen", host(slot) + ":" + CLIENTS).put("mgmt", host(slot) + ":" + SECOND)
-            .put("seed", Long.toHexString(schedule.seed() * 1_000 + number));
+        JSONObject json = new JSONObject(
+                        new JSONTokener(RealFleet.class.getResourceAsStream("/barleyspur/rehearsal.json")))
+                .put("channel", channel.getHostString() + ":" + CHANNEL);
+        return configure
+                .apply(json)
+                .put("name", name)
+                .put("listen", host(slot) + ":" + CLIENTS)
+                .put("mgmt", host(slot) + ":" + SECOND)
+                .put("seed", Long.toHexString(schedule.seed() * 1_000 + number));
     }
 
     private String settings(int slot, double clockMs, int format) {
         StringBuilder seeds = new StringBuilder();
         for (int s : schedule.seeds()) {
             if (s != slot) {
-                seeds.append(seeds.isEmpty() ? "" : ", ").append('"').append(host(s)).append(':').append(RELAY)
-                    .append('"');
+                seeds.append(seeds.isEmpty() ? "" : ", ")
+                        .append('"')
+                        .append(host(s))
+                        .append(':')
+                        .append(RELAY)
+                        .append('"');
             }
         }
         return "fleet \"lab\" {\n  listen = \"" + host(slot) + ":" + FLEET + "\"\n  advertise = \"" + host(slot) + ":"
-            + RELAY + "\"\n  seeds = [" + seeds + "]\n  key_file = \"" + folder.resolve("fleet.key")
-            + "\"\n  period = \"" + Math.round(schedule.periodMs()) + "ms\"\n  clock_offset = \""
-            + Math.round(clockMs) + "ms\"\n  format = " + format + "\n}\n" + more;
+                + RELAY + "\"\n  seeds = [" + seeds + "]\n  key_file = \"" + folder.resolve("fleet.key")
+                + "\"\n  period = \"" + Math.round(schedule.periodMs()) + "ms\"\n  clock_offset = \""
+                + Math.round(clockMs) + "ms\"\n  format = " + format + "\n}\n" + more;
     }
 
     private static void signal(Process process, String signal) throws IOException {
         try {
-            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
+            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid())
+                    .start()
+                    .waitFor();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -328,9 +362,14 @@
             }
         } else if (fault instanceof Fault.Quiesce f) {
             for (Doorman d : each(f.slots())) {
-                client.sendAsync(HttpRequest.newBuilder(URI.create("http://" + host(d.slot) + ":" + SECOND + "/admin/"
-                    + (f.on() ? "quiesce" : "resume"))).timeout(PATIENCE).PUT(HttpRequest.BodyPublishers.noBody())
-                    .build(), HttpResponse.BodyHandlers.discarding()).join();
+                client.sendAsync(
+                                HttpRequest.newBuilder(URI.create("http://" + host(d.slot) + ":" + SECOND + "/admin/"
+                                                + (f.on() ? "quiesce" : "resume")))
+                                        .timeout(PATIENCE)
+                                        .PUT(HttpRequest.BodyPublishers.noBody())
+                                        .build(),
+                                HttpResponse.BodyHandlers.discarding())
+                        .join();
             }
         } else if (fault instanceof Fault.Start f) {
             for (int slot : f.slots()) {
@@ -360,9 +399,16 @@
             d.starver = null;
         }
         if (share < 1) {
-            d.starver = new ProcessBuilder("sh", "-c", String.format(java.util.Locale.ROOT,
-                "while kill -STOP %1$d 2>/dev/null; do sleep %2$.3f; kill -CONT %1$d 2>/dev/null; sleep %3$.3f; done",
-                d.process.pid(), 0.1 * (1 - share), 0.1 * share)).start();
+            d.starver = new ProcessBuilder(
+                            "sh",
+                            "-c",
+                            String.format(
+                                    java.util.Locale.ROOT,
+                                    "while kill -STOP %1$d 2>/dev/null; do sleep %2$.3f; kill -CONT %1$d 2>/dev/null; sleep %3$.3f; done",
+                                    d.process.pid(),
+                                    0.1 * (1 - share),
+                                    0.1 * share))
+                    .start();
         } else {
             signal(d.process, "CONT");
         }
@@ -414,7 +460,7 @@
             if (!d.process.isAlive() && running[d.slot] == d) {
                 if (!d.leaving) {
                     watch.broken("process " + d.number + " (" + d.name + ") ended by itself with "
-                        + d.process.exitValue() + ": see " + d.log);
+                            + d.process.exitValue() + ": see " + d.log);
                 }
                 gone(d);
             }
@@ -430,7 +476,8 @@
         }
         Map<String, String> keys = new HashMap<>();
         StringBuilder event = new StringBuilder();
-        for (String word : line.substring(line.indexOf(" - mono=", Math.max(at, ofBudgets)) + " - ".length()).split(" ")) {
+        for (String word : line.substring(line.indexOf(" - mono=", Math.max(at, ofBudgets)) + " - ".length())
+                .split(" ")) {
             int equals = word.indexOf('=');
             if (equals > 0) {
                 keys.put(word.substring(0, equals), word.substring(equals + 1));
@@ -444,16 +491,26 @@
             }
             return;
         }
-        String kind = switch (event.toString()) {
-            case "member joined" -> "Joined";
-            case "member updated" -> "Updated";
-            case "member lost" -> "Lost";
-            case "name given up", "name taken back" -> "Name";
-            default -> "Doubt";
-        };
-        watch.told(new Watch.Told(Double.parseDouble(keys.get("mono")) - startNanos / NANOS_PER_MS, d.number, d.slot,
-            kind, Long.parseLong(keys.get("version")), keys.get("member"), number(keys, "life"), number(keys, "nonce"),
-            number(keys, "incarnation"), keys.getOrDefault("standing", ""), keys.getOrDefault("why", "")));
+        String kind =
+                switch (event.toString()) {
+                    case "member joined" -> "Joined";
+                    case "member updated" -> "Updated";
+                    case "member lost" -> "Lost";
+                    case "name given up", "name taken back" -> "Name";
+                    default -> "Doubt";
+                };
+        watch.told(new Watch.Told(
+                Double.parseDouble(keys.get("mono")) - startNanos / NANOS_PER_MS,
+                d.number,
+                d.slot,
+                kind,
+                Long.parseLong(keys.get("version")),
+                keys.get("member"),
+                number(keys, "life"),
+                number(keys, "nonce"),
+                number(keys, "incarnation"),
+                keys.getOrDefault("standing", ""),
+                keys.getOrDefault("why", "")));
     }
 
     private static long number(Map<String, String> keys, String key) {
@@ -464,9 +521,15 @@
         Map<Doorman, CompletableFuture<JSONObject>> asked = new HashMap<>();
         for (Doorman d : running) {
             if (d != null && !d.frozen && !d.leaving) {
-                asked.put(d, client.sendAsync(HttpRequest.newBuilder(URI.create("http://" + host(d.slot) + ":" + SECOND
-                    + "/admin/fleet")).timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString())
-                    .thenApply(answer -> new JSONObject(answer.body())));
+                asked.put(
+                        d,
+                        client.sendAsync(
+                                        HttpRequest.newBuilder(URI.create(
+                                                        "http://" + host(d.slot) + ":" + SECOND + "/admin/fleet"))
+                                                .timeout(PATIENCE)
+                                                .build(),
+                                        HttpResponse.BodyHandlers.ofString())
+                                .thenApply(answer -> new JSONObject(answer.body())));
             }
         }
         Map<Doorman, JSONObject> views = new HashMap<>();
@@ -535,11 +598,13 @@
             }
             digest = digest == null ? view.getString("digest") : digest;
             if (!seen.equals(names) || !digest.equals(view.getString("digest"))) {
-                return e.getKey() + " sees " + seen + " of " + names + ", digest " + view.getString("digest") + " against "
-                    + digest;
+                return e.getKey() + " sees " + seen + " of " + names + ", digest " + view.getString("digest")
+                        + " against " + digest;
             }
         }
-        return holders.keySet().equals(names) ? null : "of " + names + " only " + holders.keySet() + " hold their names";
+        return holders.keySet().equals(names)
+                ? null
+                : "of " + names + " only " + holders.keySet() + " hold their names";
     }
 
     List<Struck> struck() {
@@ -566,9 +631,13 @@
                 }
             }
         }
-        return String.format(java.util.Locale.ROOT, "%d processes, each %.2f%% of a core over %.0f s and %.1f MB", count,
-            100 * cpu / ((nowMs() - calmFromMs) / 1e3) / Math.max(1, count),
-            (nowMs() - calmFromMs) / 1e3, kilobytes / 1024 / Math.max(1, count));
+        return String.format(
+                java.util.Locale.ROOT,
+                "%d processes, each %.2f%% of a core over %.0f s and %.1f MB",
+                count,
+                100 * cpu / ((nowMs() - calmFromMs) / 1e3) / Math.max(1, count),
+                (nowMs() - calmFromMs) / 1e3,
+                kilobytes / 1024 / Math.max(1, count));
     }
 
     private synchronized void end() {
--- a/lab/src/main/java/barleyspur/lab/fleet/Relays.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/Relays.java
@@ -45,20 +45,25 @@
         for (int i = 0; i < channels.length; i++) {
             int slot = i;
             senders.put(doormans.get(i), i);
-            channels[i] = new Bootstrap().group(group).channel(NioDatagramChannel.class)
-                .option(ChannelOption.SO_RCVBUF, BUFFER)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LONGEST))
-                .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
-                    @Override
-                    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-                        pass(slot, packet);
-                    }
+            channels[i] = new Bootstrap()
+                    .group(group)
+                    .channel(NioDatagramChannel.class)
+                    .option(ChannelOption.SO_RCVBUF, BUFFER)
+                    .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LONGEST))
+                    .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                        @Override
+                        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+                            pass(slot, packet);
+                        }
 
-                    @Override
-                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                        // The doorman behind it is down: that is what the schedule wants.
-                    }
-                }).bind(relays.get(i)).sync().channel();
+                        @Override
+                        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                            // The doorman behind it is down: that is what the schedule wants.
+                        }
+                    })
+                    .bind(relays.get(i))
+                    .sync()
+                    .channel();
         }
     }
 
@@ -81,8 +86,8 @@
     }
 
     private void send(int from, int to, byte[] arrives) {
-        channels[from].writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(arrives), doormans[to]),
-            channels[from].voidPromise());
+        channels[from].writeAndFlush(
+                new DatagramPacket(Unpooled.wrappedBuffer(arrives), doormans[to]), channels[from].voidPromise());
     }
 
     /** The loop's group, for what else stands in for others. */
@@ -94,7 +99,8 @@
         loop.submit(() -> links.apply(fault)).syncUninterruptibly();
     }
 
-    List<Set<Integer>> components(Set<Integer> up) throws InterruptedException, java.util.concurrent.ExecutionException {
+    List<Set<Integer>> components(Set<Integer> up)
+            throws InterruptedException, java.util.concurrent.ExecutionException {
         return loop.submit(() -> links.components(up)).get();
     }
 
--- a/lab/src/main/java/barleyspur/lab/fleet/ScenarioFile.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/ScenarioFile.java
@@ -47,7 +47,11 @@
         Hcl.Block root = Hcl.read(file, text);
         root.close(List.of("scenario"));
         if (root.blocks().size() != 1) {
-            throw new Hcl.Invalid(file, 1, "wants one block scenario \"NAME\" { ... }, not " + root.blocks().size());
+            throw new Hcl.Invalid(
+                    file,
+                    1,
+                    "wants one block scenario \"NAME\" { ... }, not "
+                            + root.blocks().size());
         }
         Hcl.Block b = root.blocks().get(0);
         String name = b.label();
@@ -82,7 +86,8 @@
             if (b.blocks("load").isEmpty() && b.blocks("budget").isEmpty()) {
                 return null;
             }
-            throw b.invalid("wants one block load { ... } beside its budgets, not " + b.blocks("load").size());
+            throw b.invalid("wants one block load { ... } beside its budgets, not "
+                    + b.blocks("load").size());
         }
         Hcl.Block load = b.blocks("load").get(0);
         int voters = (int) load.number("voters", Math.min(3, slots), 1, slots);
@@ -99,9 +104,15 @@
             budgets.put(budget.name(), budget);
             each.close(List.of());
         }
-        Schedule.Use use = new Schedule.Use(new Terms(List.of(), largest, term, hold, slack, budgets), voters, at,
-            (int) load.number("caches", 3, 1, 200), load.number("per_s", 300, 1, 100_000), time(load, "jump", 0, 0, MOST_MS),
-            time(load, "hit", 20, 1, 5_000), time(load, "cold", 0, 0, MOST_MS));
+        Schedule.Use use = new Schedule.Use(
+                new Terms(List.of(), largest, term, hold, slack, budgets),
+                voters,
+                at,
+                (int) load.number("caches", 3, 1, 200),
+                load.number("per_s", 300, 1, 100_000),
+                time(load, "jump", 0, 0, MOST_MS),
+                time(load, "hit", 20, 1, 5_000),
+                time(load, "cold", 0, 0, MOST_MS));
         load.close(List.of());
         return use;
     }
@@ -109,7 +120,8 @@
     private Schedule.Step step(Hcl.Block b) throws Hcl.Invalid {
         Matcher when = WHEN.matcher(b.label());
         if (!when.matches() || b.label().isBlank()) {
-            throw b.invalid("has a time that is none: \"" + b.label() + "\"; as in \"2s\", \"settled\", \"settled + 500ms\"");
+            throw b.invalid(
+                    "has a time that is none: \"" + b.label() + "\"; as in \"2s\", \"settled\", \"settled + 500ms\"");
         }
         double after = when.group(2) == null ? 0 : Hcl.millis(when.group(2));
         Fault fault = fault(b);
@@ -132,7 +144,10 @@
             throw clock.invalid("is no time: " + clock.value());
         }
         int format = (int) b.number("format", 2, 1, 2);
-        add(found, b.value("start"), s -> new Fault.Start(s, as == null ? "" : String.valueOf(as.value()), offset, format));
+        add(
+                found,
+                b.value("start"),
+                s -> new Fault.Start(s, as == null ? "" : String.valueOf(as.value()), offset, format));
         Hcl.Value of = b.value("of");
         if (of != null) {
             found.add(new Fault.Whole(of.text(), (long) b.number("whole", 0, 1, 1e9)));
@@ -143,13 +158,21 @@
         }
         for (Hcl.Block f : b.blocks()) {
             switch (f.type()) {
-                case "cut", "mend" -> found.add(new Fault.Cut(slots(f, "from"), slots(f, "to"), f.type().equals("mend")));
+                case "cut", "mend" ->
+                    found.add(new Fault.Cut(
+                            slots(f, "from"), slots(f, "to"), f.type().equals("mend")));
                 case "split" -> found.add(split(f));
-                case "weather" -> found.add(new Fault.Weather(slots(f, "from"), slots(f, "to"), new Fault.Noise(
-                    f.number("loss", 0, 0, 1), time(f, "delay", 0, 0, 10_000), f.number("twice", 0, 0, 1),
-                    f.number("garbage", 0, 0, 1))));
+                case "weather" ->
+                    found.add(new Fault.Weather(
+                            slots(f, "from"),
+                            slots(f, "to"),
+                            new Fault.Noise(
+                                    f.number("loss", 0, 0, 1),
+                                    time(f, "delay", 0, 0, 10_000),
+                                    f.number("twice", 0, 0, 1),
+                                    f.number("garbage", 0, 0, 1))));
                 case "starve" -> found.add(new Fault.Starve(slots(f, "who"), f.number("share", 0.1, 0.01, 1)));
-                default -> { }
+                default -> {}
             }
             f.close(List.of());
         }
@@ -211,7 +234,7 @@
     }
 
     private static double time(Hcl.Block b, String key, double otherwise, double least, double most)
-        throws Hcl.Invalid {
+            throws Hcl.Invalid {
         Hcl.Value v = b.value(key);
         double ms = v == null ? otherwise : Hcl.millis(v.text());
         if (!(ms >= least && ms <= most)) {
@@ -225,12 +248,16 @@
     /** The schedule as a file that reads as the same. */
     static String write(Schedule s) {
         StringBuilder out = new StringBuilder("scenario \"" + s.name() + "\" {\n  doormans = " + s.started()
-            + "\n  slots = " + s.slots() + "\n  seeds = " + names(Set.copyOf(s.seeds())) + "\n  period = "
-            + ms(s.periodMs()) + "\n  settle = " + ms(s.settleMs()) + "\n  seed = " + s.seed() + "\n" + use(s.use()));
+                + "\n  slots = " + s.slots() + "\n  seeds = " + names(Set.copyOf(s.seeds())) + "\n  period = "
+                + ms(s.periodMs()) + "\n  settle = " + ms(s.settleMs()) + "\n  seed = " + s.seed() + "\n"
+                + use(s.use()));
         for (Schedule.Step step : s.steps()) {
-            out.append("  step \"").append(step.settled() ? "settled + " : "")
-                .append(ms(step.afterMs()).replace("\"", "")).append("\" {\n").append(fault(step.fault()))
-                .append("  }\n");
+            out.append("  step \"")
+                    .append(step.settled() ? "settled + " : "")
+                    .append(ms(step.afterMs()).replace("\"", ""))
+                    .append("\" {\n")
+                    .append(fault(step.fault()))
+                    .append("  }\n");
         }
         return out.append("}\n").toString();
     }
@@ -241,20 +268,23 @@
         }
         Terms t = u.terms();
         StringBuilder out = new StringBuilder("  load {\n    caches = " + u.caches() + "\n    per_s = " + u.perS()
-            + "\n    jump = " + ms(u.jumpMs()) + "\n    hit = " + ms(u.hitMs()) + "\n    cold = " + ms(u.coldMs())
-            + "\n    voters = " + u.voters() + "\n    largest = " + t.largest() + "\n    term = " + ms(t.termMs())
-            + "\n    hold = " + ms(t.holdMs()) + "\n    slack = " + ms(t.slackMs()) + "\n  }\n");
-        t.budgets().values().stream().sorted(Comparator.comparing(Terms.Budget::name)).forEach(b ->
-            out.append(budget(b, u.at().get(b.name()), "  ")));
+                + "\n    jump = " + ms(u.jumpMs()) + "\n    hit = " + ms(u.hitMs()) + "\n    cold = " + ms(u.coldMs())
+                + "\n    voters = " + u.voters() + "\n    largest = " + t.largest() + "\n    term = " + ms(t.termMs())
+                + "\n    hold = " + ms(t.holdMs()) + "\n    slack = " + ms(t.slackMs()) + "\n  }\n");
+        t.budgets().values().stream()
+                .sorted(Comparator.comparing(Terms.Budget::name))
+                .forEach(b -> out.append(budget(b, u.at().get(b.name()), "  ")));
         return out.toString();
     }
 
     /** A budget's block, as scenarios and our own settings have it. */
     static String budget(Terms.Budget b, String at, String indent) {
-        return indent + "budget \"" + b.name() + "\" {\n" + indent + "  kind = \"" + b.kind().name().toLowerCase(Locale.ROOT)
-            + "\"\n" + indent + "  whole = " + b.whole() + "\n" + (b.kind() == Kind.RATE ? indent + "  burst = " + b.burst()
-            + "\n" : "") + indent + "  floor = " + b.floor() + "\n" + indent + "  lease = " + ms(b.leaseMs()) + "\n" + indent
-            + "  at = \"" + at + "\"\n" + indent + "}\n";
+        return indent + "budget \"" + b.name() + "\" {\n" + indent + "  kind = \""
+                + b.kind().name().toLowerCase(Locale.ROOT)
+                + "\"\n" + indent + "  whole = " + b.whole() + "\n"
+                + (b.kind() == Kind.RATE ? indent + "  burst = " + b.burst() + "\n" : "") + indent + "  floor = "
+                + b.floor() + "\n" + indent + "  lease = " + ms(b.leaseMs()) + "\n" + indent
+                + "  at = \"" + at + "\"\n" + indent + "}\n";
     }
 
     private static String ms(double ms) {
@@ -264,7 +294,10 @@
     private static String names(Set<Integer> slots) {
         StringBuilder out = new StringBuilder("[");
         for (int slot : new TreeSet<>(slots)) {
-            out.append(out.length() > 1 ? ", " : "").append("\"d").append(slot + 1).append('"');
+            out.append(out.length() > 1 ? ", " : "")
+                    .append("\"d")
+                    .append(slot + 1)
+                    .append('"');
         }
         return out.append(']').toString();
     }
@@ -281,23 +314,31 @@
         } else if (fault instanceof Fault.Quiesce f) {
             return "    " + (f.on() ? "quiesce" : "resume") + " = " + names(f.slots()) + "\n";
         } else if (fault instanceof Fault.Start f) {
-            return "    start = " + names(f.slots()) + "\n" + (f.name().isEmpty() ? "" : "    as = \"" + f.name()
-                + "\"\n") + "    clock = " + ms(f.clockMs()) + "\n    format = " + f.format() + "\n";
+            return "    start = " + names(f.slots()) + "\n"
+                    + (f.name().isEmpty() ? "" : "    as = \"" + f.name() + "\"\n") + "    clock = " + ms(f.clockMs())
+                    + "\n    format = " + f.format() + "\n";
         } else if (fault instanceof Fault.Cut f) {
             return "    " + (f.mended() ? "mend" : "cut") + " {\n      from = " + names(f.from()) + "\n      to = "
-                + names(f.to()) + "\n    }\n";
+                    + names(f.to()) + "\n    }\n";
         } else if (fault instanceof Fault.Split f) {
             StringBuilder groups = new StringBuilder();
             for (Set<Integer> group : f.groups()) {
-                groups.append(groups.isEmpty() ? "" : ", ").append('"').append(names(group).replaceAll("[\\[\\]\",]",
-                    "")).append('"');
+                groups.append(groups.isEmpty() ? "" : ", ")
+                        .append('"')
+                        .append(names(group).replaceAll("[\\[\\]\",]", ""))
+                        .append('"');
             }
             return "    split {\n      groups = [" + groups + "]\n    }\n";
         } else if (fault instanceof Fault.Weather f) {
             return "    weather {\n      from = " + names(f.from()) + "\n      to = " + names(f.to()) + "\n"
-                + String.format(Locale.ROOT, "      loss = %.4f%n      delay = \"%.3fms\"%n      twice = %.4f%n"
-                + "      garbage = %.4f%n    }%n", f.noise().loss(), f.noise().delayMs(), f.noise().twice(),
-                f.noise().garbage());
+                    + String.format(
+                            Locale.ROOT,
+                            "      loss = %.4f%n      delay = \"%.3fms\"%n      twice = %.4f%n"
+                                    + "      garbage = %.4f%n    }%n",
+                            f.noise().loss(),
+                            f.noise().delayMs(),
+                            f.noise().twice(),
+                            f.noise().garbage());
         } else if (fault instanceof Fault.Whole f) {
             return "    of = \"" + f.budget() + "\"\n    whole = " + f.whole() + "\n";
         } else if (fault instanceof Fault.Starve f) {
--- a/lab/src/main/java/barleyspur/lab/fleet/Schedule.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/Schedule.java
@@ -21,11 +21,27 @@
  * @param drawn    how many faults were drawn from the seed; 0 where the steps are written out
  * @param use      budgets and the load on them, or null
  */
-public record Schedule(String name, int slots, int started, List<Integer> seeds, double periodMs, List<Step> steps,
-                       double settleMs, long seed, int drawn, Use use) {
+public record Schedule(
+        String name,
+        int slots,
+        int started,
+        List<Integer> seeds,
+        double periodMs,
+        List<Step> steps,
+        double settleMs,
+        long seed,
+        int drawn,
+        Use use) {
 
-    Schedule(String name, int slots, int started, List<Integer> seeds, double periodMs, List<Step> steps,
-             double settleMs, long seed) {
+    Schedule(
+            String name,
+            int slots,
+            int started,
+            List<Integer> seeds,
+            double periodMs,
+            List<Step> steps,
+            double settleMs,
+            long seed) {
         this(name, slots, started, seeds, periodMs, steps, settleMs, seed, 0, null);
     }
 
@@ -41,12 +57,24 @@
      * @param hitMs  what a hit at a cache takes
      * @param coldMs when the first cache starts, so that amounts count for it from then on; 0: long ago
      */
-    public record Use(Terms terms, int voters, Map<String, String> at, int caches, double perS, double jumpMs, double hitMs,
-                      double coldMs) {
+    public record Use(
+            Terms terms,
+            int voters,
+            Map<String, String> at,
+            int caches,
+            double perS,
+            double jumpMs,
+            double hitMs,
+            double coldMs) {
 
         Terms terms(List<String> addresses) {
-            return new Terms(addresses.subList(0, voters), terms.largest(), terms.termMs(), terms.holdMs(), terms.slackMs(),
-                terms.budgets());
+            return new Terms(
+                    addresses.subList(0, voters),
+                    terms.largest(),
+                    terms.termMs(),
+                    terms.holdMs(),
+                    terms.slackMs(),
+                    terms.budgets());
         }
 
         /** Requests a second at one of so many doormans at a moment. */
@@ -81,8 +109,9 @@
 
     /** Another one of the kind: other faults where they were drawn, else the same steps. */
     Schedule with(long otherSeed) {
-        return drawn > 0 ? random(started, drawn, periodMs, settleMs, otherSeed).with(use)
-            : new Schedule(name, slots, started, seeds, periodMs, steps, settleMs, otherSeed, 0, use);
+        return drawn > 0
+                ? random(started, drawn, periodMs, settleMs, otherSeed).with(use)
+                : new Schedule(name, slots, started, seeds, periodMs, steps, settleMs, otherSeed, 0, use);
     }
 
     /** The same with budgets. */
@@ -127,8 +156,17 @@
         if (!start.isEmpty()) {
             steps.add(new Step(1, new Fault.Start(start, "", 0, 2)));
         }
-        return new Schedule("random", doormans, doormans, List.of(0, 1), periodMs, List.copyOf(steps), settleMs, seed,
-            faults, null);
+        return new Schedule(
+                "random",
+                doormans,
+                doormans,
+                List.of(0, 1),
+                periodMs,
+                List.copyOf(steps),
+                settleMs,
+                seed,
+                faults,
+                null);
     }
 
     private static Set<Integer> some(SplittableRandom random, int doormans, int most) {
@@ -192,8 +230,14 @@
                 return new Fault.Heal();
             }
             default -> {
-                return new Fault.Weather(all, all, new Fault.Noise(random.nextDouble() * 0.3, random.nextDouble() * 100,
-                    random.nextDouble() * 0.2, random.nextDouble() * 0.1));
+                return new Fault.Weather(
+                        all,
+                        all,
+                        new Fault.Noise(
+                                random.nextDouble() * 0.3,
+                                random.nextDouble() * 100,
+                                random.nextDouble() * 0.2,
+                                random.nextDouble() * 0.1));
             }
         }
     }
--- a/lab/src/main/java/barleyspur/lab/fleet/Shrinker.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/Shrinker.java
@@ -7,7 +7,7 @@
 /** Makes a schedule that breaks a promise smaller: leaves out steps for as long as what is left still breaks one. */
 final class Shrinker {
 
-    private Shrinker() { }
+    private Shrinker() {}
 
     /** What a schedule breaks when it is played in virtual time. */
     static List<String> broken(Schedule schedule) {
@@ -29,7 +29,7 @@
     static Schedule shrink(Schedule schedule, Predicate<Schedule> breaks) {
         List<Schedule.Step> steps = new ArrayList<>(schedule.steps());
         for (int size = Math.max(1, steps.size() / 2); size >= 1; size /= 2) {
-            for (int from = 0; from + size <= steps.size();) {
+            for (int from = 0; from + size <= steps.size(); ) {
                 List<Schedule.Step> fewer = new ArrayList<>(steps);
                 fewer.subList(from, from + size).clear();
                 if (breaks.test(schedule.with(fewer))) {
--- a/lab/src/main/java/barleyspur/lab/fleet/VirtualFleet.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/VirtualFleet.java
@@ -33,6 +33,7 @@
     private static final double FAREWELL_MS = 300;
     /** Events at one moment beyond which somebody is caught in a circle. */
     private static final int MOST_AT_ONCE = 100_000;
+
     private static final double START_STORM_MS = 100;
     private static final double SETTLE_LOOK_MS = 50;
 
@@ -64,9 +65,14 @@
                     seeds.add(address(s));
                 }
             }
-            membership = new Membership(name, (long) (WALL_MS + nowMs + clockMs), new About(address(slot), "z"
-                + slot % 3, "serving", "v", 1, format, null), new Times(schedule.periodMs(), 600_000), seeds,
-                random.nextLong(), this::carryOut);
+            membership = new Membership(
+                    name,
+                    (long) (WALL_MS + nowMs + clockMs),
+                    new About(address(slot), "z" + slot % 3, "serving", "v", 1, format, null),
+                    new Times(schedule.periodMs(), 600_000),
+                    seeds,
+                    random.nextLong(),
+                    this::carryOut);
         }
 
         private void carryOut(Action action) {
@@ -82,17 +88,17 @@
         }
     }
 
-    private record Event(double atMs, long order, Runnable what) { }
+    private record Event(double atMs, long order, Runnable what) {}
 
     private final Schedule schedule;
     private final SplittableRandom random;
     private final Watch watch;
     private final Links links;
     private final boolean encodes;
-    private final Codec codec = new Codec("lab", "a key that no fleet should have in use".getBytes(
-        StandardCharsets.UTF_8));
+    private final Codec codec =
+            new Codec("lab", "a key that no fleet should have in use".getBytes(StandardCharsets.UTF_8));
     private final PriorityQueue<Event> events = new PriorityQueue<>(
-        (a, b) -> a.atMs != b.atMs ? Double.compare(a.atMs, b.atMs) : Long.compare(a.order, b.order));
+            (a, b) -> a.atMs != b.atMs ? Double.compare(a.atMs, b.atMs) : Long.compare(a.order, b.order));
     private final Process[] running;
     private final List<Process> processes = new ArrayList<>();
     private long order;
@@ -100,8 +106,9 @@
     double nowMs;
     /** Changes the membership's datagrams on their way out, for wrong versions and liars; else null. */
     private UnaryOperator<Datagram> tampering;
+
     private int tamperedSlot = -1;
-    private Consumer<Process> onStart = p -> { };
+    private Consumer<Process> onStart = p -> {};
 
     VirtualFleet(Schedule schedule, Watch watch, boolean encodes) {
         this.schedule = schedule;
@@ -277,9 +284,18 @@
     private void tell(Process p, Change change) {
         Saying s = change instanceof Change.OfMember c ? c.member() : null;
         String why = change instanceof Change.OfMember c ? c.why().name() : "";
-        watch.told(new Watch.Told(nowMs, p.number, p.slot, change.getClass().getSimpleName(), change.version(),
-            s == null ? null : s.name(), s == null ? 0 : s.life(), s == null ? 0 : s.nonce(),
-            s == null ? 0 : s.incarnation(), s == null ? "" : s.standing().name(), why));
+        watch.told(new Watch.Told(
+                nowMs,
+                p.number,
+                p.slot,
+                change.getClass().getSimpleName(),
+                change.version(),
+                s == null ? null : s.name(),
+                s == null ? 0 : s.life(),
+                s == null ? 0 : s.nonce(),
+                s == null ? 0 : s.incarnation(),
+                s == null ? "" : s.standing().name(),
+                why));
     }
 
     private void wake(Process p) {
@@ -385,8 +401,8 @@
             }
             if (p.membership.members() != byName.size() || p.membership.digest() != digest) {
                 return p.name + " sees " + p.membership.members() + " of " + byName.size() + ", digest "
-                    + Long.toHexString(p.membership.digest()) + " against " + Long.toHexString(digest) + difference(p,
-                    byName);
+                        + Long.toHexString(p.membership.digest()) + " against " + Long.toHexString(digest)
+                        + difference(p, byName);
             }
             // Not only by the digests' word, where that can be afforded.
             String different = encodes ? difference(p, byName) : "";
@@ -403,9 +419,15 @@
             Process other = byName.get(m.saying().name());
             Saying own = other == null ? null : other.membership.self();
             if (m.listed() != (own != null) || own != null && m.saying().compareTo(own) != 0) {
-                text.append(", ").append(m.saying().name()).append(' ').append(m.listed() ? "" : "out ")
-                    .append(m.saying().standing()).append(' ').append(m.saying().incarnation()).append(" in truth ")
-                    .append(own == null ? "gone" : String.valueOf(own.incarnation()));
+                text.append(", ")
+                        .append(m.saying().name())
+                        .append(' ')
+                        .append(m.listed() ? "" : "out ")
+                        .append(m.saying().standing())
+                        .append(' ')
+                        .append(m.saying().incarnation())
+                        .append(" in truth ")
+                        .append(own == null ? "gone" : String.valueOf(own.incarnation()));
             }
         }
         return text.length() > 400 ? text.substring(0, 400) : text.toString();
--- a/lab/src/main/java/barleyspur/lab/fleet/Watch.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/Watch.java
@@ -13,13 +13,24 @@
 final class Watch {
 
     /** One change as a process told it. */
-    record Told(double atMs, int process, int slot, String kind, long version, String member, long life, long nonce,
-                long incarnation, String standing, String why) { }
+    record Told(
+            double atMs,
+            int process,
+            int slot,
+            String kind,
+            long version,
+            String member,
+            long life,
+            long nonce,
+            long incarnation,
+            String standing,
+            String why) {}
 
     private record Key(long life, long nonce, long incarnation) {
         boolean under(Key other) {
-            return life != other.life ? life < other.life : nonce != other.nonce ? nonce < other.nonce
-                : incarnation < other.incarnation;
+            return life != other.life
+                    ? life < other.life
+                    : nonce != other.nonce ? nonce < other.nonce : incarnation < other.incarnation;
         }
     }
 
@@ -58,8 +69,9 @@
 
     private void broken(String promise, Told t, String detail) {
         if (broken.size() < 20) {
-            broken.add(String.format("%s: at %.0f ms process %d in slot %d: %s of %s: %s", promise, t.atMs, t.process,
-                t.slot, t.kind, t.member, detail));
+            broken.add(String.format(
+                    "%s: at %.0f ms process %d in slot %d: %s of %s: %s",
+                    promise, t.atMs, t.process, t.slot, t.kind, t.member, detail));
         }
     }
 
--- a/lab/src/main/java/barleyspur/lab/stand/StandBoxes.java
+++ b/lab/src/main/java/barleyspur/lab/stand/StandBoxes.java
@@ -27,7 +27,11 @@
 public final class StandBoxes {
 
     /** What a box is, as the settings' flavors are numbered. */
-    public enum Kind { CACHE, PARENT, ORIGIN }
+    public enum Kind {
+        CACHE,
+        PARENT,
+        ORIGIN
+    }
 
     private static final int BODY = 2_000;
     private static final int KEEPS = 5_000;
@@ -106,13 +110,17 @@
                 return size() > KEEPS;
             }
         };
-        new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new RespDecoder(), new Box(kind, kept, tally));
-                }
-            }).bind(address).sync();
+        new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new RespDecoder(), new Box(kind, kept, tally));
+                    }
+                })
+                .bind(address)
+                .sync();
     }
 
     private final class Box extends SimpleChannelInboundHandler<RespDecoder.Message> {
@@ -160,21 +168,33 @@
             } else if (kind != Kind.ORIGIN) {
                 kept.put(part, true);
             }
-            answer(ctx, id, "DONE", "how=" + (held ? "h" : "f") + ",digest=4be0c1927d55a6f3,dated="
-                + System.currentTimeMillis(), BODY, held ? hitMs : kind == Kind.ORIGIN || once ? ORIGIN_MS
-                : hitMs + FILL_MS);
+            answer(
+                    ctx,
+                    id,
+                    "DONE",
+                    "how=" + (held ? "h" : "f") + ",digest=4be0c1927d55a6f3,dated=" + System.currentTimeMillis(),
+                    BODY,
+                    held ? hitMs : kind == Kind.ORIGIN || once ? ORIGIN_MS : hitMs + FILL_MS);
         }
 
         private void answer(ChannelHandlerContext ctx, String id, String word, String fields, int body, int afterMs) {
-            ctx.executor().schedule(() -> {
-                tally.done();
-                if (!cancelled.remove(id) && ctx.channel().isActive()) {
-                    ByteBuf out = ctx.alloc().buffer();
-                    ByteBufUtil.writeAscii(out, "*4\r\n$" + id.length() + "\r\n" + id + "\r\n$" + word.length() + "\r\n" + word
-                        + "\r\n$" + fields.length() + "\r\n" + fields + "\r\n$" + body + "\r\n");
-                    ctx.writeAndFlush(out.writeZero(body).writeByte('\r').writeByte('\n'));
-                }
-            }, afterMs, TimeUnit.MILLISECONDS);
+            ctx.executor()
+                    .schedule(
+                            () -> {
+                                tally.done();
+                                if (!cancelled.remove(id) && ctx.channel().isActive()) {
+                                    ByteBuf out = ctx.alloc().buffer();
+                                    ByteBufUtil.writeAscii(
+                                            out,
+                                            "*4\r\n$" + id.length() + "\r\n" + id + "\r\n$" + word.length() + "\r\n"
+                                                    + word + "\r\n$" + fields.length() + "\r\n" + fields + "\r\n$"
+                                                    + body + "\r\n");
+                                    ctx.writeAndFlush(
+                                            out.writeZero(body).writeByte('\r').writeByte('\n'));
+                                }
+                            },
+                            afterMs,
+                            TimeUnit.MILLISECONDS);
         }
 
         @Override
--- a/lab/src/main/java/barleyspur/lab/stand/StandChannel.java
+++ b/lab/src/main/java/barleyspur/lab/stand/StandChannel.java
@@ -30,45 +30,56 @@
     /** Tells all that are connected one event more: {@code body} is what stands beside its number, as in {@code "nodes":...}. */
     public void tell(String body) {
         last++;
-        connections.writeAndFlush(Unpooled.copiedBuffer("{\"cursor\":" + last + "," + body + "}\n", StandardCharsets.UTF_8));
+        connections.writeAndFlush(
+                Unpooled.copiedBuffer("{\"cursor\":" + last + "," + body + "}\n", StandardCharsets.UTF_8));
     }
 
     /** Listens; {@code last} is the number of the last event, which all have from their start. */
     public static StandChannel listen(EventLoopGroup group, InetSocketAddress address, long last)
-        throws InterruptedException {
+            throws InterruptedException {
         StandChannel told = new StandChannel(last);
         told.listen(group, address);
         return told;
     }
 
     private void listen(EventLoopGroup group, InetSocketAddress address) throws InterruptedException {
-        new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new SimpleChannelInboundHandler<ByteBuf>() {
-                        @Override
-                        public void channelActive(ChannelHandlerContext ctx) {
-                            connections.add(ctx.channel());
-                            ctx.executor().scheduleAtFixedRate(() -> {
-                                if (ctx.channel().isActive()) {
-                                    ctx.writeAndFlush(ByteBufUtil.writeAscii(ctx.alloc(), last + "\n"));
-                                }
-                            }, 0, 1, TimeUnit.SECONDS);
-                        }
+        new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new SimpleChannelInboundHandler<ByteBuf>() {
+                            @Override
+                            public void channelActive(ChannelHandlerContext ctx) {
+                                connections.add(ctx.channel());
+                                ctx.executor()
+                                        .scheduleAtFixedRate(
+                                                () -> {
+                                                    if (ctx.channel().isActive()) {
+                                                        ctx.writeAndFlush(
+                                                                ByteBufUtil.writeAscii(ctx.alloc(), last + "\n"));
+                                                    }
+                                                },
+                                                0,
+                                                1,
+                                                TimeUnit.SECONDS);
+                            }
 
-                        @Override
-                        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf resume) {
-                            // Nobody lacks anything: events are told once all are connected.
-                            resume.skipBytes(resume.readableBytes());
-                        }
+                            @Override
+                            protected void channelRead0(ChannelHandlerContext ctx, ByteBuf resume) {
+                                // Nobody lacks anything: events are told once all are connected.
+                                resume.skipBytes(resume.readableBytes());
+                            }
 
-                        @Override
-                        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                            ctx.close();
-                        }
-                    });
-                }
-            }).bind(address).sync();
+                            @Override
+                            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                                ctx.close();
+                            }
+                        });
+                    }
+                })
+                .bind(address)
+                .sync();
     }
 }
--- a/lab/src/main/java/barleyspur/lab/stand/StandClients.java
+++ b/lab/src/main/java/barleyspur/lab/stand/StandClients.java
@@ -38,13 +38,14 @@
 
         /** As a row. */
         public String row() {
-            return String.format("%6d asked %6d in time %5d late %5d refused %5d failed %5d lost", asked, served, late,
-                refused, failed, lost);
+            return String.format(
+                    "%6d asked %6d in time %5d late %5d refused %5d failed %5d lost",
+                    asked, served, late, refused, failed, lost);
         }
     }
 
     /** A class of requests: its share of all, when it is wanted and when it is given up. */
-    public record Class(String name, double share, double aimMs, double deadlineMs) { }
+    public record Class(String name, double share, double aimMs, double deadlineMs) {}
 
     private static final int REPLY = 2;
     private static final int STRUCT = 12;
@@ -52,7 +53,7 @@
     private static final double NANOS_PER_MS = 1e6;
     private static final int OBJECTS = 300;
 
-    private record Open(Class c, long sentNanos) { }
+    private record Open(Class c, long sentNanos) {}
 
     private final class Doorman extends SimpleChannelInboundHandler<ByteBuf> {
         private final InetSocketAddress address;
@@ -66,18 +67,22 @@
         }
 
         void connect() {
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 500)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel c) {
-                        c.pipeline().addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, 4, 0, 4), shared());
-                    }
-                }).connect(address).addListener(done -> {
-                    if (!done.isSuccess()) {
-                        loop.schedule(this::connect, 300, TimeUnit.MILLISECONDS);
-                    }
-                });
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 500)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel c) {
+                            c.pipeline().addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, 4, 0, 4), shared());
+                        }
+                    })
+                    .connect(address)
+                    .addListener(done -> {
+                        if (!done.isSuccess()) {
+                            loop.schedule(this::connect, 300, TimeUnit.MILLISECONDS);
+                        }
+                    });
         }
 
         private Doorman shared() {
@@ -109,7 +114,8 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf in) {
             int type = in.readInt() & 0xFF;
-            String method = in.readCharSequence(in.readInt(), StandardCharsets.US_ASCII).toString();
+            String method =
+                    in.readCharSequence(in.readInt(), StandardCharsets.US_ASCII).toString();
             int number = in.readInt();
             if (method.equals("alive")) {
                 taken = true;
@@ -135,19 +141,34 @@
         void ask(Class c) {
             int number = ++next;
             open.put(number, new Open(c, System.nanoTime()));
-            Map<String, String> fields = Map.of("c", c.name, "i", hex(random.nextLong()), "d",
-                Integer.toString((int) c.deadlineMs), "o", hex((long) (OBJECTS * Math.pow(random.nextDouble(), 3)) + 1),
-                "seg", Integer.toString(random.nextInt(8)), "bucket", "1", "m", "100.5");
+            Map<String, String> fields = Map.of(
+                    "c",
+                    c.name,
+                    "i",
+                    hex(random.nextLong()),
+                    "d",
+                    Integer.toString((int) c.deadlineMs),
+                    "o",
+                    hex((long) (OBJECTS * Math.pow(random.nextDouble(), 3)) + 1),
+                    "seg",
+                    Integer.toString(random.nextInt(8)),
+                    "bucket",
+                    "1",
+                    "m",
+                    "100.5");
             ByteBuf frame = call("dispatch", number);
             frame.writeByte(13).writeShort(1).writeByte(11).writeByte(11).writeInt(fields.size());
             fields.forEach((name, value) -> text(text(frame, name), value));
             text(frame.writeByte(11).writeShort(2), "").writeByte(0);
             channel.writeAndFlush(close(frame));
-            loop.schedule(() -> {
-                if (open.remove(number) != null) {
-                    counts(c).lost++;
-                }
-            }, (long) c.deadlineMs + 500, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        if (open.remove(number) != null) {
+                            counts(c).lost++;
+                        }
+                    },
+                    (long) c.deadlineMs + 500,
+                    TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -192,17 +213,21 @@
         loop.execute(() -> doormans.forEach(Doorman::connect));
         long from = System.nanoTime();
         long every = (long) (1e9 / perSecond);
-        loop.scheduleAtFixedRate(() -> {
-            double draw = random.nextDouble();
-            double nowMs = (System.nanoTime() - from) / NANOS_PER_MS;
-            for (int slot = 0; slot < doormans.size(); slot++) {
-                draw -= parts.of(slot, nowMs);
-                if (draw <= 0) {
-                    ask(doormans.get(slot).taken ? List.of(doormans.get(slot)) : List.of());
-                    return;
-                }
-            }
-        }, every, every, TimeUnit.NANOSECONDS);
+        loop.scheduleAtFixedRate(
+                () -> {
+                    double draw = random.nextDouble();
+                    double nowMs = (System.nanoTime() - from) / NANOS_PER_MS;
+                    for (int slot = 0; slot < doormans.size(); slot++) {
+                        draw -= parts.of(slot, nowMs);
+                        if (draw <= 0) {
+                            ask(doormans.get(slot).taken ? List.of(doormans.get(slot)) : List.of());
+                            return;
+                        }
+                    }
+                },
+                every,
+                every,
+                TimeUnit.NANOSECONDS);
     }
 
     private void ask() {
@@ -234,17 +259,19 @@
     /** A row for each class of what was counted since the last call. */
     public List<String> rows() {
         return loop.submit(() -> {
-            List<String> rows = new ArrayList<>();
-            for (Class c : classes) {
-                rows.add(String.format("%-8s %s", c.name, counts(c).row()));
-            }
-            byClass.clear();
-            if (unasked > 0) {
-                rows.add(unasked + " not asked: no doorman was there");
-                unasked = 0;
-            }
-            return rows;
-        }).syncUninterruptibly().getNow();
+                    List<String> rows = new ArrayList<>();
+                    for (Class c : classes) {
+                        rows.add(String.format("%-8s %s", c.name, counts(c).row()));
+                    }
+                    byClass.clear();
+                    if (unasked > 0) {
+                        rows.add(unasked + " not asked: no doorman was there");
+                        unasked = 0;
+                    }
+                    return rows;
+                })
+                .syncUninterruptibly()
+                .getNow();
     }
 
     private static String hex(long number) {
--- a/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
+++ b/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
@@ -41,6 +41,7 @@
     private static final int KILL_MS = 3_700;
     /** Requests on open connections come for so long after SIGTERM. */
     private static final int ASKED_MS = 600;
+
     @TempDir
     Path folder;
 
@@ -50,7 +51,8 @@
 
     @BeforeEach
     void begin() {
-        processes = new ServeProcesses(folder, group, new ServeProcesses.ColdRule(COLD_MS, FALL_MS, COLD_FROM, FALL_MULTIPLE));
+        processes = new ServeProcesses(
+                folder, group, new ServeProcesses.ColdRule(COLD_MS, FALL_MS, COLD_FROM, FALL_MULTIPLE));
     }
 
     @AfterEach
@@ -71,9 +73,24 @@
             while (true) {
                 while (asked - answered < 3 && System.nanoTime() < untilNanos) {
                     long id = ids.getAndIncrement();
-                    client.send("dispatch", ++asked, Map.of("c", id % 10 == 0 ? "record" : "files", "i",
-                        String.format("%016x", id), "d", "2400", "o", String.format("%016x", id % 97), "seg", "0", "bucket",
-                        "1", "m", "100.5"));
+                    client.send(
+                            "dispatch",
+                            ++asked,
+                            Map.of(
+                                    "c",
+                                    id % 10 == 0 ? "record" : "files",
+                                    "i",
+                                    String.format("%016x", id),
+                                    "d",
+                                    "2400",
+                                    "o",
+                                    String.format("%016x", id % 97),
+                                    "seg",
+                                    "0",
+                                    "bucket",
+                                    "1",
+                                    "m",
+                                    "100.5"));
                 }
                 Integer answer = client.answer();
                 if (answer == null) {
@@ -93,8 +110,9 @@
     @Test
     void aDoormanIsReadyWithoutAnybodyElse() throws Exception {
         processes.start(1, 200, processes.channel(3), SIZE);
-        System.out.printf("ready with 200 boxes and no channel after %.1f s of a core%n",
-            processes.process(0).info().totalCpuDuration().orElseThrow().toMillis() / 1e3);
+        System.out.printf(
+                "ready with 200 boxes and no channel after %.1f s of a core%n",
+                processes.process(0).info().totalCpuDuration().orElseThrow().toMillis() / 1e3);
     }
 
     /** Guards: SIGHUP that the parent ignores can't be taken back by the JVM, so the log says that reloads are off. */
@@ -132,8 +150,11 @@
                 all += one.get(30, TimeUnit.SECONDS);
             }
             for (Process process : processes.all()) {
-                assertTrue(process.waitFor(term + TimeUnit.MILLISECONDS.toNanos(KILL_MS) - System.nanoTime(),
-                    TimeUnit.NANOSECONDS), "it ends before SIGKILL may come");
+                assertTrue(
+                        process.waitFor(
+                                term + TimeUnit.MILLISECONDS.toNanos(KILL_MS) - System.nanoTime(),
+                                TimeUnit.NANOSECONDS),
+                        "it ends before SIGKILL may come");
             }
             assertTrue(all > 200, "asked: " + all);
             assertTrue(boxes.runsTwice().startsWith("0 "), boxes.runsTwice());
@@ -144,6 +165,7 @@
 
     /** Caches, a parent and an origin. */
     private static final int FEW = 6;
+
     private static final int DOORMANS = 30;
     private static final double SIZE = 2;
     private static final double COLD_MS = 8_000;
@@ -174,8 +196,11 @@
         Tally cold = boxes.tally(processes.box(0));
         // What was sent before the news has arrived by then.
         cold.watch(boot + 250, boot + (long) COLD_MS);
-        told.tell("\"nodes\":" + new JSONObject().put("rev", 2).put("all", false).put("targets",
-            new JSONArray().put(processes.target(0, FEW, SIZE, boot))));
+        told.tell("\"nodes\":"
+                + new JSONObject()
+                        .put("rev", 2)
+                        .put("all", false)
+                        .put("targets", new JSONArray().put(processes.target(0, FEW, SIZE, boot))));
         TimeUnit.MILLISECONDS.sleep((long) COLD_MS + 100);
         List<Long> times = cold.watchedTimes();
         double worst = 0;
@@ -187,8 +212,9 @@
             double n = FALL_MULTIPLE * share * SIZE / WORK_MS * FALL_MS;
             worst = Math.max(worst, (last - first + 1) / (n + 2 * Math.sqrt(n) + 2));
         }
-        System.out.printf("30 processes: %d calls at the cold box, at most %.2f of what it bears in a span%n", times.size(),
-            worst);
+        System.out.printf(
+                "30 processes: %d calls at the cold box, at most %.2f of what it bears in a span%n",
+                times.size(), worst);
         assertTrue(worst <= 1, "of what it bears: " + worst);
         assertTrue(times.size() > 20, "the cold box is starved: " + times.size());
     }
--- a/lab/src/test/java/barleyspur/lab/ServeProcesses.java
+++ b/lab/src/test/java/barleyspur/lab/ServeProcesses.java
@@ -24,7 +24,7 @@
 final class ServeProcesses implements AutoCloseable {
 
     /** How a node that has just started gains capacity, and what pushes it over. */
-    record ColdRule(double coldMs, double fallMs, double coldFrom, double fallMultiple) { }
+    record ColdRule(double coldMs, double fallMs, double coldFrom, double fallMultiple) {}
 
     private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
@@ -35,7 +35,8 @@
     /** Each station has addresses of its own: those of the one before may not be free yet. */
     private static final AtomicInteger STATIONS = new AtomicInteger();
 
-    private final String network = "127." + (225 + (ProcessHandle.current().pid() + STATIONS.getAndIncrement()) % 25) + ".";
+    private final String network =
+            "127." + (225 + (ProcessHandle.current().pid() + STATIONS.getAndIncrement()) % 25) + ".";
     private final Path folder;
     private final EventLoopGroup group;
     private final ColdRule cold;
@@ -60,7 +61,8 @@
     }
 
     InetSocketAddress box(int number) {
-        return new InetSocketAddress(network + (100 + number / NODES_A_NETWORK) + "." + (number % NODES_A_NETWORK + 1), PORT);
+        return new InetSocketAddress(
+                network + (100 + number / NODES_A_NETWORK) + "." + (number % NODES_A_NETWORK + 1), PORT);
     }
 
     InetSocketAddress front(int number) {
@@ -81,9 +83,15 @@
 
     /** One node of so many as the command channel lists it. */
     JSONObject target(int number, int nodes, double size, double bootMs) {
-        return new JSONObject().put("uid", "s-" + Integer.toHexString(number + 1)).put("endpoint", text(box(number)))
-            .put("az", "central").put("model", kind(number, nodes).name().toLowerCase(Locale.ROOT))
-            .put("pod_group", 0).put("state", "in_service").put("capacity_hint", size).put("boot_ms", bootMs);
+        return new JSONObject()
+                .put("uid", "s-" + Integer.toHexString(number + 1))
+                .put("endpoint", text(box(number)))
+                .put("az", "central")
+                .put("model", kind(number, nodes).name().toLowerCase(Locale.ROOT))
+                .put("pod_group", 0)
+                .put("state", "in_service")
+                .put("capacity_hint", size)
+                .put("boot_ms", bootMs);
     }
 
     /** So many nodes, which answer what they hold after so long. */
@@ -96,7 +104,8 @@
     }
 
     /** Starts so many doormans and waits until they are ready; all nodes are long up. */
-    void start(int doormans, int nodes, InetSocketAddress channel, double size) throws IOException, InterruptedException {
+    void start(int doormans, int nodes, InetSocketAddress channel, double size)
+            throws IOException, InterruptedException {
         for (int i = 0; i < doormans; i++) {
             launch(i, doormans, configuration(i, doormans, nodes, channel, size));
         }
@@ -111,18 +120,38 @@
         for (int i = 0; i < nodes; i++) {
             targets.put(target(i, nodes, size, 0));
         }
-        JSONObject json = new JSONObject(new JSONTokener(ServeProcesses.class.getResourceAsStream(
-            "/barleyspur/rehearsal.json")));
-        JSONObject settings = json.getJSONObject("settings").put("groupSize", doormans).put("myNumber", number)
-            .put("weights", "nominal");
+        JSONObject json =
+                new JSONObject(new JSONTokener(ServeProcesses.class.getResourceAsStream("/barleyspur/rehearsal.json")));
+        JSONObject settings = json.getJSONObject("settings")
+                .put("groupSize", doormans)
+                .put("myNumber", number)
+                .put("weights", "nominal");
         settings.getJSONObject("familyInfo").put("zoneBalancers", new JSONArray().put(doormans));
-        settings.getJSONObject("rules").put("coldMs", cold.coldMs()).put("fallMs", cold.fallMs())
-            .put("coldFrom", cold.coldFrom()).put("tipMultiple", cold.fallMultiple());
+        settings.getJSONObject("rules")
+                .put("coldMs", cold.coldMs())
+                .put("fallMs", cold.fallMs())
+                .put("coldFrom", cold.coldFrom())
+                .put("tipMultiple", cold.fallMultiple());
         json.getJSONObject("limits").put("sockets", sockets);
-        return json.put("name", "d" + number).put("listen", text(front(number))).put("channel", text(channel))
-            .put("seed", Integer.toHexString(77 + number))
-            .put("known", new JSONObject().put("cursor", 1).put("cmds", new JSONArray().put(new JSONObject()
-                .put("cursor", 1).put("nodes", new JSONObject().put("rev", 1).put("all", true).put("targets", targets)))));
+        return json.put("name", "d" + number)
+                .put("listen", text(front(number)))
+                .put("channel", text(channel))
+                .put("seed", Integer.toHexString(77 + number))
+                .put(
+                        "known",
+                        new JSONObject()
+                                .put("cursor", 1)
+                                .put(
+                                        "cmds",
+                                        new JSONArray()
+                                                .put(new JSONObject()
+                                                        .put("cursor", 1)
+                                                        .put(
+                                                                "nodes",
+                                                                new JSONObject()
+                                                                        .put("rev", 1)
+                                                                        .put("all", true)
+                                                                        .put("targets", targets)))));
     }
 
     /** Starts one doorman and does not wait for it. */
--- a/lab/src/test/java/barleyspur/lab/ThousandNodesTest.java
+++ b/lab/src/test/java/barleyspur/lab/ThousandNodesTest.java
@@ -28,6 +28,7 @@
     private static final int DOORMANS = 1_024;
     /** The most that the platform gives. */
     private static final int SOCKETS = 1_024;
+
     private static final int MEMORY_MB = 192;
     private static final int REQUESTS = 6_000;
     private static final double SIZE = 2;
@@ -64,10 +65,12 @@
                 for (int i = 0; i < NODES; i++) {
                     targets.put(processes.target(i, NODES, SIZE, 0));
                 }
-                told.tell("\"nodes\":" + new JSONObject().put("rev", 2).put("all", true).put("targets", targets));
+                told.tell("\"nodes\":"
+                        + new JSONObject().put("rev", 2).put("all", true).put("targets", targets));
                 ask(client, REQUESTS + 1);
-                System.out.printf("%d nodes, %d doormans: %d nodes reached, %d MB at most%n", NODES, DOORMANS, reached,
-                    processes.peakMemoryMb(0));
+                System.out.printf(
+                        "%d nodes, %d doormans: %d nodes reached, %d MB at most%n",
+                        NODES, DOORMANS, reached, processes.peakMemoryMb(0));
                 assertTrue(reached > NODES * 9 / 10, "nodes reached: " + reached);
                 assertTrue(processes.peakMemoryMb(0) < MEMORY_MB, "memory");
                 assertTrue(processes.process(0).isAlive());
@@ -95,8 +98,24 @@
         for (int answered = 0; answered < REQUESTS; answered++) {
             while (asked < REQUESTS && asked - answered < 16) {
                 int seqid = firstSeqid + asked++;
-                client.send("dispatch", seqid, Map.of("c", "files", "i", String.format("%016x", seqid), "d", "2400", "o",
-                    String.format("%016x", seqid % 4_001), "seg", "0", "bucket", "1", "m", "100.5"));
+                client.send(
+                        "dispatch",
+                        seqid,
+                        Map.of(
+                                "c",
+                                "files",
+                                "i",
+                                String.format("%016x", seqid),
+                                "d",
+                                "2400",
+                                "o",
+                                String.format("%016x", seqid % 4_001),
+                                "seg",
+                                "0",
+                                "bucket",
+                                "1",
+                                "m",
+                                "100.5"));
             }
             ThriftClient.Answer answer = client.read();
             assertNotNull(answer, "the connection has ended");
--- a/lab/src/test/java/barleyspur/lab/ThriftClient.java
+++ b/lab/src/test/java/barleyspur/lab/ThriftClient.java
@@ -55,7 +55,7 @@
     }
 
     /** An answer's sequence number, and whether it is the one of a request that was served. */
-    record Answer(int seqid, boolean served) { }
+    record Answer(int seqid, boolean served) {}
 
     /** The next answer's sequence number; null at the end of the connection, which must not be a reset. */
     Integer answer() throws IOException {
@@ -69,8 +69,8 @@
         if (first < 0) {
             return null;
         }
-        byte[] bytes = new byte[first << 24 | in.readUnsignedByte() << 16 | in.readUnsignedByte() << 8
-            | in.readUnsignedByte()];
+        byte[] bytes = new byte
+                [first << 24 | in.readUnsignedByte() << 16 | in.readUnsignedByte() << 8 | in.readUnsignedByte()];
         in.readFully(bytes);
         ByteBuffer frame = ByteBuffer.wrap(bytes);
         int type = frame.getInt() & 0xFF;
--- a/lab/src/test/java/barleyspur/lab/fleet/BudgetProcessesTest.java
+++ b/lab/src/test/java/barleyspur/lab/fleet/BudgetProcessesTest.java
@@ -28,8 +28,8 @@
 
     private BudgetFleet.Result play(String file) throws Exception {
         assertTrue(Files.isReadable(JAR), "the doorman's jar is built first: mvn verify");
-        BudgetFleet.Result result = BudgetFleet.play(ScenarioFile.load(Path.of("..", "examples", "budget", file)), JAR, folder,
-            System.out::println);
+        BudgetFleet.Result result = BudgetFleet.play(
+                ScenarioFile.load(Path.of("..", "examples", "budget", file)), JAR, folder, System.out::println);
         assertEquals(List.of(), result.broken());
         return result;
     }
@@ -66,17 +66,26 @@
     @Test
     void aWholeThatIsHalvedHolds() throws Exception {
         BudgetFleet.Result result = play("whole.hcl");
-        double lowered = result.struck().stream().filter(s -> s.fault() instanceof Fault.Whole).findFirst().orElseThrow().atMs();
-        long before = result.shares().all().stream().filter(t -> t.atMs() < lowered).mapToLong(BudgetWatch.Told::amount).max()
-            .orElse(0);
+        double lowered = result.struck().stream()
+                .filter(s -> s.fault() instanceof Fault.Whole)
+                .findFirst()
+                .orElseThrow()
+                .atMs();
+        long before = result.shares().all().stream()
+                .filter(t -> t.atMs() < lowered)
+                .mapToLong(BudgetWatch.Told::amount)
+                .max()
+                .orElse(0);
         assertTrue(before >= 3, "a quarter of the twelve was held before: " + before);
     }
 
     /** Guards: one place among 14 is never two, and doesn't stay with one of them for good. */
     @Test
     void onePlaceAmongFourteenChangesHands() throws Exception {
-        Set<Integer> had = play("one.hcl").shares().all().stream().filter(t -> t.budget().startsWith("calls:")
-            && t.amount() > 0).map(BudgetWatch.Told::slot).collect(Collectors.toSet());
+        Set<Integer> had = play("one.hcl").shares().all().stream()
+                .filter(t -> t.budget().startsWith("calls:") && t.amount() > 0)
+                .map(BudgetWatch.Told::slot)
+                .collect(Collectors.toSet());
         assertTrue(had.size() > 1, "one place stayed with " + had);
     }
 
--- a/lab/src/test/java/barleyspur/lab/fleet/BudgetWorldTest.java
+++ b/lab/src/test/java/barleyspur/lab/fleet/BudgetWorldTest.java
@@ -26,19 +26,32 @@
     private static final List<String> ALL = List.of("calls", "rate", "cold");
 
     static Terms terms(int doormans, int voters) {
-        return new Terms(BudgetWorld.voters(voters), doormans, 1_500, 300, 50, Map.of(
-            "calls", new Terms.Budget("calls", Kind.PLACES, 20, 0, 0, 1, 2_000),
-            "rate", new Terms.Budget("rate", Kind.RATE, 200, 40, 2, 1, 2_000),
-            "cold", new Terms.Budget("cold", Kind.AMOUNT, 30, 0, 0, 1, 3_000)));
+        return new Terms(
+                BudgetWorld.voters(voters),
+                doormans,
+                1_500,
+                300,
+                50,
+                Map.of(
+                        "calls", new Terms.Budget("calls", Kind.PLACES, 20, 0, 0, 1, 2_000),
+                        "rate", new Terms.Budget("rate", Kind.RATE, 200, 40, 2, 1, 2_000),
+                        "cold", new Terms.Budget("cold", Kind.AMOUNT, 30, 0, 0, 1, 3_000)));
     }
 
     private static BudgetWorld world(Schedule schedule, Terms terms, List<String> budgets) {
-        return new BudgetWorld(schedule, terms, BudgetLab.DRIFT, budgets, (budget, slot, now) -> budget.equals("cold")
-            ? now > 12_000 && now < 14_800 ? 20 : 0 : slot % 3 == (int) (now / 1_000) % 3 ? 80 : 10);
+        return new BudgetWorld(
+                schedule,
+                terms,
+                BudgetLab.DRIFT,
+                budgets,
+                (budget, slot, now) -> budget.equals("cold")
+                        ? now > 12_000 && now < 14_800 ? 20 : 0
+                        : slot % 3 == (int) (now / 1_000) % 3 ? 80 : 10);
     }
 
     private static BudgetWorld calm(int doormans, Terms terms, List<String> budgets) {
-        BudgetWorld world = world(new Schedule("calm", doormans, doormans, List.of(0), 500, List.of(), 0, 5), terms, budgets);
+        BudgetWorld world =
+                world(new Schedule("calm", doormans, doormans, List.of(0), 500, List.of(), 0, 5), terms, budgets);
         world.begin();
         world.playTo(10_000);
         return world;
@@ -156,9 +169,26 @@
     void aLiarIsBoundedByItsWeight() {
         BudgetWorld world = calm(4, terms(4, 3), List.of("calls"));
         world.tamperedSlot = 3;
-        world.tampering = w -> w instanceof Word.Ask a ? new Word.Ask(a.terms(), a.heard(), a.atMs(), a.claims().stream()
-            .map(c -> new Word.Claim(c.budget(), c.number(), c.took(), c.term(), c.held(), 1_000, 1_000_000, 1, c.whole(),
-                c.opening(), c.leftMs())).toList()) : w;
+        world.tampering = w -> w instanceof Word.Ask a
+                ? new Word.Ask(
+                        a.terms(),
+                        a.heard(),
+                        a.atMs(),
+                        a.claims().stream()
+                                .map(c -> new Word.Claim(
+                                        c.budget(),
+                                        c.number(),
+                                        c.took(),
+                                        c.term(),
+                                        c.held(),
+                                        1_000,
+                                        1_000_000,
+                                        1,
+                                        c.whole(),
+                                        c.opening(),
+                                        c.leftMs()))
+                                .toList())
+                : w;
         double others = 0;
         for (int i = 0; i < 200; i++) {
             world.playTo(world.nowMs + 50);
@@ -172,16 +202,31 @@
     }
 
     private static BudgetWorld quick(Kind kind, double termMs, double leaseMs, BudgetWorld.Demand demand) {
-        Terms terms = new Terms(BudgetWorld.voters(3), 5, termMs, 1_000, 20, Map.of("b", new Terms.Budget("b", kind, 20, 25, 0,
-            1, leaseMs)));
-        BudgetWorld world = new BudgetWorld(new Schedule("quick", 5, 5, List.of(0), 500, List.of(), 0, 5), terms,
-            BudgetLab.DRIFT, List.of("b"), demand);
+        Terms terms = new Terms(
+                BudgetWorld.voters(3),
+                5,
+                termMs,
+                1_000,
+                20,
+                Map.of("b", new Terms.Budget("b", kind, 20, 25, 0, 1, leaseMs)));
+        BudgetWorld world = new BudgetWorld(
+                new Schedule("quick", 5, 5, List.of(0), 500, List.of(), 0, 5),
+                terms,
+                BudgetLab.DRIFT,
+                List.of("b"),
+                demand);
         world.begin();
         return world;
     }
 
     private static void untilDivides(BudgetWorld world, int slot) {
-        for (int i = 0; i < 3_000 && !world.in(slot).budgets.ledger(world.in(slot).clock()).divides(); i++) {
+        for (int i = 0;
+                i < 3_000
+                        && !world.in(slot)
+                                .budgets
+                                .ledger(world.in(slot).clock())
+                                .divides();
+                i++) {
             world.playTo(world.nowMs + 1);
         }
     }
@@ -193,8 +238,11 @@
     @Test
     void aReportFromBeforeATermDoesntCount() {
         // First the fourth wants everything, then the fifth does; the first, which divides, always wants some.
-        BudgetWorld world = quick(Kind.RATE, 500, 3_000, (b, slot, now) -> slot == 0 ? 10 : slot == 3 && now < 8_000 || slot == 4
-            && now >= 8_000 ? 60 : 0);
+        BudgetWorld world = quick(
+                Kind.RATE,
+                500,
+                3_000,
+                (b, slot, now) -> slot == 0 ? 10 : slot == 3 && now < 8_000 || slot == 4 && now >= 8_000 ? 60 : 0);
         List<Word> old = new ArrayList<>();
         world.tamperedSlot = 3;
         world.tampering = w -> {
@@ -230,7 +278,8 @@
     /** Guards: what a holder took at the end of its lease is done before others have its places. */
     @Test
     void aHolderThatIsCutOffIsDoneWhenItsLeaseIsOver() {
-        BudgetWorld world = quick(Kind.PLACES, 500, 3_000, (b, slot, now) -> slot == 4 ? 150 : slot == 3 && now > 9_000 ? 150 : 0);
+        BudgetWorld world =
+                quick(Kind.PLACES, 500, 3_000, (b, slot, now) -> slot == 4 ? 150 : slot == 3 && now > 9_000 ? 150 : 0);
         world.playTo(9_000);
         world.apply(new Fault.Split(List.of(Set.of(4), Set.of(0, 1, 2, 3))));
         world.playTo(16_000);
@@ -251,8 +300,10 @@
             });
             Share share = holder.share(1, "rate");
             holder.tick(1);
-            Word.Grants late = new Word.Grants(terms.digest(), 7, List.of(new Word.Grant("rate", asks.get(0).claims().get(0)
-                .number(), 50, 1_000, 0)));
+            Word.Grants late = new Word.Grants(
+                    terms.digest(),
+                    7,
+                    List.of(new Word.Grant("rate", asks.get(0).claims().get(0).number(), 50, 1_000, 0)));
             holder.receive(2, BudgetWorld.address(0), "d1", 9, late);
             assertEquals(life == 1 ? 50 : 0, share.allowed(3));
         }
@@ -272,15 +323,24 @@
         voter.receive(2_100, BudgetWorld.address(1), "d2", 2, new Word.VoteAsk(terms.digest(), 7, 1));
         voter.receive(2_200, BudgetWorld.address(1), "d2", 2, new Word.Release(7));
         voter.receive(2_300, BudgetWorld.address(1), "d2", 2, new Word.VoteAsk(terms.digest(), 8, 2));
-        assertEquals(List.of(new Word.Vote(7, 1, true, BudgetWorld.address(0)), new Word.Vote(7, 1, false,
-            BudgetWorld.address(0)), new Word.Vote(8, 2, false, BudgetWorld.address(0))), said);
+        assertEquals(
+                List.of(
+                        new Word.Vote(7, 1, true, BudgetWorld.address(0)),
+                        new Word.Vote(7, 1, false, BudgetWorld.address(0)),
+                        new Word.Vote(8, 2, false, BudgetWorld.address(0))),
+                said);
     }
 
     /** Guards: what one doorman spent of an amount is not there again when it dies and another one divides. */
     @Test
     void anAmountIsNotOpenedAnewByTheNextDivider() {
-        BudgetWorld world = quick(Kind.AMOUNT, 500, 3_000, (b, slot, now) -> slot == 0 && now > 9_000 && now < 9_500 ? 200
-            : slot == 4 && now > 10_500 && now < 11_800 ? 50 : 0);
+        BudgetWorld world = quick(
+                Kind.AMOUNT,
+                500,
+                3_000,
+                (b, slot, now) -> slot == 0 && now > 9_000 && now < 9_500
+                        ? 200
+                        : slot == 4 && now > 10_500 && now < 11_800 ? 50 : 0);
         world.playTo(9_600);
         assertEquals(20, world.box("b").arrived);
         world.apply(new Fault.Kill(Set.of(0)));
@@ -292,8 +352,12 @@
     /** Guards: doormans that all began to ask at the same moment don't go on in step: no millisecond has half of the asks. */
     @Test
     void asksDontStayInStep() {
-        BudgetWorld world = new BudgetWorld(new Schedule("step", 30, 30, List.of(0), 500, List.of(), 0, 5), terms(30, 3),
-            BudgetLab.DRIFT, List.of("calls"), (b, slot, now) -> 5);
+        BudgetWorld world = new BudgetWorld(
+                new Schedule("step", 30, 30, List.of(0), 500, List.of(), 0, 5),
+                terms(30, 3),
+                BudgetLab.DRIFT,
+                List.of("calls"),
+                (b, slot, now) -> 5);
         Map<Long, Integer> byMs = new TreeMap<>();
         world.log = (who, what) -> {
             if (world.nowMs > 8_000 && what instanceof Action.Send s && s.word() instanceof Word.Ask) {
@@ -309,12 +373,17 @@
     /** Guards: a clock that drifts beyond the bound is named. */
     @Test
     void aClockBeyondTheBoundIsNamed() {
-        BudgetWorld world = new BudgetWorld(new Schedule("drift", 5, 5, List.of(0), 500, List.of(), 0, 4), terms(5, 3), 0.2,
-            List.of("calls"), (b, slot, now) -> 20);
+        BudgetWorld world = new BudgetWorld(
+                new Schedule("drift", 5, 5, List.of(0), 500, List.of(), 0, 4),
+                terms(5, 3),
+                0.2,
+                List.of("calls"),
+                (b, slot, now) -> 20);
         world.begin();
         world.playTo(60_000);
-        assertTrue(world.warnings.containsKey("a clock drifts beyond the bound: shares may overlap"),
-            world.warnings.toString());
+        assertTrue(
+                world.warnings.containsKey("a clock drifts beyond the bound: shares may overlap"),
+                world.warnings.toString());
     }
 
     /** Guards: doormans that go by other terms neither vote for each other nor get shares. */
@@ -322,7 +391,8 @@
     void otherTermsGetNothing() {
         BudgetWorld world = calm(3, terms(3, 3), List.of("calls"));
         world.tamperedSlot = 2;
-        world.tampering = w -> w instanceof Word.Ask a ? new Word.Ask(a.terms() + 1, a.heard(), a.atMs(), a.claims()) : w;
+        world.tampering =
+                w -> w instanceof Word.Ask a ? new Word.Ask(a.terms() + 1, a.heard(), a.atMs(), a.claims()) : w;
         world.playTo(world.nowMs + 5_000);
         assertEquals(0, world.in(2).share("calls").allowed(world.in(2).clock()));
         assertTrue(world.warnings.containsKey("a doorman goes by other terms of budgets: it gets nothing"));
@@ -342,8 +412,11 @@
     @Test
     void faultsAreReadAsTheyArePrinted() {
         List<BudgetChecker.Placed> faults = BudgetChecker.parse("36:RESTART:1 40:CUT:3");
-        assertEquals(List.of(new BudgetChecker.Placed(36, BudgetChecker.Blow.RESTART, 0), new BudgetChecker.Placed(40,
-            BudgetChecker.Blow.CUT, 2)), new ArrayList<>(faults));
+        assertEquals(
+                List.of(
+                        new BudgetChecker.Placed(36, BudgetChecker.Blow.RESTART, 0),
+                        new BudgetChecker.Placed(40, BudgetChecker.Blow.CUT, 2)),
+                new ArrayList<>(faults));
         assertEquals("36:RESTART:1", faults.get(0).toString());
     }
 }
--- a/lab/src/test/java/barleyspur/lab/fleet/EmbeddedClocksTest.java
+++ b/lab/src/test/java/barleyspur/lab/fleet/EmbeddedClocksTest.java
@@ -68,9 +68,15 @@
             for (int i = 0; i < 3; i++) {
                 InetSocketAddress at = new InetSocketAddress(network + (50 + i), 7001);
                 boxes.listen(at, StandBoxes.Kind.values()[i]);
-                targets.put(new JSONObject().put("uid", "s-" + i).put("endpoint", at.getHostString() + ":7001")
-                    .put("az", "central").put("model", List.of("cache", "parent", "origin").get(i)).put("pod_group", 0)
-                    .put("state", "in_service").put("capacity_hint", 64).put("boot_ms", 0));
+                targets.put(new JSONObject()
+                        .put("uid", "s-" + i)
+                        .put("endpoint", at.getHostString() + ":7001")
+                        .put("az", "central")
+                        .put("model", List.of("cache", "parent", "origin").get(i))
+                        .put("pod_group", 0)
+                        .put("state", "in_service")
+                        .put("capacity_hint", 64)
+                        .put("boot_ms", 0));
             }
             InetSocketAddress channel = new InetSocketAddress(network + "100", 7001);
             StandChannel.listen(group, channel, 1);
@@ -80,11 +86,14 @@
             for (int i = 0; i < RATES.length; i++) {
                 double rate = RATES[i];
                 fronts.add(new InetSocketAddress(network + (i + 1), 7001));
-                nodes.add(new Node(configuration(network, i, channel, targets), settings(network, i), (loop, polls) -> new Skewed(loop, polls,
-                    rate)));
+                nodes.add(new Node(
+                        configuration(network, i, channel, targets),
+                        settings(network, i),
+                        (loop, polls) -> new Skewed(loop, polls, rate)));
                 nodes.get(i).start();
             }
-            StandClients clients = new StandClients(group, List.of(new StandClients.Class("parts", 1, 600, 3_000)), fronts, 1);
+            StandClients clients =
+                    new StandClients(group, List.of(new StandClients.Class("parts", 1, 600, 3_000)), fronts, 1);
             clients.start(300, (slot, now) -> 1.0 / RATES.length);
             TimeUnit.SECONDS.sleep(9);
             Node first = nodes.remove(0);
@@ -103,11 +112,27 @@
         }
     }
 
-    private Configuration configuration(String network, int i, InetSocketAddress channel, JSONArray targets) throws Exception {
+    private Configuration configuration(String network, int i, InetSocketAddress channel, JSONArray targets)
+            throws Exception {
         JSONObject json = new JSONObject(new JSONTokener(Node.class.getResourceAsStream("/barleyspur/rehearsal.json")))
-            .put("name", "e" + i).put("listen", network + (i + 1) + ":7001").put("channel", channel.getHostString() + ":7001")
-            .put("known", new JSONObject().put("cursor", 1).put("cmds", new JSONArray().put(new JSONObject().put("cursor", 1)
-                .put("nodes", new JSONObject().put("rev", 1).put("all", true).put("targets", targets)))));
+                .put("name", "e" + i)
+                .put("listen", network + (i + 1) + ":7001")
+                .put("channel", channel.getHostString() + ":7001")
+                .put(
+                        "known",
+                        new JSONObject()
+                                .put("cursor", 1)
+                                .put(
+                                        "cmds",
+                                        new JSONArray()
+                                                .put(new JSONObject()
+                                                        .put("cursor", 1)
+                                                        .put(
+                                                                "nodes",
+                                                                new JSONObject()
+                                                                        .put("rev", 1)
+                                                                        .put("all", true)
+                                                                        .put("targets", targets)))));
         Path file = Files.writeString(folder.resolve("c" + i + ".json"), json.toString(1));
         return Configuration.load(Map.of("RELAY_CONFIG", file.toString(), "TMPDIR", folder.toString()));
     }
@@ -120,9 +145,13 @@
             addresses.append(k > 0 ? ", " : "").append(address);
             others.append(k == i ? "" : (others.isEmpty() ? "" : ", ") + address);
         }
-        return OwnSettings.load(Files.writeString(folder.resolve("s" + i + ".hcl"), "fleet \"skewed\" {\n  listen = \"" + network
-            + (i + 1) + ":7101\"\n  seeds = [" + others + "]\n  key_file = \"fleet.key\"\n}\nbudgets {\n  voters = [" + addresses
-            + "]\n  term = \"1s\"\n  hold = \"500ms\"\n}\nbudget \"calls\" {\n  kind = \"places\"\n  whole = " + WHOLE
-            + "\n  lease = \"2s\"\n  at = \"cache\"\n}\n"));
+        return OwnSettings.load(Files.writeString(
+                folder.resolve("s" + i + ".hcl"),
+                "fleet \"skewed\" {\n  listen = \"" + network
+                        + (i + 1) + ":7101\"\n  seeds = [" + others
+                        + "]\n  key_file = \"fleet.key\"\n}\nbudgets {\n  voters = [" + addresses
+                        + "]\n  term = \"1s\"\n  hold = \"500ms\"\n}\nbudget \"calls\" {\n  kind = \"places\"\n  whole = "
+                        + WHOLE
+                        + "\n  lease = \"2s\"\n  at = \"cache\"\n}\n"));
     }
 }
--- a/lab/src/test/java/barleyspur/lab/fleet/ProcessesTest.java
+++ b/lab/src/test/java/barleyspur/lab/fleet/ProcessesTest.java
@@ -27,8 +27,8 @@
     private Watch play(String file) throws Exception {
         assertTrue(Files.isReadable(JAR), "the doorman's jar is built first: mvn verify");
         Watch watch = new Watch(true);
-        try (RealFleet fleet = new RealFleet(ScenarioFile.load(Path.of("..", "examples", "fleet", file)), watch, JAR,
-            folder, System.out::println)) {
+        try (RealFleet fleet = new RealFleet(
+                ScenarioFile.load(Path.of("..", "examples", "fleet", file)), watch, JAR, folder, System.out::println)) {
             fleet.play();
         }
         assertEquals(List.of(), watch.broken());
@@ -36,7 +36,9 @@
     }
 
     private static List<Watch.Told> verdicts(Watch watch) {
-        return watch.all().stream().filter(t -> t.kind().equals("Lost") && !t.why().equals("STOOD_STILL")).toList();
+        return watch.all().stream()
+                .filter(t -> t.kind().equals("Lost") && !t.why().equals("STOOD_STILL"))
+                .toList();
     }
 
     /**
@@ -58,7 +60,11 @@
     @Test
     void whoIsHeardByNoneIsGivenUp() throws Exception {
         Watch watch = play("noise.hcl");
-        long by = verdicts(watch).stream().filter(t -> t.member().equals("d4")).map(Watch.Told::slot).distinct().count();
+        long by = verdicts(watch).stream()
+                .filter(t -> t.member().equals("d4"))
+                .map(Watch.Told::slot)
+                .distinct()
+                .count();
         assertEquals(8, by);
     }
 
@@ -69,8 +75,10 @@
     @Test
     void newerLivesReplaceOlderOnes() throws Exception {
         Watch watch = play("lives.hcl");
-        assertTrue(watch.all().stream().anyMatch(t -> t.kind().equals("Lost") && t.standing().equals("LEFT")));
-        Set<String> phases = Set.copyOf(watch.all().stream().map(Watch.Told::kind).toList());
+        assertTrue(watch.all().stream()
+                .anyMatch(t -> t.kind().equals("Lost") && t.standing().equals("LEFT")));
+        Set<String> phases =
+                Set.copyOf(watch.all().stream().map(Watch.Told::kind).toList());
         assertTrue(phases.contains("Name"), "a second process of a name is noticed: " + phases);
     }
 
@@ -78,7 +86,9 @@
     @Test
     void aRollingRestartOfMixedFormatsSettles() throws Exception {
         Watch watch = play("rolling.hcl");
-        assertEquals(Set.of("LEFT"), Set.copyOf(verdicts(watch).stream().map(Watch.Told::standing).toList()));
+        assertEquals(
+                Set.of("LEFT"),
+                Set.copyOf(verdicts(watch).stream().map(Watch.Told::standing).toList()));
     }
 
     /** Guards: all that start at once with one dead seed find each other when it comes, and again after a power cut. */
--- a/lab/src/test/java/barleyspur/lab/fleet/VirtualFleetTest.java
+++ b/lab/src/test/java/barleyspur/lab/fleet/VirtualFleetTest.java
@@ -46,16 +46,27 @@
         assertEquals(s.steps().size(), again.steps().size());
         // Also when it was drawn: other seeds draw others, but what is written out is played as it stands.
         Schedule shrunk = s.with(s.steps().subList(0, 3));
-        assertEquals(3, ScenarioFile.read("x.hcl", ScenarioFile.write(shrunk)).with(9).steps().size());
-        assertEquals(Schedule.random(5, 10, 500, SETTLE_MS, 9).steps(), s.with(9).steps());
+        assertEquals(
+                3,
+                ScenarioFile.read("x.hcl", ScenarioFile.write(shrunk))
+                        .with(9)
+                        .steps()
+                        .size());
+        assertEquals(
+                Schedule.random(5, 10, 500, SETTLE_MS, 9).steps(), s.with(9).steps());
     }
 
     /** Guards: 900 that join a fleet of 100 within a second are all known to all, and nobody is given up meanwhile. */
     @Test
     void nineHundredJoinAHundred() {
         Watch watch = new Watch(false);
-        VirtualFleet fleet = new VirtualFleet(quiet(1_000, 100, List.of(new Schedule.Step(true, 1_000,
-            new Fault.Start(Schedule.range(100, 1_000), "", 0, 2)))), watch, false);
+        VirtualFleet fleet = new VirtualFleet(
+                quiet(
+                        1_000,
+                        100,
+                        List.of(new Schedule.Step(true, 1_000, new Fault.Start(Schedule.range(100, 1_000), "", 0, 2)))),
+                watch,
+                false);
         fleet.play();
         assertEquals(List.of(), watch.broken());
         assertEquals(1_000, fleet.in(500).membership.members());
@@ -110,7 +121,8 @@
         fleet.apply(new Fault.Term(Set.of(4)));
         fleet.playTo(5_500);
         assertEquals(13, verdicts(watch).size());
-        assertTrue(verdicts(watch).stream().allMatch(t -> t.standing().equals("LEFT") && t.member().equals("d5")));
+        assertTrue(verdicts(watch).stream()
+                .allMatch(t -> t.standing().equals("LEFT") && t.member().equals("d5")));
     }
 
     /**
@@ -149,7 +161,9 @@
         fleet.apply(new Fault.Thaw(Set.of(2)));
         fleet.playTo(16_500);
         assertNull(fleet.settled());
-        List<Watch.Told> own = watch.all().stream().filter(t -> t.slot() == 2 && t.atMs() >= 15_000).toList();
+        List<Watch.Told> own = watch.all().stream()
+                .filter(t -> t.slot() == 2 && t.atMs() >= 15_000)
+                .toList();
         assertEquals("Doubt", own.get(0).kind());
     }
 
@@ -163,15 +177,25 @@
         fleet.apply(new Fault.Cut(Set.of(2), Set.of(4), false));
         fleet.playTo(120_000);
         assertEquals(0, verdicts(watch).size());
-        assertEquals(0, watch.all().stream().filter(t -> t.standing().equals("SUSPECT")).count(), "nor suspected");
+        assertEquals(
+                0,
+                watch.all().stream().filter(t -> t.standing().equals("SUSPECT")).count(),
+                "nor suspected");
     }
 
     /** Guards: with all seeds dead, parts that were cut off find each other by whom they remember. */
     @Test
     void partsFindEachOtherWithoutSeeds() {
-        VirtualFleet fleet = new VirtualFleet(quiet(8, 8, List.of(new Schedule.Step(true, 0, new Fault.Kill(
-            Set.of(0, 1))), new Schedule.Step(true, 0, new Fault.Split(List.of(Set.of(2, 3, 4), Set.of(5, 6, 7)))),
-            new Schedule.Step(true, 0, new Fault.Heal()))), new Watch(false), true);
+        VirtualFleet fleet = new VirtualFleet(
+                quiet(
+                        8,
+                        8,
+                        List.of(
+                                new Schedule.Step(true, 0, new Fault.Kill(Set.of(0, 1))),
+                                new Schedule.Step(true, 0, new Fault.Split(List.of(Set.of(2, 3, 4), Set.of(5, 6, 7)))),
+                                new Schedule.Step(true, 0, new Fault.Heal()))),
+                new Watch(false),
+                true);
         assertTrue(fleet.play().get(3) < SETTLE_MS);
     }
 
@@ -214,8 +238,11 @@
         fleet.apply(new Fault.Quiesce(Set.of(3), true));
         fleet.playTo(6_000);
         for (int slot = 0; slot < 14; slot++) {
-            assertTrue(fleet.in(slot).membership.view(6_000).members().stream().anyMatch(m -> m.saying().name()
-                .equals("d4") && m.saying().about().phase().equals("quiesced")), "slot " + slot);
+            assertTrue(
+                    fleet.in(slot).membership.view(6_000).members().stream()
+                            .anyMatch(m -> m.saying().name().equals("d4")
+                                    && m.saying().about().phase().equals("quiesced")),
+                    "slot " + slot);
         }
     }
 
@@ -224,14 +251,16 @@
     void calmTrafficDoesNotGrowWithTheFleet() {
         double[] perSecond = new double[2];
         for (int i = 0; i < 2; i++) {
-            VirtualFleet fleet = new VirtualFleet(quiet(i == 0 ? 14 : 140, i == 0 ? 14 : 140, List.of()),
-                new Watch(false), true);
+            VirtualFleet fleet =
+                    new VirtualFleet(quiet(i == 0 ? 14 : 140, i == 0 ? 14 : 140, List.of()), new Watch(false), true);
             fleet.begin();
             fleet.playTo(20_000);
             long before = fleet.processes().stream().mapToLong(p -> p.sentBytes).sum();
             fleet.playTo(40_000);
-            perSecond[i] = (fleet.processes().stream().mapToLong(p -> p.sentBytes).sum() - before) / 20.0
-                / fleet.processes().size();
+            perSecond[i] =
+                    (fleet.processes().stream().mapToLong(p -> p.sentBytes).sum() - before)
+                            / 20.0
+                            / fleet.processes().size();
         }
         assertTrue(perSecond[0] < 2_000 && perSecond[1] < 1.1 * perSecond[0], perSecond[0] + " and " + perSecond[1]);
     }
--- a/lab/src/test/java/barleyspur/lab/fleet/WrongVersion.java
+++ b/lab/src/test/java/barleyspur/lab/fleet/WrongVersion.java
@@ -18,11 +18,11 @@
 /** Makes wrong versions of decisions, so that checks are seen to fail. */
 final class WrongVersion {
 
-    private WrongVersion() { }
+    private WrongVersion() {}
 
     /** Calls a check on the classes of {@code loader}; what it asserts in vain is thrown as it is. */
     static Object call(ClassLoader loader, String type, String method, Class<?>[] types, Object... arguments)
-        throws Exception {
+            throws Exception {
         Class<?> checks = Class.forName("barleyspur.lab.fleet." + type, true, loader);
         Method check = checks.getDeclaredMethod(method, types);
         check.setAccessible(true);
@@ -44,7 +44,7 @@
 
     /** One package's decisions with one change, and all of the lab that plays them, beside the real ones. */
     static ClassLoader loader(Path folder, Path decisions, String changed, String file, String from, String to)
-        throws IOException {
+            throws IOException {
         Path classes = Files.createTempDirectory(folder, "classes");
         List<String> sources = new ArrayList<>();
         try (Stream<Path> all = Files.list(decisions)) {
@@ -57,9 +57,14 @@
         }
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
         StringWriter said = new StringWriter();
-        if (!compiler.getTask(said, null, null, List.of("-nowarn", "-d", classes.toString(), "-cp",
-            System.getProperty("java.class.path")), null, compiler.getStandardFileManager(null, null, null)
-            .getJavaFileObjectsFromStrings(sources)).call()) {
+        if (!compiler.getTask(
+                        said,
+                        null,
+                        null,
+                        List.of("-nowarn", "-d", classes.toString(), "-cp", System.getProperty("java.class.path")),
+                        null,
+                        compiler.getStandardFileManager(null, null, null).getJavaFileObjectsFromStrings(sources))
+                .call()) {
             throw new IllegalArgumentException("the wrong version does not compile: " + said);
         }
         List<URL> path = new ArrayList<>(List.of(classes.toUri().toURL()));
