--- a/decision/src/main/java/barleyspur/decision/Decide.java
+++ b/decision/src/main/java/barleyspur/decision/Decide.java
@@ -388,8 +388,8 @@
      */
     private List<Server> candidates(Open o) {
         double work = meanWork.of(o.request.category());
-        List<Server> local =
-                Lists.where(fleet.caches, s -> mayTake(o, s) && coldAllows(s, work) && (!s.unreachable || inUse(s)));
+        List<Server> reachable = Lists.where(fleet.caches, s -> !s.unreachable || inUse(s));
+        List<Server> local = Lists.where(reachable, s -> mayTake(o, s) && coldAllows(s, work));
         List<Server> inUse = Lists.where(local, this::inUse);
         List<Server> good = inUse.size() < LEAST_IN_USE * local.size() ? local : inUse;
         List<Server> fresh = Lists.where(good, s -> !o.tried(s));
@@ -502,17 +502,9 @@
         a.surelyHeld = !fill && c.freshMs() == 0;
         Server from = !fleet.isCache(target) ? fleet.origin : source == null ? target : source;
         double age = maxAge(o.request, risky(a, c));
-        out.accept(new Get(
-                o.request.id(),
-                target.id(),
-                o.deadline - now,
-                from.id(),
-                rank,
-                age,
-                settings.joins() && !c.write(),
-                false,
-                false,
-                c.freshMs() > 0));
+        boolean join = settings.joins() && !c.write();
+        boolean renew = c.freshMs() > 0;
+        out.accept(Get.of(o.request.id(), target.id(), o.deadline - now, from.id(), rank, age, join, renew));
     }
 
     private boolean joins(Copies c, Server target) {
--- a/decision/src/main/java/barleyspur/decision/Director.java
+++ b/decision/src/main/java/barleyspur/decision/Director.java
@@ -287,7 +287,21 @@
             boolean onlyHeld,
             boolean parentKeepsNone,
             boolean renew)
-            implements Action {}
+            implements Action {
+
+        /** One that a source may fill from elsewhere, and a parent may keep. */
+        public static Get of(
+                long request,
+                long node,
+                double timeoutMs,
+                long source,
+                int rank,
+                double maxAgeMs,
+                boolean join,
+                boolean renew) {
+            return new Get(request, node, timeoutMs, source, rank, maxAgeMs, join, false, false, renew);
+        }
+    }
 
     /** Stop waiting for an attempt. */
     record Cancel(long request, int attempt) implements Action {}
--- a/decision/src/main/java/barleyspur/decision/Fleet.java
+++ b/decision/src/main/java/barleyspur/decision/Fleet.java
@@ -34,7 +34,8 @@
 
     /** A cache of another location, which can't be named from here. */
     boolean isElsewhere(Director.Node n) {
-        return n.zone() != settings.zone() && n.kind() != settings.parentKind() && n.kind() != settings.originKind();
+        boolean shared = n.kind() == settings.parentKind() || n.kind() == settings.originKind();
+        return !shared && n.zone() != settings.zone();
     }
 
     void index() {
--- a/doorman/src/main/java/barleyspur/Node.java
+++ b/doorman/src/main/java/barleyspur/Node.java
@@ -20,7 +20,7 @@
 import barleyspur.front.thrift.ThriftFront;
 import barleyspur.lifecycle.Lifecycle;
 import barleyspur.log.LogEvent;
-import barleyspur.retune.ClassTable;
+import barleyspur.reload.RequestClassRegistry;
 import barleyspur.transport.Connector;
 import barleyspur.upgrade.HandOffNote;
 import io.netty.channel.ChannelFuture;
@@ -98,7 +98,7 @@
     private final Clock clock;
     private final Lifecycle lifecycle = new Lifecycle();
     /** The classes that requests may name; a retune makes a new table. */
-    private ClassTable classes;
+    private RequestClassRegistry classes;
     /** The second address; null where the platform gives none. */
     private final AdminServer admin;
     /** Where an upgrade's processes say which of them listens last; null without a second address. */
@@ -162,7 +162,7 @@
                 configuration.names().zones(), configuration.names().kinds(), doorman);
         channel = new CommandChannel(
                 Connector.tcp(group, CommandChannel.CONNECT_TIMEOUT_MS), configuration.channel(), clock, commands);
-        classes = ClassTable.of(configuration.names().classes(), settings.classes());
+        classes = RequestClassRegistry.of(configuration.names().classes(), settings.classes());
         front = new ThriftFront(
                 group,
                 doorman,
@@ -282,7 +282,7 @@
             LogEvent.log(
                     LOG.atWarn(), "reload: changes that count from the next start on", "keys", String.join(",", fixed));
         }
-        ClassTable.Retune retune =
+        RequestClassRegistry.Retune retune =
                 classes.retune(next.names().classes(), next.settings().classes());
         int attempts = next.settings().maxAttempts();
         if (!retune.same() || attempts != configuration.settings().maxAttempts()) {
--- a/doorman/src/main/java/barleyspur/Rehearsal.java
+++ b/doorman/src/main/java/barleyspur/Rehearsal.java
@@ -6,10 +6,10 @@
 import barleyspur.depot.DepotClient;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
-import barleyspur.doorman.Listing;
+import barleyspur.doorman.NodeListing;
 import barleyspur.front.thrift.ThriftFront;
 import barleyspur.lifecycle.Lifecycle;
-import barleyspur.retune.ClassTable;
+import barleyspur.reload.RequestClassRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -86,7 +86,7 @@
                 group,
                 doorman,
                 this,
-                ClassTable.of(configuration.names().classes(), settings.classes()),
+                RequestClassRegistry.of(configuration.names().classes(), settings.classes()),
                 CLIENTS,
                 Long.MAX_VALUE,
                 full -> {},
@@ -124,11 +124,11 @@
         }
     }
 
-    private static List<Listing> listings(Director.Settings settings) {
-        List<Listing> listings = new ArrayList<>();
+    private static List<NodeListing> listings(Director.Settings settings) {
+        List<NodeListing> listings = new ArrayList<>();
         for (int i = 0; i < CACHES + 2; i++) {
             int kind = i < CACHES ? 0 : i == CACHES ? settings.parentKind() : settings.originKind();
-            listings.add(new Listing(
+            listings.add(new NodeListing(
                     "s-" + i, new InetSocketAddress(1), settings.zone(), kind, 0, Director.State.READY, 1, 0));
         }
         return listings;
--- a/doorman/src/main/java/barleyspur/budget/net/GuardedDepots.java
+++ b/doorman/src/main/java/barleyspur/budget/net/GuardedDepots.java
@@ -6,7 +6,7 @@
 import barleyspur.decision.Director.Result;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Depots;
-import barleyspur.doorman.Listing;
+import barleyspur.doorman.NodeListing;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -28,7 +28,7 @@
     private final List<Terms.Budget> budgets = new ArrayList<>();
 
     private final Map<String, Integer> guarded;
-    private final Map<Long, Listing> listings = new HashMap<>();
+    private final Map<Long, NodeListing> listings = new HashMap<>();
 
     /** @param guarded the kinds of nodes whose attempts take from a budget, by its name */
     public GuardedDepots(Depots depots, BudgetPort port, Clock clock, Terms terms, Map<String, Integer> guarded) {
@@ -44,9 +44,9 @@
     }
 
     /** One attempt, and what was taken for it. */
-    private final class Guard implements End, Call {
-        private final Listing listing;
-        private final End end;
+    private final class Guard implements AttemptListener, Call {
+        private final NodeListing listing;
+        private final AttemptListener listener;
         private final List<Share> places = new ArrayList<>(1);
         private final List<Share> shares = new ArrayList<>(2);
         private Call call;
@@ -54,14 +54,14 @@
         private double takenMs;
         private boolean over;
 
-        Guard(Listing listing, End end) {
+        Guard(NodeListing listing, AttemptListener listener) {
             this.listing = listing;
-            this.end = end;
+            this.listener = listener;
         }
 
         @Override
-        public Result admit() {
-            Result admitted = end.admit();
+        public Result beforeWrite() {
+            Result admitted = listener.beforeWrite();
             if (admitted != Result.OK) {
                 return admitted;
             }
@@ -93,7 +93,7 @@
 
         @Override
         public void sent() {
-            end.sent();
+            listener.sent();
             double now = clock.nowMs();
             shares.forEach(s -> s.sent(takenMs, now));
             if (!places.isEmpty()) {
@@ -115,7 +115,7 @@
             } else {
                 giveBack();
             }
-            end.ended(answer);
+            listener.ended(answer);
         }
 
         @Override
@@ -146,7 +146,7 @@
     }
 
     @Override
-    public void list(long node, Listing listing) {
+    public void list(long node, NodeListing listing) {
         listings.put(node, listing);
         depots.list(node, listing);
     }
@@ -158,23 +158,23 @@
     }
 
     @Override
-    public Call send(long node, Order order, End end) {
-        Listing listing = listings.get(node);
+    public Call send(long node, Order order, AttemptListener listener) {
+        NodeListing listing = listings.get(node);
         if (listing == null || !guarded.containsValue(listing.kind())) {
-            return depots.send(node, order, end);
+            return depots.send(node, order, listener);
         }
-        Guard guard = new Guard(listing, end);
+        Guard guard = new Guard(listing, listener);
         guard.call = depots.send(node, order, guard);
         return guard;
     }
 
     @Override
-    public void probe(long node, double timeoutMs, End end) {
-        depots.probe(node, timeoutMs, end);
+    public void probe(long node, double timeoutMs, AttemptListener listener) {
+        depots.probe(node, timeoutMs, listener);
     }
 
     @Override
-    public void hangUp(long node) {
-        depots.hangUp(node);
+    public void closeIdle(long node) {
+        depots.closeIdle(node);
     }
 }
--- a/doorman/src/main/java/barleyspur/channel/CommandReader.java
+++ b/doorman/src/main/java/barleyspur/channel/CommandReader.java
@@ -3,7 +3,7 @@
 import barleyspur.config.Configuration;
 import barleyspur.decision.Director.State;
 import barleyspur.doorman.Commands;
-import barleyspur.doorman.Listing;
+import barleyspur.doorman.NodeListing;
 import barleyspur.log.LogEvent;
 import java.util.ArrayList;
 import java.util.List;
@@ -94,7 +94,7 @@
     }
 
     private void nodes(JSONObject nodes) {
-        List<Listing> listings = new ArrayList<>();
+        List<NodeListing> listings = new ArrayList<>();
         JSONArray targets = nodes.getJSONArray("targets");
         for (int i = 0; i < targets.length(); i++) {
             try {
@@ -106,7 +106,7 @@
         commands.listed(nodes.optBoolean("all"), listings);
     }
 
-    private Listing listing(JSONObject target) {
+    private NodeListing listing(JSONObject target) {
         State state =
                 switch (target.getString("state")) {
                     case "in_service" -> State.READY;
@@ -114,7 +114,7 @@
                     case "terminated" -> State.GONE;
                     default -> throw new IllegalArgumentException("state " + target.getString("state") + " is unknown");
                 };
-        return new Listing(
+        return new NodeListing(
                 target.getString("uid"),
                 Configuration.address("endpoint", target.getString("endpoint")),
                 place("az", zones, target.getString("az")),
--- a/doorman/src/main/java/barleyspur/config/Sites.java
+++ b/doorman/src/main/java/barleyspur/config/Sites.java
@@ -1,7 +1,7 @@
 package barleyspur.config;
 
 import barleyspur.decision.Director;
-import barleyspur.doorman.Listing;
+import barleyspur.doorman.NodeListing;
 import barleyspur.expect.Box;
 import barleyspur.expect.Site;
 import java.util.ArrayList;
@@ -67,7 +67,7 @@
                                 uid,
                                 new Box(
                                         uid,
-                                        Listing.number(uid),
+                                        NodeListing.number(uid),
                                         place(at + ".az", names.zones(), t.getString("az")),
                                         place(at + ".model", names.kinds(), t.getString("model")),
                                         t.optInt("pod_group"),
--- a/doorman/src/main/java/barleyspur/depot/DepotClient.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotClient.java
@@ -4,7 +4,7 @@
 import barleyspur.doorman.CappedLog;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Depots;
-import barleyspur.doorman.Listing;
+import barleyspur.doorman.NodeListing;
 import barleyspur.transport.Connector;
 import io.netty.buffer.ByteBufAllocator;
 import java.util.ArrayList;
@@ -49,10 +49,10 @@
 
     /** One node: where it listens, and the connections to it. */
     private final class Depot {
-        private Listing listing;
+        private NodeListing listing;
         private final List<DepotConnection> pool = new ArrayList<>(2);
 
-        Depot(Listing listing) {
+        Depot(NodeListing listing) {
             this.listing = listing;
         }
 
@@ -126,9 +126,9 @@
     }
 
     @Override
-    public void list(long node, Listing listing) {
+    public void list(long node, NodeListing listing) {
         Depot depot = depots.computeIfAbsent(node, k -> new Depot(listing));
-        Listing before = depot.listing;
+        NodeListing before = depot.listing;
         depot.listing = listing;
         if (!before.address().equals(listing.address()) || before.bootMs() != listing.bootMs()) {
             // Connections to the process before, or to who holds its address now, are of no use for new work.
@@ -153,12 +153,12 @@
     }
 
     @Override
-    public Call send(long node, Order order, End end) {
+    public Call send(long node, Order order, AttemptListener listener) {
         Depot depot = depots.get(node);
         DepotConnection c =
                 depot == null ? null : depot.connection(order.request().id());
         if (c == null) {
-            return never(end);
+            return never(listener);
         }
         ByteBufAllocator alloc = c.channel().alloc();
         int bodyBytes = order.request().body().readableBytes();
@@ -166,36 +166,36 @@
                 order.request().id(),
                 waitedMs -> Resp.serveHead(alloc, order, bodyBytes, waitedMs),
                 order.request().body().retainedDuplicate(),
-                end);
+                listener);
     }
 
     @Override
-    public void probe(long node, double timeoutMs, End end) {
+    public void probe(long node, double timeoutMs, AttemptListener listener) {
         String tag = "p" + ++probes;
         Depot depot = depots.get(node);
         DepotConnection c = depot == null ? null : depot.connection(tag);
         if (c == null) {
-            never(end);
+            never(listener);
             return;
         }
         DepotConnection.Call[] made = new DepotConnection.Call[1];
         Clock.Timer timeout = clock.after(timeoutMs, () -> {
             made[0].giveUp();
-            end.ended(Answer.of(Result.TIMEOUT));
+            listener.ended(Answer.of(Result.TIMEOUT));
         });
         made[0] = c.open(tag, waitedMs -> Resp.message(c.channel().alloc(), "gauges", tag), null, answer -> {
             timeout.cancel();
-            end.ended(answer);
+            listener.ended(answer);
         });
     }
 
     /** No connection can be had: told later, since an end never comes from within the call. */
-    private Call never(End end) {
-        return clock.after(0, () -> end.ended(Answer.of(Result.CONNECT_FAILED)))::cancel;
+    private Call never(AttemptListener listener) {
+        return clock.after(0, () -> listener.ended(Answer.of(Result.CONNECT_FAILED)))::cancel;
     }
 
     @Override
-    public void hangUp(long node) {
+    public void closeIdle(long node) {
         Depot depot = depots.get(node);
         if (depot != null) {
             depot.closeIdle(0);
--- a/doorman/src/main/java/barleyspur/depot/DepotConnection.java
+++ b/doorman/src/main/java/barleyspur/depot/DepotConnection.java
@@ -97,16 +97,16 @@
 
         private final String id;
         private final DoubleFunction<ByteBuf> head;
-        private final Depots.End end;
+        private final Depots.AttemptListener listener;
         private final double openedAt = now();
         private ByteBuf body;
         private State state = State.WAITING;
 
-        private Call(String id, DoubleFunction<ByteBuf> head, ByteBuf body, Depots.End end) {
+        private Call(String id, DoubleFunction<ByteBuf> head, ByteBuf body, Depots.AttemptListener listener) {
             this.id = id;
             this.head = head;
             this.body = body;
-            this.end = end;
+            this.listener = listener;
         }
 
         @Override
@@ -136,7 +136,7 @@
             if (state != State.WAITING) {
                 return;
             }
-            Result admitted = end.admit();
+            Result admitted = listener.beforeWrite();
             if (admitted != Result.OK) {
                 state = State.DENIED;
                 leave();
@@ -151,7 +151,7 @@
                 body = null;
             }
             channel.flush();
-            end.sent();
+            listener.sent();
         }
 
         /** Whether this was its end, and not one that crossed another. */
@@ -164,7 +164,7 @@
             }
             state = State.OVER;
             drop();
-            end.ended(answer);
+            listener.ended(answer);
             return true;
         }
 
@@ -184,7 +184,7 @@
                 up = true;
                 waitingSince = now();
                 new ArrayList<>(open.values()).forEach(Call::write);
-                closeIfRetired();
+                closeIfDrained();
             } else {
                 LogEvent.log(
                         LOG.atDebug(),
@@ -202,8 +202,8 @@
      * Opens a call. {@code head} makes what is sent first, once it is, from how long it has waited for that, in ms;
      * {@code body} null: a message of words alone; else it belongs to the call from now on.
      */
-    Call open(String id, DoubleFunction<ByteBuf> head, ByteBuf body, Depots.End end) {
-        Call call = new Call(id, head, body, end);
+    Call open(String id, DoubleFunction<ByteBuf> head, ByteBuf body, Depots.AttemptListener listener) {
+        Call call = new Call(id, head, body, listener);
         if (open.isEmpty()) {
             waitingSince = now();
         }
@@ -262,14 +262,14 @@
     /** Takes nothing new, and closes once what is open has ended. */
     void retire() {
         retired = true;
-        closeIfRetired();
+        closeIfDrained();
     }
 
     void close() {
         channel.close();
     }
 
-    private void closeIfRetired() {
+    private void closeIfDrained() {
         if (retired && open.isEmpty()) {
             close();
         }
@@ -280,7 +280,7 @@
             idleSince = now();
             // Its calls were given up, not answered: it may be of no further use.
             retired |= up && now() - waitingSince > SILENT_MS;
-            closeIfRetired();
+            closeIfDrained();
         }
     }
 
--- a/doorman/src/main/java/barleyspur/doorman/Commands.java
+++ b/doorman/src/main/java/barleyspur/doorman/Commands.java
@@ -6,7 +6,7 @@
 public interface Commands {
 
     /** The list of nodes, whole or what has changed of it. */
-    void listed(boolean whole, List<Listing> listings);
+    void listed(boolean whole, List<NodeListing> listings);
 
     /** An object was purged at a Unix time. */
     void purgedObject(long object, double whenMs);
--- a/doorman/src/main/java/barleyspur/doorman/Depots.java
+++ b/doorman/src/main/java/barleyspur/doorman/Depots.java
@@ -8,19 +8,19 @@
 public interface Depots {
 
     /** The node is known from here on, under its new listing where it was known before. */
-    void list(long node, Listing listing);
+    void list(long node, NodeListing listing);
 
     /** The node is gone: what is open goes on, nothing new comes. */
     void retire(long node);
 
-    /** Sends an attempt; {@code end} is called once, never from within this call, unless it is cancelled. */
-    Call send(long node, Order order, End end);
+    /** Sends an attempt; {@code listener} is told once, never from within this call, unless it is cancelled. */
+    Call send(long node, Order order, AttemptListener listener);
 
-    /** Asks for the node's report; {@code end} is called once, never from within this call. */
-    void probe(long node, double timeoutMs, End end);
+    /** Asks for the node's report; {@code listener} is told once, never from within this call. */
+    void probe(long node, double timeoutMs, AttemptListener listener);
 
     /** Closes the idle connections to a node. */
-    void hangUp(long node);
+    void closeIdle(long node);
 
     /**
      * What an attempt asks for. {@code source} null: no fill; {@code tag} null: the client holds no copy.
@@ -39,12 +39,12 @@
 
     /** An attempt that is out. */
     interface Call {
-        /** Gives the attempt up: {@link End} is not called any more. */
+        /** Gives the attempt up: {@link AttemptListener} is not called any more. */
         void cancel();
     }
 
     /** Told how an attempt or a probe ended. */
-    interface End {
+    interface AttemptListener {
         /** It has ended, with this. */
         void ended(Answer answer);
 
@@ -52,7 +52,7 @@
          * The admission check, last before the first byte goes out: OK, and it goes; else it doesn't, and the attempt ends
          * with this result, one that proves that it never ran.
          */
-        default Director.Result admit() {
+        default Director.Result beforeWrite() {
             return Director.Result.OK;
         }
 
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -34,7 +34,7 @@
     private final Director director;
     private final Clock clock;
     private final Depots depots;
-    private final Map<Long, Exchange> exchanges = new HashMap<>();
+    private final Map<Long, RequestContext> exchanges = new HashMap<>();
     /** The clients' ids of the requests taken lately, so also of all that may be open. */
     private final Set<String> takenIds = Collections.newSetFromMap(new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -45,14 +45,14 @@
         }
     });
 
-    private final NodeListings listings;
+    private final NodeTable listings;
     private final StandstillMargin standstills = new StandstillMargin();
     private final ArrayDeque<Director.Event> events = new ArrayDeque<>();
     private final ArrayDeque<Director.Action> actions = new ArrayDeque<>();
-    private boolean telling;
+    private boolean dispatching;
     private long lastId;
     /** Requests whose answer is owed. */
-    private int owed;
+    private int pendingResponses;
 
     private boolean draining;
     private Runnable drained;
@@ -64,13 +64,13 @@
         this.director = director;
         this.clock = clock;
         this.depots = depots;
-        this.listings = new NodeListings(depots);
+        this.listings = new NodeTable(depots);
     }
 
     // ---- the front -------------------------------------------------------------------------------------
 
     /** A request on its way through the core, to be named when its client leaves. */
-    public interface Ticket {
+    public interface Cancellable {
         /** The client has left: no answer is owed any more. */
         void cancel();
     }
@@ -80,9 +80,15 @@
      * there, however late the event loop was to read it, and is cut by what the loop may be late to end it. The handler may
      * be called from within this call.
      */
-    public Ticket take(Request request, double arrivedMs, ResponseHandler handler) {
-        if (owed >= maxOpen) {
-            LogEvent.log(LOG.atWarn(), "refused: too many requests are open", "request", request.id(), "open", owed);
+    public Cancellable take(Request request, double arrivedMs, ResponseHandler handler) {
+        if (pendingResponses >= maxOpen) {
+            LogEvent.log(
+                    LOG.atWarn(),
+                    "refused: too many requests are open",
+                    "request",
+                    request.id(),
+                    "open",
+                    pendingResponses);
             request.body().release();
             handler.refused(settings.maxRetryAfterMs());
             return () -> {};
@@ -90,26 +96,28 @@
         double now = clock.nowMs();
         lastId = (lastId + 1) % MOST_IDS;
         standstills.observe(now, now - arrivedMs);
-        Exchange x = new Exchange(lastId, request, handler, arrivedMs, standstills.of(request.remainingMs(), now));
-        exchanges.put(x.id, x);
+        RequestContext context =
+                new RequestContext(lastId, request, handler, arrivedMs, standstills.of(request.remainingMs(), now));
+        exchanges.put(context.id, context);
         takenIds.add(request.id());
         RequestTrace.taken(request, now - arrivedMs);
-        owed++;
+        pendingResponses++;
         // Guards rule 1 against a director that leaves a request unanswered: half the slack is left by then.
-        x.guard = clock.after(x.deadline - now + settings.answerSlackMs() / 2, () -> abandon(x, "left unanswered"));
+        context.guard = clock.after(
+                context.deadline - now + settings.answerSlackMs() / 2, () -> abandon(context, "left unanswered"));
         boolean write = settings.classes().get(request.category()).write();
-        tell(new Director.Request(
-                x.id,
+        dispatch(new Director.Request(
+                context.id,
                 request.category(),
                 0,
                 request.object(),
                 request.part(),
                 request.group(),
-                Math.max(0, x.deadline - now),
+                Math.max(0, context.deadline - now),
                 request.sizeKb(),
                 false,
                 write));
-        return () -> gone(x);
+        return () -> gone(context);
     }
 
     /**
@@ -118,7 +126,7 @@
      */
     public void retune(Director.Settings next) {
         settings = next;
-        tell(new Director.Retuned(next));
+        dispatch(new Director.Retuned(next));
     }
 
     /** Whether a request under this id was taken lately: each has a new one, also where a client asks again. */
@@ -135,8 +143,9 @@
             return;
         }
         draining = true;
-        clock.after(mostMs, () -> List.copyOf(exchanges.values()).forEach(x -> abandon(x, "the process ends")));
-        LogEvent.log(LOG.atInfo(), "drain: asked to stop", "open", owed);
+        clock.after(
+                mostMs, () -> List.copyOf(exchanges.values()).forEach(context -> abandon(context, "the process ends")));
+        LogEvent.log(LOG.atInfo(), "drain: asked to stop", "open", pendingResponses);
         clock.after(graceMs, () -> {
             drained = then;
             leaveIfDone();
@@ -144,7 +153,7 @@
     }
 
     private void leaveIfDone() {
-        if (drained != null && owed == 0) {
+        if (drained != null && pendingResponses == 0) {
             Runnable then = drained;
             drained = null;
             LOG.info("drain: all requests answered");
@@ -152,64 +161,64 @@
         }
     }
 
-    private void gone(Exchange x) {
-        if (!x.over) {
-            close(x, "gone");
-            tell(new Director.Gone(x.id));
-            forgetIfDone(x);
+    private void gone(RequestContext context) {
+        if (!context.over) {
+            close(context, "gone");
+            dispatch(new Director.Gone(context.id));
+            forgetIfDone(context);
         }
     }
 
     /** Fails a request without the director, and gives up all that is out for it. */
-    private void abandon(Exchange x, String why) {
-        if (!x.over) {
-            LogEvent.log(LOG.atError(), "failed without the director", "request", x.request.id(), "cause", why);
-            close(x, "failed");
-            x.handler.failed();
-            tell(new Director.Gone(x.id));
-            for (int i = 0; i < x.attempts.size(); i++) {
-                giveUp(x, i, Result.CANCELLED);
+    private void abandon(RequestContext context, String why) {
+        if (!context.over) {
+            LogEvent.log(LOG.atError(), "failed without the director", "request", context.request.id(), "cause", why);
+            close(context, "failed");
+            context.handler.failed();
+            dispatch(new Director.Gone(context.id));
+            for (int i = 0; i < context.attempts.size(); i++) {
+                giveUp(context, i, Result.CANCELLED);
             }
-            forgetIfDone(x);
+            forgetIfDone(context);
         }
     }
 
     /** Ends an attempt that is out, from here. */
-    private void giveUp(Exchange x, int number, Result result) {
-        Exchange.Attempt attempt = x.attempts.get(number);
+    private void giveUp(RequestContext context, int number, Result result) {
+        RequestContext.Attempt attempt = context.attempts.get(number);
         if (!attempt.ended) {
             attempt.call.cancel();
-            end(x, number, Depots.Answer.of(result));
+            end(context, number, Depots.Answer.of(result));
         }
     }
 
     /** The request is over: nothing further is sent for it. */
-    private void close(Exchange x, String how) {
-        x.over = true;
-        RequestTrace.over(x, how, clock.nowMs() - x.takenAt);
-        x.guard.cancel();
-        x.request.body().release();
-        owed--;
+    private void close(RequestContext context, String how) {
+        context.over = true;
+        RequestTrace.over(context, how, clock.nowMs() - context.takenAt);
+        context.guard.cancel();
+        context.request.body().release();
+        pendingResponses--;
         if (drained != null) {
             clock.after(0, this::leaveIfDone);
         }
     }
 
-    private void forgetIfDone(Exchange x) {
-        if (x.over && x.out == 0) {
-            exchanges.remove(x.id);
+    private void forgetIfDone(RequestContext context) {
+        if (context.over && context.out == 0) {
+            exchanges.remove(context.id);
         }
     }
 
     // ---- the command channel ---------------------------------------------------------------------------
 
     @Override
-    public void listed(boolean whole, List<Listing> list) {
-        NodeListings.Change change = listings.apply(whole, list);
-        tell(new Director.Members(change.kind(), change.nodes()));
-        if (!change.overtaken().isEmpty()) {
-            overtake((x, attempt) -> change.overtaken().contains(attempt.node)
-                    || change.overtaken().contains(attempt.source));
+    public void listed(boolean whole, List<NodeListing> list) {
+        NodeTable.Change change = listings.apply(whole, list);
+        dispatch(new Director.Members(change.kind(), change.nodes()));
+        if (!change.invalidated().isEmpty()) {
+            cancelUnsent((context, attempt) -> change.invalidated().contains(attempt.node)
+                    || change.invalidated().contains(attempt.source));
         }
     }
 
@@ -217,12 +226,12 @@
      * What has just been told overtakes attempts of which no byte has gone out yet, for they wait for a connection: they
      * were decided before it. They end as never sent, and the director, told first, decides anew.
      */
-    private void overtake(BiPredicate<Exchange, Exchange.Attempt> concerns) {
-        for (Exchange x : List.copyOf(exchanges.values())) {
-            for (int i = 0; i < x.attempts.size(); i++) {
-                Exchange.Attempt attempt = x.attempts.get(i);
-                if (!attempt.ended && !attempt.written && concerns.test(x, attempt)) {
-                    giveUp(x, i, Result.MOOT);
+    private void cancelUnsent(BiPredicate<RequestContext, RequestContext.Attempt> concerns) {
+        for (RequestContext context : List.copyOf(exchanges.values())) {
+            for (int i = 0; i < context.attempts.size(); i++) {
+                RequestContext.Attempt attempt = context.attempts.get(i);
+                if (!attempt.ended && !attempt.written && concerns.test(context, attempt)) {
+                    giveUp(context, i, Result.MOOT);
                 }
             }
         }
@@ -230,31 +239,31 @@
 
     @Override
     public void purgedObject(long object, double whenMs) {
-        tell(new Director.Purged(0, object, clock.nowMs() - whenMs));
-        overtake((x, attempt) -> x.request.object() == object);
+        dispatch(new Director.Purged(0, object, clock.nowMs() - whenMs));
+        cancelUnsent((context, attempt) -> context.request.object() == object);
     }
 
     @Override
     public void purgedGroup(int group, double whenMs) {
-        tell(new Director.Purged(group, 0, clock.nowMs() - whenMs));
-        overtake((x, attempt) -> x.request.group() == group);
+        dispatch(new Director.Purged(group, 0, clock.nowMs() - whenMs));
+        cancelUnsent((context, attempt) -> context.request.group() == group);
     }
 
     // ---- the director ----------------------------------------------------------------------------------
 
     /** Tells the director one event after another: what its actions bring about waits for its turn. */
-    private void tell(Director.Event event) {
+    private void dispatch(Director.Event event) {
         events.add(event);
-        if (telling) {
+        if (dispatching) {
             return;
         }
-        telling = true;
+        dispatching = true;
         try {
             for (Director.Event e = events.poll(); e != null; e = events.poll()) {
                 handle(e);
             }
         } finally {
-            telling = false;
+            dispatching = false;
         }
     }
 
@@ -268,7 +277,7 @@
                     "director failed",
                     "event",
                     event.getClass().getSimpleName());
-            Exchange struck = event instanceof Director.Request r
+            RequestContext struck = event instanceof Director.Request r
                     ? exchanges.get(r.id())
                     : event instanceof Director.Outcome o ? exchanges.get(o.request()) : null;
             if (struck != null) {
@@ -288,15 +297,15 @@
         } else if (action instanceof Director.Cancel a) {
             cancel(a);
         } else if (action instanceof Director.Refuse a) {
-            finish(a.request(), "refused", x -> x.handler.refused(a.pauseMs()));
+            complete(a.request(), "refused", context -> context.handler.refused(a.pauseMs()));
         } else if (action instanceof Director.Fail a) {
-            finish(a.request(), "failed", x -> x.handler.failed());
+            complete(a.request(), "failed", context -> context.handler.failed());
         } else if (action instanceof Director.WakeAt a) {
-            clock.after(a.atMs() - clock.nowMs(), () -> tell(new Director.Alarm(a.token())));
+            clock.after(a.atMs() - clock.nowMs(), () -> dispatch(new Director.Alarm(a.token())));
         } else if (action instanceof Director.Probe a) {
             probe(a.node());
         } else if (action instanceof Director.HangUp a) {
-            depots.hangUp(a.node());
+            depots.closeIdle(a.node());
         } else if (action instanceof Director.Log a) {
             LOG.info("director: {}", a.line());
         } else {
@@ -309,12 +318,12 @@
         }
     }
 
-    private void finish(long id, String how, Consumer<Exchange> answer) {
-        Exchange x = exchanges.get(id);
-        if (x != null && !x.over) {
-            close(x, how);
-            answer.accept(x);
-            forgetIfDone(x);
+    private void complete(long id, String how, Consumer<RequestContext> answer) {
+        RequestContext context = exchanges.get(id);
+        if (context != null && !context.over) {
+            close(context, how);
+            answer.accept(context);
+            forgetIfDone(context);
         }
     }
 
@@ -323,32 +332,32 @@
         depots.probe(
                 node,
                 PROBE_TIMEOUT_MS,
-                answer -> tell(new Director.Probed(node, answer.result(), clock.nowMs() - sentAt, answer.load())));
+                answer -> dispatch(new Director.Probed(node, answer.result(), clock.nowMs() - sentAt, answer.load())));
     }
 
     // ---- attempts --------------------------------------------------------------------------------------
 
     private void send(long id, long node, double timeoutMs, Director.Get get) {
-        Exchange x = exchanges.get(id);
-        if (x == null) {
+        RequestContext context = exchanges.get(id);
+        if (context == null) {
             return;
         }
         double now = clock.nowMs();
-        Exchange.Attempt attempt = new Exchange.Attempt(node, get == null ? node : get.source(), now);
-        int number = x.attempts.size();
-        x.attempts.add(attempt);
-        x.out++;
-        RequestTrace.sent(x, number, node, get);
-        double left = x.deadline - now;
+        RequestContext.Attempt attempt = new RequestContext.Attempt(node, get == null ? node : get.source(), now);
+        int number = context.attempts.size();
+        context.attempts.add(attempt);
+        context.out++;
+        RequestTrace.sent(context, number, node, get);
+        double left = context.deadline - now;
         double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
-        if (x.over || number >= settings.maxAttempts() || wait <= 0) {
-            end(x, number, Depots.Answer.of(Result.MOOT));
+        if (context.over || number >= settings.maxAttempts() || wait <= 0) {
+            end(context, number, Depots.Answer.of(Result.MOOT));
             return;
         }
-        attempt.call = depots.send(node, order(x, node, wait, get), new Depots.End() {
+        attempt.call = depots.send(node, order(context, node, wait, get), new Depots.AttemptListener() {
             @Override
-            public Result admit() {
-                return x.over || attempt.ended || pastKeyWindow(x, attempt) ? Result.MOOT : Result.OK;
+            public Result beforeWrite() {
+                return context.over || attempt.ended || pastKeyWindow(context, attempt) ? Result.MOOT : Result.OK;
             }
 
             @Override
@@ -359,36 +368,36 @@
 
             @Override
             public void ended(Depots.Answer answer) {
-                end(x, number, answer);
+                end(context, number, answer);
             }
         });
-        attempt.timeout = clock.after(wait, () -> giveUp(x, number, Result.TIMEOUT));
+        attempt.timeout = clock.after(wait, () -> giveUp(context, number, Result.TIMEOUT));
     }
 
     /**
      * Whether a repeat of a keyed request would go out later than its repeats are known to be dropped, counted from the
      * first attempt that may have run: it was decided in time, but had to wait for a connection.
      */
-    private boolean pastKeyWindow(Exchange x, Exchange.Attempt next) {
-        Director.RequestClass c = settings.classes().get(x.request.category());
+    private boolean pastKeyWindow(RequestContext context, RequestContext.Attempt next) {
+        Director.RequestClass c = settings.classes().get(context.request.category());
         if (c.effect() != Director.Effect.KEYED) {
             return false;
         }
         double now = clock.nowMs();
-        return x.attempts.stream()
+        return context.attempts.stream()
                 .anyMatch(a -> a != next
                         && (a.mayHaveRun || a.written && !a.ended)
                         && now - a.writtenAt >= c.keyWindowMs() - settings.tickMs());
     }
 
-    private Depots.Order order(Exchange x, long node, double wait, Director.Get get) {
+    private Depots.Order order(RequestContext context, long node, double wait, Director.Get get) {
         if (get == null) {
-            return new Depots.Order(x.request, wait, null, 0, 0, false, false, false, false);
+            return new Depots.Order(context.request, wait, null, 0, 0, false, false, false, false);
         }
-        Listing from = get.source() == node ? null : listings.get(get.source());
+        NodeListing from = get.source() == node ? null : listings.get(get.source());
         String source = from == null ? null : from.uid();
         return new Depots.Order(
-                x.request,
+                context.request,
                 wait,
                 source,
                 get.rank(),
@@ -400,19 +409,19 @@
     }
 
     private void cancel(Director.Cancel a) {
-        Exchange x = exchanges.get(a.request());
-        if (x == null || a.attempt() >= x.attempts.size()) {
+        RequestContext context = exchanges.get(a.request());
+        if (context == null || a.attempt() >= context.attempts.size()) {
             return;
         }
-        giveUp(x, a.attempt(), Result.CANCELLED);
+        giveUp(context, a.attempt(), Result.CANCELLED);
     }
 
     /**
      * An attempt is back; the first OK is the request's answer. It ends once, whichever of two ends that cross comes
      * first.
      */
-    private void end(Exchange x, int number, Depots.Answer told) {
-        Exchange.Attempt attempt = x.attempts.get(number);
+    private void end(RequestContext context, int number, Depots.Answer told) {
+        RequestContext.Attempt attempt = context.attempts.get(number);
         if (attempt.ended) {
             if (told.body() != null) {
                 told.body().release();
@@ -422,7 +431,7 @@
         Depots.Answer answer = told;
         if (told.result() == Result.OK
                 && told.body() == null
-                && (told.tag() == null || !told.tag().equals(x.request.tag()))) {
+                && (told.tag() == null || !told.tag().equals(context.request.tag()))) {
             // Only a copy that the depot has named may be called current.
             LogEvent.log(
                     LOG.atWarn(),
@@ -432,29 +441,29 @@
                     "tag",
                     told.tag(),
                     "held",
-                    x.request.tag());
+                    context.request.tag());
             answer = Depots.Answer.of(Result.ERROR);
         }
         attempt.ended = true;
         attempt.mayHaveRun = attempt.written && answer.result().mayHaveRun();
-        x.out--;
+        context.out--;
         if (attempt.timeout != null) {
             attempt.timeout.cancel();
         }
         double ms = clock.nowMs() - attempt.sentAt;
-        RequestTrace.ended(x, number, answer, ms);
-        if (answer.result() == Result.OK && !x.over) {
-            close(x, "served");
+        RequestTrace.ended(context, number, answer, ms);
+        if (answer.result() == Result.OK && !context.over) {
+            close(context, "served");
             if (answer.body() == null) {
-                x.handler.unchanged(answer.tag());
+                context.handler.unchanged(answer.tag());
             } else {
-                x.handler.served(answer.body(), answer.tag());
+                context.handler.served(answer.body(), answer.tag());
             }
         } else if (answer.body() != null) {
             answer.body().release();
         }
-        tell(new Director.Outcome(
-                x.id, number, attempt.node, answer.result(), ms, x.over, answer.note(), 0, answer.load()));
-        forgetIfDone(x);
+        dispatch(new Director.Outcome(
+                context.id, number, attempt.node, answer.result(), ms, context.over, answer.note(), 0, answer.load()));
+        forgetIfDone(context);
     }
 }
--- a/doorman/src/main/java/barleyspur/doorman/Listing.java
+++ b/doorman/src/main/java/barleyspur/doorman/NodeListing.java
@@ -7,7 +7,7 @@
 import java.util.regex.Pattern;
 
 /** One node as the command channel lists it; {@code bootMs} is a Unix time, or 0 for long ago. */
-public record Listing(
+public record NodeListing(
         String uid,
         InetSocketAddress address,
         int zone,
@@ -31,7 +31,7 @@
     }
 
     /** Whether the node still runs as the process that {@code later} lists, at the same address. */
-    boolean sameProcess(Listing later) {
+    boolean sameProcess(NodeListing later) {
         return address.equals(later.address) && bootMs == later.bootMs;
     }
 
--- a/doorman/src/main/java/barleyspur/doorman/NodeListings.java
+++ b/doorman/src/main/java/barleyspur/doorman/NodeTable.java
@@ -12,7 +12,7 @@
 import org.slf4j.LoggerFactory;
 
 /** What was last listed of each node that is there, kept in step with the connections to them. */
-final class NodeListings {
+final class NodeTable {
 
     private static final Logger LOG = LoggerFactory.getLogger("doorman");
     /** A log line names so many nodes: one for each of a thousand would hold up the event loop. */
@@ -22,23 +22,23 @@
      * What a list told: the nodes in the director's form, and the numbers of those on which work that was decided
      * before must not go out any more.
      */
-    record Change(Director.ListKind kind, List<Director.Node> nodes, Set<Long> overtaken) {}
+    record Change(Director.ListKind kind, List<Director.Node> nodes, Set<Long> invalidated) {}
 
     private final Depots depots;
-    private final Map<Long, Listing> listed = new HashMap<>();
+    private final Map<Long, NodeListing> listed = new HashMap<>();
     private boolean listedOnce;
 
-    NodeListings(Depots depots) {
+    NodeTable(Depots depots) {
         this.depots = depots;
     }
 
     /** The node as it was last listed; null: it is not there. */
-    Listing get(long node) {
+    NodeListing get(long node) {
         return listed.get(node);
     }
 
     /** Takes a list over, a whole one or what has changed. */
-    Change apply(boolean whole, List<Listing> listings) {
+    Change apply(boolean whole, List<NodeListing> listings) {
         Director.ListKind full = listedOnce ? Director.ListKind.FULL : Director.ListKind.CACHED;
         Change change =
                 new Change(whole ? full : Director.ListKind.DELTA, new ArrayList<>(listings.size()), new HashSet<>());
@@ -49,9 +49,9 @@
         if (whole) {
             retireOmitted(listings, change);
         }
-        for (Listing l : listings) {
+        for (NodeListing l : listings) {
             long node = l.node();
-            Listing known = listed.get(node);
+            NodeListing known = listed.get(node);
             if (known != null && !known.uid().equals(l.uid())) {
                 LogEvent.log(
                         LOG.atError(),
@@ -65,7 +65,7 @@
                 continue;
             }
             if (l.state() != Director.State.READY || known != null && !known.sameProcess(l)) {
-                change.overtaken.add(node);
+                change.invalidated.add(node);
             }
             if (l.state() == Director.State.GONE) {
                 gone.add(Long.toString(node));
@@ -89,10 +89,10 @@
     }
 
     /** A node that a whole list leaves out has gone. */
-    private void retireOmitted(List<Listing> listings, Change change) {
-        change.overtaken.addAll(listed.keySet());
-        listings.forEach(l -> change.overtaken.remove(l.node()));
-        change.overtaken.forEach(this::retire);
+    private void retireOmitted(List<NodeListing> listings, Change change) {
+        change.invalidated.addAll(listed.keySet());
+        listings.forEach(l -> change.invalidated.remove(l.node()));
+        change.invalidated.forEach(this::retire);
     }
 
     private void retire(long node) {
@@ -100,7 +100,7 @@
         depots.retire(node);
     }
 
-    private static String describe(long node, Listing l) {
+    private static String describe(long node, NodeListing l) {
         return node + "=" + l.uid() + "@" + l.address().getHostString() + ":"
                 + l.address().getPort() + "/" + l.kind() + "/" + (long) l.bootMs();
     }
--- a/doorman/src/main/java/barleyspur/doorman/Exchange.java
+++ b/doorman/src/main/java/barleyspur/doorman/RequestContext.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** One request from its arrival until it is over and all its attempts are back. */
-final class Exchange {
+final class RequestContext {
 
     /** One attempt; its number is its place in the list. */
     static final class Attempt {
@@ -43,7 +43,7 @@
     boolean over;
 
     /** The request came at {@code takenAt}, and is to end {@code marginMs} before its time is over. */
-    Exchange(long id, Request request, ResponseHandler handler, double takenAt, double marginMs) {
+    RequestContext(long id, Request request, ResponseHandler handler, double takenAt, double marginMs) {
         this.id = id;
         this.request = request;
         this.handler = handler;
--- a/doorman/src/main/java/barleyspur/doorman/RequestTrace.java
+++ b/doorman/src/main/java/barleyspur/doorman/RequestTrace.java
@@ -42,14 +42,14 @@
     }
 
     /** {@code get} is null for an attempt that fills nothing. */
-    static void sent(Exchange x, int number, long node, Director.Get get) {
+    static void sent(RequestContext context, int number, long node, Director.Get get) {
         if (LOG.isDebugEnabled()) {
             boolean sourced = get != null && get.source() != node;
             LogEvent.log(
                     LOG.atDebug(),
                     "attempt sent",
                     "request",
-                    x.request.id(),
+                    context.request.id(),
                     "number",
                     number,
                     "node",
@@ -63,17 +63,17 @@
         }
     }
 
-    static void ended(Exchange x, int number, Depots.Answer answer, double ms) {
+    static void ended(RequestContext context, int number, Depots.Answer answer, double ms) {
         if (LOG.isDebugEnabled()) {
             LogEvent.log(
                     LOG.atDebug(),
                     "attempt ended",
                     "request",
-                    x.request.id(),
+                    context.request.id(),
                     "number",
                     number,
                     "node",
-                    x.attempts.get(number).node,
+                    context.attempts.get(number).node,
                     "result",
                     answer.result(),
                     "note",
@@ -84,17 +84,17 @@
     }
 
     /** {@code how}: served, refused, failed or gone. */
-    static void over(Exchange x, String how, double ms) {
+    static void over(RequestContext context, String how, double ms) {
         if (LOG.isDebugEnabled()) {
             LogEvent.log(
                     LOG.atDebug(),
                     "request over",
                     "request",
-                    x.request.id(),
+                    context.request.id(),
                     "how",
                     how,
                     "attempts",
-                    x.attempts.size(),
+                    context.attempts.size(),
                     "ms",
                     Math.round(ms));
         }
--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -8,7 +8,7 @@
 import barleyspur.doorman.ResponseHandler;
 import barleyspur.lifecycle.Lifecycle;
 import barleyspur.log.LogEvent;
-import barleyspur.retune.ClassTable;
+import barleyspur.reload.RequestClassRegistry;
 import barleyspur.transport.LingeringClose;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -74,7 +74,7 @@
     record Shared(
             Doorman doorman,
             Clock clock,
-            Supplier<ClassTable> classes,
+            Supplier<RequestClassRegistry> classes,
             int mostOpen,
             UnreadAnswers unread,
             ConnectionRegistry<FrontConnection> registry,
@@ -171,7 +171,7 @@
         halfSent = front.clock().after(HALF_SENT_MS, () -> {
             if (!useful) {
                 log.warn("connection closed: no request came", "client", channel.remoteAddress(), "ms", HALF_SENT_MS);
-                dismiss(Thrift.PROTOCOL_ERROR, "no request came");
+                reject(Thrift.PROTOCOL_ERROR, "no request came");
             }
         });
     }
@@ -200,7 +200,7 @@
             closing.discarded(decoder.discarded());
         } else if (responses.unwritten() >= MOST_UNREAD * front.mostOpen()) {
             log.warn("connection closed: it asks for more and reads no answers", "client", channel.remoteAddress());
-            dismiss(Thrift.PROTOCOL_ERROR, "answers are not read");
+            reject(Thrift.PROTOCOL_ERROR, "answers are not read");
         } else {
             watchArriving();
         }
@@ -243,7 +243,7 @@
         halfSent = front.clock().after(ms, () -> {
             if (open.isEmpty()) {
                 log.warn("connection closed: half a request", "client", channel.remoteAddress());
-                dismiss(Thrift.PROTOCOL_ERROR, "half a request came");
+                reject(Thrift.PROTOCOL_ERROR, "half a request came");
             } else {
                 watchRest(HALF_SENT_MS);
             }
@@ -302,7 +302,7 @@
     private void bad(String method, int seqid, int kind, String message) {
         responses.exception(method, seqid, kind, message);
         if (++bad >= MOST_BAD && open.isEmpty()) {
-            dismiss(kind, message);
+            reject(kind, message);
         }
     }
 
@@ -310,7 +310,7 @@
      * Fails what is open, says why, and closes once the client has had time to read that: a close with unread input
      * resets the connection, which destroys what the client has not read yet.
      */
-    private void dismiss(int kind, String message) {
+    private void reject(int kind, String message) {
         if (closing.begun()) {
             return;
         }
@@ -381,7 +381,7 @@
     private final class Pending implements ResponseHandler {
         private final int seqid;
         private final String requestId;
-        private Doorman.Ticket ticket;
+        private Doorman.Cancellable ticket;
 
         Pending(int seqid, String requestId) {
             this.seqid = seqid;
@@ -495,7 +495,7 @@
 
     private void malformed(Exception cause) {
         log.warn("connection closed", "client", channel.remoteAddress(), "cause", cause.getMessage());
-        dismiss(Thrift.PROTOCOL_ERROR, "not the strict binary protocol");
+        reject(Thrift.PROTOCOL_ERROR, "not the strict binary protocol");
     }
 
     @Override
--- a/doorman/src/main/java/barleyspur/front/thrift/RequestFields.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/RequestFields.java
@@ -1,7 +1,7 @@
 package barleyspur.front.thrift;
 
 import barleyspur.doorman.Request;
-import barleyspur.retune.ClassTable;
+import barleyspur.reload.RequestClassRegistry;
 import io.netty.buffer.ByteBuf;
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -29,11 +29,11 @@
     }
 
     /** The request; its body is still the frame's. */
-    static Request read(Map<String, String> fields, ByteBuf body, ClassTable classes) {
+    static Request read(Map<String, String> fields, ByteBuf body, RequestClassRegistry classes) {
         return new RequestFields(fields).request(body, classes);
     }
 
-    private Request request(ByteBuf body, ClassTable classes) {
+    private Request request(ByteBuf body, RequestClassRegistry classes) {
         String className = word("c");
         int category = classes.number(className);
         if (category < 0) {
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFront.java
@@ -4,7 +4,7 @@
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import barleyspur.lifecycle.Lifecycle;
-import barleyspur.retune.ClassTable;
+import barleyspur.reload.RequestClassRegistry;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
@@ -48,7 +48,7 @@
     private final ConnectionRegistry<FrontConnection> registry = new ConnectionRegistry<>();
     private final FrontConnection.Shared shared;
     private final boolean sharePort;
-    private ClassTable classes;
+    private RequestClassRegistry classes;
     private Channel listener;
 
     /**
@@ -59,7 +59,7 @@
             EventLoopGroup group,
             Doorman doorman,
             Clock clock,
-            ClassTable classes,
+            RequestClassRegistry classes,
             int mostConnections,
             long mostUnread,
             Consumer<Boolean> onFull,
@@ -152,7 +152,7 @@
     }
 
     /** Requests name these classes from now on. */
-    public void retune(ClassTable next) {
+    public void retune(RequestClassRegistry next) {
         classes = next;
     }
 
--- a/doorman/src/main/java/barleyspur/retune/ClassTable.java
+++ b/doorman/src/main/java/barleyspur/reload/RequestClassRegistry.java
@@ -1,4 +1,4 @@
-package barleyspur.retune;
+package barleyspur.reload;
 
 import barleyspur.decision.Director.RequestClass;
 import java.util.ArrayList;
@@ -14,10 +14,10 @@
  * its last class, since clients may name it for a while after the change. Decisions only: no I/O, clock or randomness.
  * An instance is never changed: a retune makes a new one.
  */
-public final class ClassTable {
+public final class RequestClassRegistry {
 
     /** What a retune brought, by name, for the log. */
-    public record Retune(ClassTable table, List<String> added, List<String> changed, List<String> dropped) {
+    public record Retune(RequestClassRegistry table, List<String> added, List<String> changed, List<String> dropped) {
 
         /** Whether the classes are as before. */
         public boolean same() {
@@ -31,14 +31,14 @@
     /** The names that the latest settings have, in their order. */
     private final List<String> named;
 
-    private ClassTable(List<RequestClass> classes, Map<String, Integer> numbers, List<String> named) {
+    private RequestClassRegistry(List<RequestClass> classes, Map<String, Integer> numbers, List<String> named) {
         this.classes = List.copyOf(classes);
         this.numbers = Map.copyOf(numbers);
         this.named = List.copyOf(named);
     }
 
     /** The classes of the start: their numbers are their places in the settings. */
-    public static ClassTable of(List<String> names, List<RequestClass> classes) {
+    public static RequestClassRegistry of(List<String> names, List<RequestClass> classes) {
         if (names.size() != classes.size()) {
             throw new IllegalArgumentException(names.size() + " names for " + classes.size() + " classes");
         }
@@ -48,12 +48,12 @@
                 throw new IllegalArgumentException("class " + names.get(i) + " is named twice");
             }
         }
-        return new ClassTable(classes, numbers, names);
+        return new RequestClassRegistry(classes, numbers, names);
     }
 
     /** The table after settings that have these classes, and what changed. */
     public Retune retune(List<String> names, List<RequestClass> next) {
-        ClassTable fresh = of(names, next);
+        RequestClassRegistry fresh = of(names, next);
         List<RequestClass> all = new ArrayList<>(classes);
         Map<String, Integer> to = new HashMap<>(numbers);
         List<String> added = new ArrayList<>();
@@ -70,7 +70,7 @@
         }
         List<String> dropped = new ArrayList<>(named);
         dropped.removeAll(fresh.named);
-        return new Retune(new ClassTable(all, to, names), added, changed, dropped);
+        return new Retune(new RequestClassRegistry(all, to, names), added, changed, dropped);
     }
 
     /** The number that a client's class name stands for; -1 for a name that was never one. */
--- a/doorman/src/test/java/barleyspur/Loopback.java
+++ b/doorman/src/test/java/barleyspur/Loopback.java
@@ -216,9 +216,13 @@
         loop.submit(() -> clock.asked = task).syncUninterruptibly();
     }
 
-    /** Lets time pass, with all timers that come due, each at its time. */
+    /** Lets time pass while nothing comes, with all timers that come due, each at its time. */
     public void pass(double ms) {
         loop.submit(() -> clock.pass(ms)).syncUninterruptibly();
+        // Due in a later turn than this one's: by then the loop has looked at its sockets again, and what comes after
+        // this
+        // call is not taken for something that came before the time passed.
+        loop.schedule(() -> {}, 1, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 
     /** The same while the event loop is held, as when it is busy: no timer runs before it is released. */
--- a/doorman/src/test/java/barleyspur/arch/LayersTest.java
+++ b/doorman/src/test/java/barleyspur/arch/LayersTest.java
@@ -25,7 +25,7 @@
                         "barleyspur.expect",
                         "barleyspur.tier",
                         "barleyspur.lifecycle",
-                        "barleyspur.retune",
+                        "barleyspur.reload",
                         "barleyspur.fleet")
                 .should()
                 .dependOnClassesThat()
--- a/doorman/src/test/java/barleyspur/channel/LinePropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/channel/LinePropertiesTest.java
@@ -7,7 +7,7 @@
 import barleyspur.Cuts;
 import barleyspur.decision.Director.State;
 import barleyspur.doorman.Commands;
-import barleyspur.doorman.Listing;
+import barleyspur.doorman.NodeListing;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -29,7 +29,7 @@
     private final CommandReader reader = new CommandReader(List.of("central", "east"), List.of("std"), this);
 
     @Override
-    public void listed(boolean whole, List<Listing> listings) {
+    public void listed(boolean whole, List<NodeListing> listings) {
         told.addAll(listings);
     }
 
@@ -82,7 +82,7 @@
         reader.line("{\"cursor\":1,\"nodes\":{\"all\":true,\"targets\":[" + node.formatted("a", "nowhere") + ","
                 + node.formatted("b", "10.1.0.9:7001") + "]}}");
         assertEquals(1, told.size());
-        Listing listing = (Listing) told.get(0);
+        NodeListing listing = (NodeListing) told.get(0);
         assertEquals("b", listing.uid());
         assertEquals(1, listing.zone());
         assertEquals(State.READY, listing.state());
--- a/doorman/src/test/java/barleyspur/depot/DepotClientTest.java
+++ b/doorman/src/test/java/barleyspur/depot/DepotClientTest.java
@@ -8,7 +8,7 @@
 import barleyspur.decision.Director.Result;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Depots;
-import barleyspur.doorman.Listing;
+import barleyspur.doorman.NodeListing;
 import barleyspur.doorman.Request;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -55,8 +55,8 @@
             new DepotClient.Limits(STREAMS, 15_000, CONNECTIONS),
             List.of());
 
-    private static Listing box(int number, InetSocketAddress address, double bootMs) {
-        return new Listing("s-" + number, address, 0, 0, 0, Director.State.READY, 1, bootMs);
+    private static NodeListing box(int number, InetSocketAddress address, double bootMs) {
+        return new NodeListing("s-" + number, address, 0, 0, 0, Director.State.READY, 1, bootMs);
     }
 
     private void send(long node, String id) {
@@ -141,7 +141,7 @@
     void aCallToABoxThatIsNotListedNeverRan() {
         client.retire(9);
         client.retire(9);
-        client.hangUp(9);
+        client.closeIdle(9);
         send(9, "a1");
         assertEquals(List.of(), ends, "never from within the call");
         soon.forEach(Runnable::run);
--- a/doorman/src/test/java/barleyspur/depot/DepotConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/depot/DepotConnectionTest.java
@@ -89,14 +89,14 @@
 
     /** A call that is asked last before its first byte goes whether it may. */
     private DepotConnection.Call openIf(String id, boolean[] may) {
-        return connection.open(id, waitedMs -> head(id), null, new Depots.End() {
+        return connection.open(id, waitedMs -> head(id), null, new Depots.AttemptListener() {
             @Override
             public void ended(Answer answer) {
                 ends.add(answer.result());
             }
 
             @Override
-            public Result admit() {
+            public Result beforeWrite() {
                 return may[0] ? Result.OK : Result.FULL;
             }
         });
--- a/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
+++ b/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
@@ -22,8 +22,8 @@
 /** The director's contract, with a director that does as each test says and a clock that the test moves. */
 class DoormanTest {
 
-    private static final Listing NODE =
-            new Listing("s-1", new InetSocketAddress("127.0.0.1", 1), 0, 0, 0, Director.State.READY, 1, 0);
+    private static final NodeListing NODE =
+            new NodeListing("s-1", new InetSocketAddress("127.0.0.1", 1), 0, 0, 0, Director.State.READY, 1, 0);
 
     private static final String SETTINGS =
             """
@@ -41,7 +41,7 @@
     private final PriorityQueue<Task> timers =
             new PriorityQueue<>(Comparator.comparingDouble(Task::at).thenComparingInt(Task::order));
     private final List<Director.Event> events = new ArrayList<>();
-    private final List<Depots.End> sent = new ArrayList<>();
+    private final List<Depots.AttemptListener> sent = new ArrayList<>();
     private final List<Long> retired = new ArrayList<>();
     private final List<String> cancelled = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
@@ -49,7 +49,7 @@
     private Consumer<Director.Event> decide = e -> {};
     private Consumer<Director.Action> out;
     private Doorman doorman;
-    private Doorman.Ticket ticket;
+    private Doorman.Cancellable ticket;
 
     private final Clock clock = new Clock() {
         @Override
@@ -67,7 +67,7 @@
 
     private final Depots depots = new Depots() {
         @Override
-        public void list(long node, Listing listing) {}
+        public void list(long node, NodeListing listing) {}
 
         @Override
         public void retire(long node) {
@@ -75,19 +75,19 @@
         }
 
         @Override
-        public Call send(long node, Order order, End end) {
+        public Call send(long node, Order order, AttemptListener listener) {
             int number = sent.size();
-            sent.add(end);
+            sent.add(listener);
             return () -> cancelled.add("attempt " + number);
         }
 
         @Override
-        public void probe(long node, double timeoutMs, End end) {
-            sent.add(end);
+        public void probe(long node, double timeoutMs, AttemptListener listener) {
+            sent.add(listener);
         }
 
         @Override
-        public void hangUp(long node) {}
+        public void closeIdle(long node) {}
     };
 
     private final ResponseHandler caller = new ResponseHandler() {
@@ -317,9 +317,9 @@
     @Test
     void nothingGoesOutForWhoHasGone() {
         take(e -> sendAll(1, e));
-        assertEquals(Result.OK, sent.get(0).admit());
+        assertEquals(Result.OK, sent.get(0).beforeWrite());
         ticket.cancel();
-        assertEquals(Result.MOOT, sent.get(0).admit());
+        assertEquals(Result.MOOT, sent.get(0).beforeWrite());
     }
 
     /** Guards drains, cold nodes and purges: what waits for a connection was decided before they were told. */
@@ -354,8 +354,8 @@
         }
     }
 
-    private static Listing listing(Director.State state, double bootMs, int port) {
-        return new Listing("s-1", new InetSocketAddress("127.0.0.1", port), 0, 0, 0, state, 1, bootMs);
+    private static NodeListing listing(Director.State state, double bootMs, int port) {
+        return new NodeListing("s-1", new InetSocketAddress("127.0.0.1", port), 0, 0, 0, state, 1, bootMs);
     }
 
     /** Guards repeats of keyed requests: one decided in time may not go out when its key is forgotten. */
@@ -364,14 +364,14 @@
         doorman.retune(
                 SettingsReader.read(SettingsReader.lines(SETTINGS + "grades.0.repeat=by_key\ngrades.0.keyTtlMs=300")));
         take(e -> sendAll(2, e));
-        assertEquals(Result.OK, sent.get(0).admit());
+        assertEquals(Result.OK, sent.get(0).beforeWrite());
         sent.get(0).sent();
         now += 297;
-        assertEquals(Result.OK, sent.get(1).admit());
+        assertEquals(Result.OK, sent.get(1).beforeWrite());
         now += 1;
-        assertEquals(Result.MOOT, sent.get(1).admit());
+        assertEquals(Result.MOOT, sent.get(1).beforeWrite());
         sent.get(0).ended(Answer.of(Result.FULL));
-        assertEquals(Result.OK, sent.get(1).admit(), "the first has never run");
+        assertEquals(Result.OK, sent.get(1).beforeWrite(), "the first has never run");
     }
 
     /** A spoilt answer may call any copy current: only the one that the client holds can be. */
@@ -439,7 +439,7 @@
 
     @Test
     void aNodeThatAWholeListLeavesOutHasGone() {
-        Listing other = new Listing("s-2", NODE.address(), 0, 0, 0, Director.State.READY, 1, 0);
+        NodeListing other = new NodeListing("s-2", NODE.address(), 0, 0, 0, Director.State.READY, 1, 0);
         doorman.listed(false, List.of(other));
         assertEquals(List.of(), retired);
         doorman.listed(true, List.of(other));
@@ -463,7 +463,7 @@
                 Director.State.GONE,
                 Director.State.READY,
                 Director.State.READY)) {
-            Listing changed = new Listing("s-2", NODE.address(), 0, 0, 0, state, 1, 0);
+            NodeListing changed = new NodeListing("s-2", NODE.address(), 0, 0, 0, state, 1, 0);
             events.clear();
             doorman.listed(false, List.of(changed, NODE));
             assertEquals(
@@ -477,8 +477,8 @@
     /** Two nodes under one number would get each other's requests. */
     @Test
     void aNumberStandsForOneNode() {
-        Listing same = new Listing("t-1", NODE.address(), 0, 0, 0, Director.State.READY, 1, 0);
-        Listing named = new Listing("box", NODE.address(), 0, 0, 0, Director.State.READY, 1, 0);
+        NodeListing same = new NodeListing("t-1", NODE.address(), 0, 0, 0, Director.State.READY, 1, 0);
+        NodeListing named = new NodeListing("box", NODE.address(), 0, 0, 0, Director.State.READY, 1, 0);
         assertEquals(NODE.node(), same.node());
         assertTrue(named.node() >= 1L << 32, "no number that an id may end in");
         doorman.listed(false, List.of(same, named));
--- a/doorman/src/test/java/barleyspur/doorman/SilentDepots.java
+++ b/doorman/src/test/java/barleyspur/doorman/SilentDepots.java
@@ -4,19 +4,19 @@
 public final class SilentDepots implements Depots {
 
     @Override
-    public void list(long node, Listing listing) {}
+    public void list(long node, NodeListing listing) {}
 
     @Override
     public void retire(long node) {}
 
     @Override
-    public Call send(long node, Order order, End end) {
+    public Call send(long node, Order order, AttemptListener listener) {
         return () -> {};
     }
 
     @Override
-    public void probe(long node, double timeoutMs, End end) {}
+    public void probe(long node, double timeoutMs, AttemptListener listener) {}
 
     @Override
-    public void hangUp(long node) {}
+    public void closeIdle(long node) {}
 }
--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -12,7 +12,7 @@
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.SilentDepots;
 import barleyspur.lifecycle.Lifecycle;
-import barleyspur.retune.ClassTable;
+import barleyspur.reload.RequestClassRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -41,7 +41,7 @@
         familyInfo.paceKbPerS=7600\nlimits.sendCap=2\nrules.fallMs=1500\nrules.answerSlackMs=8
         rules.drainGraceMs=1000\nrules.coldFrom=0.24\nrules.coldMs=17000\nrules.tipMultiple=4
         """));
-    static final ClassTable CLASSES = ClassTable.of(List.of("small"), SETTINGS.classes());
+    static final RequestClassRegistry CLASSES = RequestClassRegistry.of(List.of("small"), SETTINGS.classes());
     private static final int MOST_OPEN = 2;
 
     private final List<Director.Event> events = new ArrayList<>();
--- a/doorman/src/test/java/barleyspur/retune/ClassTableTest.java
+++ b/doorman/src/test/java/barleyspur/reload/RequestClassRegistryTest.java
@@ -1,4 +1,4 @@
-package barleyspur.retune;
+package barleyspur.reload;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Classes across retunes: numbers that stay, so that open requests keep the class they were taken under. */
-class ClassTableTest {
+class RequestClassRegistryTest {
 
     private static RequestClass kind(Effect effect, double deadlineMs) {
         return new RequestClass(
@@ -22,12 +22,13 @@
     private static final RequestClass FILES = kind(Effect.SAFE, 2_000);
     private static final RequestClass RECORD = kind(Effect.UNSAFE, 2_400);
 
-    private final ClassTable start = ClassTable.of(List.of("parts", "files", "record"), List.of(PARTS, FILES, RECORD));
+    private final RequestClassRegistry start =
+            RequestClassRegistry.of(List.of("parts", "files", "record"), List.of(PARTS, FILES, RECORD));
 
     /** Guards open requests: an added class comes behind, and the numbers before stay as they were. */
     @Test
     void anAddedClassComesBehind() {
-        ClassTable.Retune r =
+        RequestClassRegistry.Retune r =
                 start.retune(List.of("parts", "files", "record", "files-2"), List.of(PARTS, FILES, RECORD, FILES));
         assertEquals(List.of("files-2"), r.added());
         assertEquals(3, r.table().number("files-2"));
@@ -39,7 +40,7 @@
     @Test
     void aChangedClassGetsANewNumberAndTheOldOneStays() {
         RequestClass once = kind(Effect.UNSAFE, 2_000);
-        ClassTable.Retune r = start.retune(List.of("parts", "files", "record"), List.of(PARTS, once, RECORD));
+        RequestClassRegistry.Retune r = start.retune(List.of("parts", "files", "record"), List.of(PARTS, once, RECORD));
         assertEquals(List.of("files"), r.changed());
         assertEquals(3, r.table().number("files"));
         assertEquals(FILES, r.table().classes().get(1), "open requests of number 1 keep what they were taken under");
@@ -52,7 +53,7 @@
      */
     @Test
     void aDroppedNameStaysAndReorderingMovesNothing() {
-        ClassTable.Retune r = start.retune(List.of("record", "parts"), List.of(RECORD, PARTS));
+        RequestClassRegistry.Retune r = start.retune(List.of("record", "parts"), List.of(RECORD, PARTS));
         assertEquals(List.of("files"), r.dropped());
         assertTrue(r.added().isEmpty() && r.changed().isEmpty());
         assertEquals(0, r.table().number("parts"));
