What never went out is refused and not failed

An unsafe request whose connect hung to its last moment was failed, since the director counts an attempt that is out as one that may have run. The core knows better: where no byte of any attempt has gone out, the final answer is a refusal, after which trying again is harmless. Doorman.carryOut was at fault, which passed the director's Fail on. Tests: DoormanTest.whatNeverWentOutIsRefusedAndNotFailed and whatWentOutIsFailed, EndingsTest.anUnsafeRequestWhoseConnectHungIsRefused with a listener whose queue is full.

--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -34,7 +34,7 @@
     private final Director director;
     private final Clock clock;
     private final Depots depots;
-    private final Map<Long, RequestContext> exchanges = new HashMap<>();
+    private final Map<Long, RequestContext> contexts = new HashMap<>();
     /** The clients' ids of the requests taken lately, so also of all that may be open. */
     private final Set<String> takenIds = Collections.newSetFromMap(new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -98,7 +98,7 @@
         standstills.observe(now, now - arrivedMs);
         RequestContext context =
                 new RequestContext(lastId, request, handler, arrivedMs, standstills.of(request.remainingMs(), now));
-        exchanges.put(context.id, context);
+        contexts.put(context.id, context);
         takenIds.add(request.id());
         RequestTrace.taken(request, now - arrivedMs);
         pendingResponses++;
@@ -144,7 +144,7 @@
         }
         draining = true;
         clock.after(
-                mostMs, () -> List.copyOf(exchanges.values()).forEach(context -> abandon(context, "the process ends")));
+                mostMs, () -> List.copyOf(contexts.values()).forEach(context -> abandon(context, "the process ends")));
         LogEvent.log(LOG.atInfo(), "drain: asked to stop", "open", pendingResponses);
         clock.after(graceMs, () -> {
             drained = then;
@@ -206,7 +206,7 @@
 
     private void forgetIfDone(RequestContext context) {
         if (context.over && context.out == 0) {
-            exchanges.remove(context.id);
+            contexts.remove(context.id);
         }
     }
 
@@ -227,7 +227,7 @@
      * were decided before it. They end as never sent, and the director, told first, decides anew.
      */
     private void cancelUnsent(BiPredicate<RequestContext, RequestContext.Attempt> concerns) {
-        for (RequestContext context : List.copyOf(exchanges.values())) {
+        for (RequestContext context : List.copyOf(contexts.values())) {
             for (int i = 0; i < context.attempts.size(); i++) {
                 RequestContext.Attempt attempt = context.attempts.get(i);
                 if (!attempt.ended && !attempt.written && concerns.test(context, attempt)) {
@@ -278,8 +278,8 @@
                     "event",
                     event.getClass().getSimpleName());
             RequestContext struck = event instanceof Director.Request r
-                    ? exchanges.get(r.id())
-                    : event instanceof Director.Outcome o ? exchanges.get(o.request()) : null;
+                    ? contexts.get(r.id())
+                    : event instanceof Director.Outcome o ? contexts.get(o.request()) : null;
             if (struck != null) {
                 abandon(struck, "the director failed");
             }
@@ -299,7 +299,7 @@
         } else if (action instanceof Director.Refuse a) {
             complete(a.request(), "refused", context -> context.handler.refused(a.pauseMs()));
         } else if (action instanceof Director.Fail a) {
-            complete(a.request(), "failed", context -> context.handler.failed());
+            fail(a.request());
         } else if (action instanceof Director.WakeAt a) {
             clock.after(a.atMs() - clock.nowMs(), () -> dispatch(new Director.Alarm(a.token())));
         } else if (action instanceof Director.Probe a) {
@@ -318,8 +318,18 @@
         }
     }
 
+    /** Fails a request; one of which no byte has gone out has surely not run, so that trying again is harmless. */
+    private void fail(long id) {
+        RequestContext found = contexts.get(id);
+        if (found != null && found.neverSent()) {
+            complete(id, "refused", context -> context.handler.refused(settings.maxRetryAfterMs()));
+        } else {
+            complete(id, "failed", context -> context.handler.failed());
+        }
+    }
+
     private void complete(long id, String how, Consumer<RequestContext> answer) {
-        RequestContext context = exchanges.get(id);
+        RequestContext context = contexts.get(id);
         if (context != null && !context.over) {
             close(context, how);
             answer.accept(context);
@@ -338,7 +348,7 @@
     // ---- attempts --------------------------------------------------------------------------------------
 
     private void send(long id, long node, double timeoutMs, Director.Get get) {
-        RequestContext context = exchanges.get(id);
+        RequestContext context = contexts.get(id);
         if (context == null) {
             return;
         }
@@ -409,7 +419,7 @@
     }
 
     private void cancel(Director.Cancel a) {
-        RequestContext context = exchanges.get(a.request());
+        RequestContext context = contexts.get(a.request());
         if (context == null || a.attempt() >= context.attempts.size()) {
             return;
         }
--- a/doorman/src/main/java/barleyspur/doorman/RequestContext.java
+++ b/doorman/src/main/java/barleyspur/doorman/RequestContext.java
@@ -50,4 +50,9 @@
         this.takenAt = takenAt;
         this.deadline = takenAt + request.remainingMs() - marginMs;
     }
+
+    /** Whether no byte of any attempt has gone out. */
+    boolean neverSent() {
+        return attempts.stream().noneMatch(attempt -> attempt.written);
+    }
 }
--- a/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
+++ b/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
@@ -535,4 +535,37 @@
         takeThatWaited(6, 0);
         assertEquals(750, told.get(4), 1e-6, "a quarter at most");
     }
+
+    /** Guards unsafe requests whose connect hung to the end: nothing went out, so the client may safely try again. */
+    @Test
+    void whatNeverWentOutIsRefusedAndNotFailed() {
+        take(e -> {
+            if (e instanceof Director.Request r) {
+                send(r.id());
+                out.accept(new Director.Fail(r.id()));
+            }
+        });
+        assertEquals(List.of("refused 700.0"), answers);
+    }
+
+    @Test
+    void whatWentOutIsFailed() {
+        take(e -> {
+            if (e instanceof Director.Request r) {
+                send(r.id());
+            }
+        });
+        sent.get(0).sent();
+        decide = e -> out.accept(new Director.Fail(request()));
+        doorman.purgedGroup(1, 0);
+        assertEquals(List.of("failed"), answers);
+    }
+
+    private long request() {
+        return events.stream()
+                .filter(Director.Request.class::isInstance)
+                .map(e -> ((Director.Request) e).id())
+                .findFirst()
+                .orElseThrow();
+    }
 }
--- a/doorman/src/test/java/barleyspur/front/thrift/EndingsTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/EndingsTest.java
@@ -169,6 +169,22 @@
 
     // ---- a client that has gone ---------------------------------------------------------------------------
 
+    /** The connect hangs to the end of its time: the request has never gone out, so it is refused, and never run later. */
+    @Test
+    void anUnsafeRequestWhoseConnectHungIsRefused() throws Exception {
+        try (Loopback doorman = new Loopback(folder, c -> {}, 1);
+                Wire client = doorman.client()) {
+            List<Wire> crowd = doorman.box.fillQueue();
+            client.write(dispatch(1, "order", id(1)));
+            assertAlive(client, 2);
+            doorman.pass(2_500);
+            assertEquals(REFUSED, answer(client, 1));
+            for (Wire one : crowd) {
+                one.close();
+            }
+        }
+    }
+
     /** FIN, RST and a cancel that have come by the time in which their requests are read: no first attempt begins. */
     @Test
     void noAttemptBeginsForWhoHasGoneInTheSameTurn() throws Exception {
