--- a/doorman/src/test/java/barleyspur/expect/MutantsTest.java
+++ b/doorman/src/test/java/barleyspur/expect/MutantsTest.java
@@ -54,10 +54,10 @@
         a draining cache stays a target      | no new work for a draining box | Fleet.java | if (s.ready() && isCache(s)) { | if (isCache(s)) {
         a draining parent stays a source     | no new work for a draining box | Fleet.java | s.ready() && s.node.kind() == settings.parentKind() | s.node.kind() == settings.parentKind()
         a list that leaves a box out is not heard | no new work for a draining box | Decide.java | if (e.kind() != ListKind.DELTA) { | if (e.kind() == ListKind.FAILED) {
-        no budget for cold caches            | no cold cache is pushed over | Decide.java | return s.coldTokens >= work; | return true;
-        no budget for cold parents           | no cold district cache is pushed over | Decide.java | return s.coldTokens >= work; | return true;
+        no budget for cold caches            | no cold cache is pushed over | Decide.java | return s.cold.covers(work); | return true;
+        no budget for cold parents           | no cold district cache is pushed over | Decide.java | return s.cold.covers(work); | return true;
         a cold parent is chosen as any other | no cold district cache is pushed over | Decide.java | && (fill ? coldAllows(s, work) : !cold(s))) { | ) {
-        a budget that is much too large      | no cold cache is pushed over | Decide.java | double load = BUDGET_USED * rule.fallMultiple(); | double load = 8 * rule.fallMultiple();
+        a budget that is much too large      | no cold cache is pushed over | Decide.java | double load = BUDGET_USED * rule.fallMultiple() * | double load = 8 * rule.fallMultiple() *
         a purge bounds no age                | no copy from before a purge is asked for | Decide.java | return fresh > 0 ? Math.min(fresh, bound) : bound; | return fresh;
         a purge bounds ages too short a time | no copy from before a purge is asked for | Decide.java | since > settings.purgeDoneMs() + settings.tickMs() | since > settings.purgeGraceMs()
         an unsafe request is sent again      | an unsafe request goes out once | Decide.java | if (c.effect() == Effect.UNSAFE) {¶return false; | if (c.effect() == Effect.UNSAFE) {¶return true;
