--- a/lab/src/test/java/barleyspur/lab/fleet/WrongVersionsTest.java
+++ b/lab/src/test/java/barleyspur/lab/fleet/WrongVersionsTest.java
@@ -37,7 +37,7 @@
                 Arguments.of(
                         "an old life is accepted",
                         "Saying.java",
-                        "Comparator.comparingLong(Saying::life)\n" + "        .thenComparingLong(Saying::nonce)",
+                        "Comparator.comparingLong(Saying::life)\n" + "            .thenComparingLong(Saying::nonce)",
                         "Comparator.comparingLong(Saying::nonce)",
                         RANDOM),
                 Arguments.of(
@@ -79,7 +79,8 @@
                 Arguments.of(
                         "the digest leaves out incarnations and standings",
                         "Roster.java",
-                        "return HASH.hashLong(h ^ (s.incarnation() * Standing.values().length + s.standing().ordinal()));",
+                        "return HASH.hashLong(\n"
+                                + "                h ^ (s.incarnation() * Standing.values().length + s.standing().ordinal()));",
                         "return h;",
                         "missedNewsAreMadeUpFor"),
                 Arguments.of(
