--- a/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
+++ b/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
@@ -1,6 +1,7 @@
 package barleyspur.lab;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import barleyspur.lab.stand.StandBoxes;
@@ -39,6 +40,8 @@
 
     /** What the protocol page gives a process after SIGTERM, at the classes' longest deadline. */
     private static final int KILL_MS = 3_700;
+    /** How a JVM tells that SIGTERM has ended it, once its hooks have run. */
+    private static final int ENDED_BY_SIGTERM = 128 + 15;
     /** Requests on open connections come for so long after SIGTERM. */
     private static final int ASKED_MS = 600;
 
@@ -123,6 +126,21 @@
         assertTrue(processes.log(0).contains("SIGHUP is ignored"));
     }
 
+    /** Guards restarts that overlap: SIGTERM while it still starts ends it in time, and as a planned end. */
+    @Test
+    void sigtermBeforeItListensEndsIt() throws Exception {
+        Process process = processes.launch(0, 1, processes.configuration(0, 1, FEW, processes.channel(5), SIZE));
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        // The rehearsal before the start has begun, and logs the nodes that it makes up.
+        while (processes.log(0).isEmpty() && System.nanoTime() < until) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        assertFalse(processes.log(0).contains("serves"), "it was to be ended before");
+        process.destroy();
+        assertTrue(process.waitFor(KILL_MS, TimeUnit.MILLISECONDS), "it ends before SIGKILL may come");
+        assertEquals(ENDED_BY_SIGTERM, process.exitValue(), processes.log(0));
+    }
+
     /** Guards planned restarts: of what comes until 0.6 s after SIGTERM everything is answered, and no connection is reset. */
     @Test
     void aWaveOfSigtermsLeavesNothingUnanswered() throws Exception {
