Timers are measured only where requests are traced; an unused parameter goes

LoopClock read the time twice for each timer and wrapped each task, also with the trail off. ServeProcesses.launch took a count that it did not use. Behaviour is as before. Green after it: EndingProcessesTest, ThousandNodesTest, EndingsTest, DoormanTest, SocketPollsTest, LayersTest, SharedPortTest, EmbeddedClocksTest, formatter and linter; the whole of verify was not run again.

--- a/doorman/src/main/java/barleyspur/doorman/LoopClock.java
+++ b/doorman/src/main/java/barleyspur/doorman/LoopClock.java
@@ -33,14 +33,16 @@
 
     @Override
     public Timer after(double delayMs, Runnable task) {
-        double dueMs = nowMs() + Math.max(0, delayMs);
-        Future<?> scheduled = loop.schedule(
-                () -> {
-                    RequestTrace.timerRan(nowMs() - dueMs);
-                    task.run();
-                },
-                Math.max(0, Math.round(delayMs * NANOS_PER_MS)),
-                TimeUnit.NANOSECONDS);
+        Runnable due = RequestTrace.isOn() ? traced(nowMs() + Math.max(0, delayMs), task) : task;
+        long nanos = Math.max(0, Math.round(delayMs * NANOS_PER_MS));
+        Future<?> scheduled = loop.schedule(due, nanos, TimeUnit.NANOSECONDS);
         return () -> scheduled.cancel(false);
     }
+
+    private Runnable traced(double dueMs, Runnable task) {
+        return () -> {
+            RequestTrace.timerRan(nowMs() - dueMs);
+            task.run();
+        };
+    }
 }
--- a/doorman/src/main/java/barleyspur/doorman/RequestTrace.java
+++ b/doorman/src/main/java/barleyspur/doorman/RequestTrace.java
@@ -18,6 +18,11 @@
 
     private RequestTrace() {}
 
+    /** Whether requests are traced; costs nothing where they are not. */
+    static boolean isOn() {
+        return LOG.isDebugEnabled();
+    }
+
     /** {@code waitedMs}: how long it may have waited to be read. */
     static void taken(Request request, double waitedMs) {
         if (LOG.isDebugEnabled()) {
@@ -102,7 +107,7 @@
 
     /** A timer ran {@code lateMs} after its time. */
     static void timerRan(double lateMs) {
-        if (lateMs > LATE_MS && LOG.isDebugEnabled()) {
+        if (lateMs > LATE_MS) {
             LogEvent.log(LOG.atDebug(), "event loop late", "ms", Math.round(lateMs));
         }
     }
--- a/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
+++ b/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
@@ -129,7 +129,7 @@
     /** Guards restarts that overlap: SIGTERM while it still starts ends it in time, and as a planned end. */
     @Test
     void sigtermBeforeItListensEndsIt() throws Exception {
-        Process process = processes.launch(0, 1, processes.configuration(0, 1, FEW, processes.channel(5), SIZE));
+        Process process = processes.launch(0, processes.configuration(0, 1, FEW, processes.channel(5), SIZE));
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
         // The rehearsal before the start has begun, and logs the nodes that it makes up.
         while (processes.log(0).isEmpty() && System.nanoTime() < until) {
--- a/lab/src/test/java/barleyspur/lab/ServeProcesses.java
+++ b/lab/src/test/java/barleyspur/lab/ServeProcesses.java
@@ -107,7 +107,7 @@
     void start(int doormans, int nodes, InetSocketAddress channel, double size)
             throws IOException, InterruptedException {
         for (int i = 0; i < doormans; i++) {
-            launch(i, doormans, configuration(i, doormans, nodes, channel, size));
+            launch(i, configuration(i, doormans, nodes, channel, size));
         }
         for (int i = 0; i < doormans; i++) {
             awaitReady(i);
@@ -155,7 +155,7 @@
     }
 
     /** Starts one doorman and does not wait for it. */
-    Process launch(int number, int doormans, JSONObject configuration) throws IOException {
+    Process launch(int number, JSONObject configuration) throws IOException {
         Path own = Files.createDirectories(folder.resolve("d" + number));
         Path config = Files.writeString(own.resolve("config.json"), configuration.toString());
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", prefix + runLine()).directory(ROOT.toFile());
--- a/lab/src/test/java/barleyspur/lab/ThousandNodesTest.java
+++ b/lab/src/test/java/barleyspur/lab/ThousandNodesTest.java
@@ -57,7 +57,7 @@
             for (int i = 1; i < DOORMANS; i++) {
                 peers.put("d" + i, "127.1." + i / 250 + "." + (i % 250 + 1) + ":7002");
             }
-            processes.launch(0, DOORMANS, configuration.put("peers", peers));
+            processes.launch(0, configuration.put("peers", peers));
             try (ThriftClient client = connected(processes)) {
                 ask(client, 1);
                 int reached = reached(processes, boxes);
