SIGHUP during a start is kept and carried out; it ended the process before

Checked: 129 is the JVM's own end by SIGHUP; the handler was installed only once the configuration was read and the node made (Cli.serve), so on a loaded machine a signal came before it. Ruled out: a fault of the reload itself, which had not begun.

Mend: the handler is installed first of all (ReloadSignal); what comes before there is a node is carried out once there is one. EndingProcessesTest.hangUpWhileItStartsIsCarriedOut holds a start by a named pipe: "SIGHUP ended it" without the mend.

--- a/doorman/src/main/java/barleyspur/cli/Cli.java
+++ b/doorman/src/main/java/barleyspur/cli/Cli.java
@@ -201,18 +201,18 @@
     }
 
     private static int serve(CommandLine line) throws Command.Unusable, IOException {
+        ReloadSignal reloadSignal = new ReloadSignal();
+        if (!reloadSignal.install()) {
+            LOG.warn("SIGHUP is ignored by who started this process: the configuration is never read anew");
+        }
         OwnSettings settings = settings(line);
         Configuration configuration = configuration();
         match(settings, configuration);
         try {
             Node node = new Node(configuration, settings);
-            // Before the start: unhandled, the signal would end the JVM.
-            if (!Signals.on("HUP", () -> node.reload(() -> reread(settings), () -> rereadOwn(line, settings)))) {
-                LOG.warn("SIGHUP is ignored by who started this process: the configuration is never read anew");
-            }
+            reloadSignal.reloadBy(() -> node.reload(() -> reread(settings), () -> rereadOwn(line, settings)));
             // On SIGTERM the process stays until its hooks have ended, so the hook waits for the drain. Before the
-            // start,
-            // so that there is no moment with clients and without it.
+            // start, so that there is no moment with clients and without it.
             Runtime.getRuntime()
                     .addShutdownHook(new Thread(
                             () -> {
--- a/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/RealFleet.java
@@ -1,5 +1,6 @@
 package barleyspur.lab.fleet;
 
+import barleyspur.lab.ProcessSignal;
 import barleyspur.lab.stand.StandChannel;
 import java.io.IOException;
 import java.io.RandomAccessFile;
@@ -49,6 +50,10 @@
     private static final Duration PATIENCE = Duration.ofSeconds(2);
     private static final double READY_MS = 60_000;
     private static final double SAMPLE_MS = 1_000;
+    /** How a process says that it serves. */
+    private static final String SERVES_LOGGER = " node - ";
+
+    private static final String SERVES_EVENT = " serves";
     /** So that two fleets of this process have addresses of their own. */
     private static final AtomicInteger FLEETS = new AtomicInteger();
 
@@ -64,6 +69,10 @@
         final int format;
         boolean frozen;
         boolean leaving;
+        /** It has said that it serves. A JVM that still starts is ended by SIGHUP, so reloads wait for this. */
+        boolean serves;
+
+        boolean reloadPending;
         long read;
         String rest = "";
         Process starver;
@@ -328,16 +337,6 @@
                 + Math.round(clockMs) + "ms\"\n  format = " + format + "\n}\n" + more;
     }
 
-    private static void signal(Process process, String signal) throws IOException {
-        try {
-            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid())
-                    .start()
-                    .waitFor();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private void apply(Fault fault) throws IOException {
         struck.add(new Struck(nowMs(), fault));
         if (fault instanceof Fault.Kill f) {
@@ -348,11 +347,11 @@
         } else if (fault instanceof Fault.Freeze f) {
             for (Doorman d : each(f.slots())) {
                 d.frozen = true;
-                signal(d.process, "STOP");
+                ProcessSignal.send(d.process, "STOP");
             }
         } else if (fault instanceof Fault.Thaw f) {
             for (Doorman d : each(f.slots())) {
-                signal(d.process, "CONT");
+                ProcessSignal.send(d.process, "CONT");
                 d.frozen = false;
             }
         } else if (fault instanceof Fault.Term f) {
@@ -380,7 +379,7 @@
             for (Doorman d : all) {
                 if (d.process.isAlive()) {
                     Files.writeString(d.settings, settings(d.slot, d.clockMs, d.format));
-                    signal(d.process, "HUP");
+                    reloadOnceItServes(d);
                 }
             }
         } else if (fault instanceof Fault.Starve f) {
@@ -410,8 +409,15 @@
                                     0.1 * share))
                     .start();
         } else {
-            signal(d.process, "CONT");
+            ProcessSignal.send(d.process, "CONT");
+        }
+    }
+
+    private static void reloadOnceItServes(Doorman d) throws IOException {
+        if (d.serves) {
+            ProcessSignal.send(d.process, "HUP");
         }
+        d.reloadPending = !d.serves;
     }
 
     private void gone(Doorman d) {
@@ -457,6 +463,9 @@
                     text.substring(0, end).lines().forEach(line -> told(d, line));
                 }
             }
+            if (d.reloadPending) {
+                reloadOnceItServes(d);
+            }
             if (!d.process.isAlive() && running[d.slot] == d) {
                 if (!d.leaving) {
                     watch.broken("process " + d.number + " (" + d.name + ") ended by itself with "
@@ -469,6 +478,10 @@
 
     /** Reads a line of the logger {@code fleet}: keys with values, then the event's text. */
     private void told(Doorman d, String line) {
+        if (line.contains(SERVES_LOGGER) && line.endsWith(SERVES_EVENT)) {
+            d.serves = true;
+            return;
+        }
         int ofBudgets = line.indexOf(" budget - mono=");
         int at = line.indexOf(" fleet - mono=");
         if (at < 0 && ofBudgets < 0) {
--- a/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
+++ b/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
@@ -12,8 +12,13 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.io.RandomAccessFile;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +28,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 import org.json.JSONArray;
 import org.json.JSONObject;
 import org.junit.jupiter.api.AfterEach;
@@ -42,6 +48,8 @@
     private static final int KILL_MS = 3_700;
     /** How a JVM tells that SIGTERM has ended it, once its hooks have run. */
     private static final int ENDED_BY_SIGTERM = 128 + 15;
+    /** By then a signal has been handled. */
+    private static final int SIGNALLED_MS = 500;
     /** Requests on open connections come for so long after SIGTERM. */
     private static final int ASKED_MS = 600;
 
@@ -141,6 +149,58 @@
         assertEquals(ENDED_BY_SIGTERM, process.exitValue(), processes.log(0));
     }
 
+    /**
+     * Guards reloads that overlap with a start: SIGHUP while the configuration is still being read does not end the process,
+     * and the configuration is read again once it can be. A named pipe holds the process there.
+     */
+    @Test
+    void hangUpWhileItStartsIsCarriedOut() throws Exception {
+        Path pipe = folder.resolve("pipe.json");
+        assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor(), "mkfifo " + pipe);
+        byte[] configuration = processes
+                .configuration(0, 1, FEW, processes.channel(6), SIZE)
+                .toString()
+                .getBytes(StandardCharsets.UTF_8);
+        Process process;
+        // Opened for both, since a pipe that is opened for writing alone waits for its reader.
+        try (RandomAccessFile writer = new RandomAccessFile(pipe.toFile(), "rw")) {
+            process = processes.launch(0, pipe);
+            await("it reads the configuration", () -> hasOpen(process, pipe));
+            ProcessSignal.send(process, "HUP");
+            TimeUnit.MILLISECONDS.sleep(SIGNALLED_MS);
+            assertTrue(process.isAlive(), "SIGHUP ended it");
+            // What is read again is a file of the same name.
+            Path next = Files.write(folder.resolve("next.json"), configuration);
+            Files.move(next, pipe, StandardCopyOption.REPLACE_EXISTING);
+            writer.write(configuration);
+        }
+        processes.awaitReady(0);
+        await("it reloads", () -> processes.log(0).contains("reload: done"));
+    }
+
+    private static boolean hasOpen(Process process, Path file) throws IOException {
+        try (Stream<Path> descriptors = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+            for (Path descriptor : descriptors.toList()) {
+                if (Files.isSymbolicLink(descriptor)
+                        && Files.readSymbolicLink(descriptor).equals(file)) {
+                    return true;
+                }
+            }
+            return false;
+        } catch (NoSuchFileException e) {
+            // A descriptor was closed meanwhile.
+            return false;
+        }
+    }
+
+    private static void await(String what, Callable<Boolean> condition) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (!condition.call()) {
+            assertTrue(System.nanoTime() < until, "never: " + what);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
     /** Guards planned restarts: of what comes until 0.6 s after SIGTERM everything is answered, and no connection is reset. */
     @Test
     void aWaveOfSigtermsLeavesNothingUnanswered() throws Exception {
--- a/lab/src/test/java/barleyspur/lab/ServeProcesses.java
+++ b/lab/src/test/java/barleyspur/lab/ServeProcesses.java
@@ -156,8 +156,13 @@
 
     /** Starts one doorman and does not wait for it. */
     Process launch(int number, JSONObject configuration) throws IOException {
+        Path config = Files.createDirectories(folder.resolve("d" + number)).resolve("config.json");
+        return launch(number, Files.writeString(config, configuration.toString()));
+    }
+
+    /** Starts one doorman that reads its configuration there, and does not wait for it. */
+    Process launch(int number, Path config) throws IOException {
         Path own = Files.createDirectories(folder.resolve("d" + number));
-        Path config = Files.writeString(own.resolve("config.json"), configuration.toString());
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", prefix + runLine()).directory(ROOT.toFile());
         builder.environment().put("RELAY_CONFIG", config.toString());
         builder.environment().put("TMPDIR", own.toString());
