--- a/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/FrontConnection.java
@@ -5,13 +5,11 @@
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.Request;
 import barleyspur.doorman.RequestTrace;
-import barleyspur.doorman.ResponseHandler;
 import barleyspur.lifecycle.Lifecycle;
 import barleyspur.log.LogEvent;
 import barleyspur.reload.RequestClassRegistry;
 import barleyspur.transport.LingeringClose;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -37,7 +35,8 @@
  *
  * <p>It ends by one way, {@link LingeringClose}, but for a client that is gone or does not read: those are closed outright.
  */
-final class FrontConnection extends SimpleChannelInboundHandler<ByteBuf> implements ResponseWriter.Listener {
+final class FrontConnection extends SimpleChannelInboundHandler<ByteBuf>
+        implements ResponseWriter.Listener, PartialRequestWatch.Listener {
 
     /** Why a connection ends. */
     private enum EndCause {
@@ -59,8 +58,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("front");
     private static final String DISPATCH = "dispatch";
-    /** How long a client may say nothing before its first request, or within one that it began. */
-    static final int HALF_SENT_MS = 2_000;
     /** How long a client has to read what was last written, and to close its side, before its connection is closed. */
     static final double LINGER_MS = 500;
     /** Answers that a client leaves unread, in times of what may be open, after which it is let go. */
@@ -88,21 +85,14 @@
     private final Doorman doorman;
     private final CappedLog log;
     private final ThriftFrameDecoder decoder;
-    private final Map<Integer, Pending> open = new HashMap<>();
+    private final Map<Integer, PendingResponse> open = new HashMap<>();
     /** Requests read in this turn of the loop, in their order; each holds its body. */
     private final ArrayDeque<Arrival> arrived = new ArrayDeque<>();
 
     private Channel channel;
     private LingeringClose closing;
     private ResponseWriter responses;
-    private Clock.Timer halfSent;
-    /** When the request began of which only a part has come. */
-    private double arrivingSince;
-
-    private boolean arriving;
-    /** How many whole frames had come before it. */
-    private long framesBefore;
-
+    private PartialRequestWatch partial;
     private boolean useful;
     private int bad;
     private EndCause endCause = EndCause.CLIENT_CLOSED;
@@ -125,8 +115,10 @@
                 log,
                 () -> front.classes().get().longestDeadlineMs(),
                 this);
+        partial = new PartialRequestWatch(
+                front.clock(), decoder, () -> front.classes().get().longestDeadlineMs(), open::isEmpty, this);
         front.registry().came(this, front.clock().nowMs());
-        watch();
+        partial.awaitFirst();
     }
 
     @Override
@@ -159,23 +151,13 @@
                 used();
             }
         }
-        Pending cancelled = open.remove(seqid);
+        PendingResponse cancelled = open.remove(seqid);
         if (cancelled != null) {
-            cancelled.leave("cancelled");
+            cancelled.cancel("cancelled");
             idleIfDone();
         }
     }
 
-    /** Watches for what never becomes whole: a first request, or later one of which only a part has come. */
-    private void watch() {
-        halfSent = front.clock().after(HALF_SENT_MS, () -> {
-            if (!useful) {
-                log.warn("connection closed: no request came", "client", channel.remoteAddress(), "ms", HALF_SENT_MS);
-                reject(Thrift.PROTOCOL_ERROR, "no request came");
-            }
-        });
-    }
-
     /** What was read is taken behind all that this turn of the loop reads: by then an end of the connection shows. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -206,48 +188,40 @@
         }
     }
 
-    /** A request of which part has come may go on coming for as long as any may take, unless it stops. */
+    /** Who is in the midst of a request goes last when room is to be made, and is watched. */
     private void watchArriving() {
-        boolean midFrame = decoder.midFrame() && channel.isActive();
-        if (useful || midFrame) {
-            halfSent.cancel();
-        }
-        if (!midFrame) {
-            stopArriving();
+        boolean wasArriving = partial.arriving();
+        partial.look(channel.isActive(), useful);
+        if (!open.isEmpty()) {
             return;
         }
-        double now = front.clock().nowMs();
-        if (!arriving || decoder.frames() != framesBefore) {
-            arriving = true;
-            arrivingSince = now;
-            framesBefore = decoder.frames();
-        }
-        if (open.isEmpty()) {
+        if (partial.arriving()) {
             front.registry().arriving(this);
+        } else if (wasArriving && useful) {
+            front.registry().idle(this, front.clock().nowMs());
+        } else if (wasArriving) {
+            front.registry().came(this, front.clock().nowMs());
+            partial.awaitFirst();
         }
-        watchRest(Math.min(HALF_SENT_MS, arrivingSince + front.classes().get().longestDeadlineMs() - now));
     }
 
-    /** Nothing half sent is left here: what came last was whole, or could not be used. */
-    private void stopArriving() {
-        if (arriving && open.isEmpty() && useful) {
-            front.registry().idle(this, front.clock().nowMs());
-        } else if (arriving && open.isEmpty()) {
-            front.registry().came(this, front.clock().nowMs());
-            watch();
+    @Override
+    public void noRequestCame() {
+        if (!useful) {
+            log.warn(
+                    "connection closed: no request came",
+                    "client",
+                    channel.remoteAddress(),
+                    "ms",
+                    PartialRequestWatch.SILENCE_MS);
+            reject(Thrift.PROTOCOL_ERROR, "no request came");
         }
-        arriving = false;
     }
 
-    private void watchRest(double ms) {
-        halfSent = front.clock().after(ms, () -> {
-            if (open.isEmpty()) {
-                log.warn("connection closed: half a request", "client", channel.remoteAddress());
-                reject(Thrift.PROTOCOL_ERROR, "half a request came");
-            } else {
-                watchRest(HALF_SENT_MS);
-            }
-        });
+    @Override
+    public void requestStoppedShort() {
+        log.warn("connection closed: half a request", "client", channel.remoteAddress());
+        reject(Thrift.PROTOCOL_ERROR, "half a request came");
     }
 
     private void used() {
@@ -292,7 +266,7 @@
         if (!closing.begun() && channel.isActive()) {
             endCause = cause;
             front.registry().leaving(this);
-            halfSent.cancel();
+            partial.stop();
             decoder.discard();
             closing.begin(LINGER_MS);
         }
@@ -314,11 +288,11 @@
         if (closing.begun()) {
             return;
         }
-        List<Pending> left = new ArrayList<>(open.values());
+        List<PendingResponse> left = new ArrayList<>(open.values());
         open.clear();
-        left.forEach(x -> {
-            x.leave("connection rejected");
-            responses.failed(x.seqid, x.requestId);
+        left.forEach(response -> {
+            response.cancel("connection rejected");
+            response.writeFailed();
         });
         for (Arrival arrival = arrived.poll(); arrival != null; arrival = arrived.poll()) {
             ThriftCall.Dispatch call = arrival.call();
@@ -330,99 +304,69 @@
     }
 
     private void dispatch(ThriftCall.Dispatch call, double arrivedMs) throws ThriftCall.Malformed {
-        int seqid = call.seqid();
-        if (open.containsKey(seqid)) {
-            throw new ThriftCall.Malformed("sequence number " + seqid + " is in use");
+        if (open.containsKey(call.seqid())) {
+            throw new ThriftCall.Malformed("sequence number " + call.seqid() + " is in use");
         }
         Request request;
         try {
-            request = RequestFields.read(
-                    call.fields(), call.body(), front.classes().get());
-            if (doorman.hasTaken(request.id())) {
-                // Two requests under one id would be taken for one another at a depot.
-                throw new IllegalArgumentException("field i is the id of an earlier request");
-            }
+            request = read(call);
         } catch (IllegalArgumentException e) {
             log.warn("bad request", "client", channel.remoteAddress(), "cause", e.getMessage());
-            bad(DISPATCH, seqid, Thrift.PROTOCOL_ERROR, e.getMessage());
+            bad(DISPATCH, call.seqid(), Thrift.PROTOCOL_ERROR, e.getMessage());
             return;
         }
         useful = true;
         if (!front.lifecycle().takes(front.clock().nowMs(), request.remainingMs())) {
             // Its connection is to be closed, which needs a moment with nothing open: the client asks again elsewhere.
-            responses.refused(seqid, request.id(), Map.of("w", Long.toString(AWAY_MS)));
+            responses.refused(call.seqid(), request.id(), Map.of("w", Long.toString(AWAY_MS)));
             idleIfDone();
-            return;
-        }
-        // What is not yet out is open to its client: who keeps to the limit is never refused by this.
-        if (open.size() + responses.unwritten() >= front.mostOpen()
-                || front.unread().full()) {
-            log.warn(
-                    "refused: too many requests are open here",
-                    "client",
-                    channel.remoteAddress(),
-                    "open",
-                    open.size(),
-                    "unread",
-                    front.unread().full());
-            responses.refused(seqid, request.id(), Map.of());
+        } else if (hasTooManyOpen()) {
+            responses.refused(call.seqid(), request.id(), Map.of());
             idleIfDone();
-            return;
+        } else {
+            take(call, request, arrivedMs);
         }
-        Pending x = new Pending(seqid, request.id());
-        open.put(seqid, x);
-        front.registry().busy(this);
-        // The body outlives the frame that it is a slice of: until the request is over.
-        call.body().retain();
-        x.ticket = doorman.take(request, arrivedMs, x);
     }
 
-    /** One open request of this connection. */
-    private final class Pending implements ResponseHandler {
-        private final int seqid;
-        private final String requestId;
-        private Doorman.Cancellable ticket;
-
-        Pending(int seqid, String requestId) {
-            this.seqid = seqid;
-            this.requestId = requestId;
+    /** The request that a call brings; throws where it can't be used. */
+    private Request read(ThriftCall.Dispatch call) {
+        Request request =
+                RequestFields.read(call.fields(), call.body(), front.classes().get());
+        if (doorman.hasTaken(request.id())) {
+            // Two requests under one id would be taken for one another at a depot.
+            throw new IllegalArgumentException("field i is the id of an earlier request");
         }
+        return request;
+    }
 
-        void leave(String why) {
-            RequestTrace.left(requestId, why);
-            ticket.cancel();
+    /** What is not yet out is open to its client: who keeps to the limit is never refused by this. */
+    private boolean hasTooManyOpen() {
+        boolean unreadFull = front.unread().full();
+        if (open.size() + responses.unwritten() < front.mostOpen() && !unreadFull) {
+            return false;
         }
+        log.warn(
+                "refused: too many requests are open here",
+                "client",
+                channel.remoteAddress(),
+                "open",
+                open.size(),
+                "unread",
+                unreadFull);
+        return true;
+    }
 
-        private void over() {
+    private void take(ThriftCall.Dispatch call, Request request, double arrivedMs) {
+        int seqid = call.seqid();
+        PendingResponse response = new PendingResponse(seqid, request.id(), responses, () -> {
             open.remove(seqid);
             idleIfDone();
-        }
-
-        @Override
-        public void served(ByteBuf body, String tag) {
-            over();
-            responses.served(seqid, requestId, body, tag == null ? Map.of() : Map.of("etag", tag));
-        }
-
-        @Override
-        public void unchanged(String tag) {
-            over();
-            Map<String, String> fields = tag == null ? Map.of("notmod", "1") : Map.of("notmod", "1", "etag", tag);
-            responses.served(seqid, requestId, Unpooled.EMPTY_BUFFER, fields);
-        }
-
-        @Override
-        public void refused(double pauseMs) {
-            over();
-            Map<String, String> advice = pauseMs > 0 ? Map.of("w", Long.toString(Math.round(pauseMs))) : Map.of();
-            responses.refused(seqid, requestId, advice);
-        }
-
-        @Override
-        public void failed() {
-            over();
-            responses.failed(seqid, requestId);
-        }
+        });
+        open.put(seqid, response);
+        front.registry().busy(this);
+        // The body outlives the frame that it is a slice of: until the request is over.
+        call.body().retain();
+        response.taken(doorman.take(request, arrivedMs, response));
     }
 
     @Override
@@ -482,15 +426,15 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         closing.closed();
         front.registry().left(this);
-        halfSent.cancel();
+        partial.stop();
         responses.stop();
         RequestTrace.connectionEnded(
                 channel.remoteAddress(), endCause, open.size() + arrived.size(), responses.unwritten());
         arrived.forEach(arrival -> arrival.call().body().release());
         arrived.clear();
-        List<Pending> left = new ArrayList<>(open.values());
+        List<PendingResponse> left = new ArrayList<>(open.values());
         open.clear();
-        left.forEach(x -> x.leave("connection ended"));
+        left.forEach(response -> response.cancel("connection ended"));
     }
 
     private void malformed(Exception cause) {
--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -344,12 +344,12 @@
         dispatch(1, "small");
         out.accept(new Director.Refuse(((Director.Request) events.get(0)).id(), 0));
         doorman.purgedGroup(1, 0);
-        pass(FrontConnection.HALF_SENT_MS);
+        pass(PartialRequestWatch.SILENCE_MS);
         pass(FrontConnection.LINGER_MS);
         assertFalse(other.isOpen());
         assertTrue(channel.isOpen());
         channel.writeInbound(Unpooled.wrappedBuffer(new byte[] {0, 0, 0}));
-        pass(FrontConnection.HALF_SENT_MS);
+        pass(PartialRequestWatch.SILENCE_MS);
         pass(FrontConnection.LINGER_MS);
         assertFalse(channel.isOpen(), "half a request");
     }
