--- a/lab/src/main/java/barleyspur/lab/fleet/BudgetFleet.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/BudgetFleet.java
@@ -2,6 +2,7 @@
 
 import barleyspur.budget.Kind;
 import barleyspur.budget.Terms;
+import barleyspur.lab.stand.NodeList;
 import barleyspur.lab.stand.StandBoxes;
 import barleyspur.lab.stand.StandChannel;
 import barleyspur.lab.stand.StandClients;
@@ -21,7 +22,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.json.JSONArray;
-import org.json.JSONObject;
 
 /**
  * Plays a schedule with budgets on real processes: real doormans behind relays, stand-in boxes that count what arrives, and
@@ -73,7 +73,7 @@
         }
         StandBoxes boxes = new StandBoxes(group, "record", (int) use.hitMs(), rates);
         Map<String, InetSocketAddress> addresses = new TreeMap<>();
-        JSONArray targets = new JSONArray();
+        NodeList nodes = new NodeList();
         long bootMs = System.currentTimeMillis() + (long) use.coldMs();
         for (int i = 0; i < use.caches() + PARENTS + 1; i++) {
             StandBoxes.Kind kind = i < use.caches()
@@ -82,31 +82,10 @@
             InetSocketAddress at = new InetSocketAddress(network + (i + 1), PORT);
             boxes.listen(at, kind);
             addresses.put("s-" + i, at);
-            targets.put(new JSONObject()
-                    .put("uid", "s-" + i)
-                    .put("endpoint", at.getHostString() + ":" + PORT)
-                    .put("az", "central")
-                    .put("model", List.of("cache", "parent", "origin").get(kind.ordinal()))
-                    .put("pod_group", i % 2)
-                    .put("state", "in_service")
-                    .put("capacity_hint", 64)
-                    .put("boot_ms", i == 0 && use.coldMs() > 0 ? bootMs : 0));
+            nodes.add(NodeList.node("s-" + i, at, kind, i % 2, 64, i == 0 && use.coldMs() > 0 ? bootMs : 0));
         }
         InetSocketAddress channel = new InetSocketAddress(network + "100", PORT);
         StandChannel.listen(group, channel, 1);
-        JSONObject known = new JSONObject()
-                .put("cursor", 1)
-                .put(
-                        "cmds",
-                        new JSONArray()
-                                .put(new JSONObject()
-                                        .put("cursor", 1)
-                                        .put(
-                                                "nodes",
-                                                new JSONObject()
-                                                        .put("rev", 1)
-                                                        .put("all", true)
-                                                        .put("targets", targets))));
         List<Double> times;
         List<String> rows;
         BudgetWatch shares;
@@ -123,7 +102,7 @@
             shares = new BudgetWatch(terms);
             fleet.budgets(settings(terms, use), shares);
             fleet.configure(json -> {
-                json.put("channel", channel.getHostString() + ":" + PORT).put("known", known);
+                json.put("channel", channel.getHostString() + ":" + PORT).put("known", nodes.known());
                 json.getJSONObject("settings")
                         .getJSONObject("familyInfo")
                         .put("zoneBalancers", new JSONArray().put(schedule.started()));
--- a/lab/src/main/java/barleyspur/lab/fleet/FleetDemo.java
+++ b/lab/src/main/java/barleyspur/lab/fleet/FleetDemo.java
@@ -1,5 +1,6 @@
 package barleyspur.lab.fleet;
 
+import barleyspur.lab.stand.NodeList;
 import barleyspur.lab.stand.StandBoxes;
 import barleyspur.lab.stand.StandChannel;
 import barleyspur.lab.stand.StandClients;
@@ -14,7 +15,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.json.JSONArray;
-import org.json.JSONObject;
 
 /** {@code fleet demo}: a station of stand-ins with five real doormans, some of which are killed and cut off for a minute. */
 public final class FleetDemo {
@@ -44,40 +44,19 @@
         String network = "127." + (20 + ProcessHandle.current().pid() % 200) + ".250.";
         InetSocketAddress channel = new InetSocketAddress(network + "100", PORT);
         StandBoxes boxes = new StandBoxes(group, "record");
-        JSONArray targets = new JSONArray();
+        NodeList nodes = new NodeList();
         for (int i = 0; i < CACHES + PARENTS + 1; i++) {
             StandBoxes.Kind kind = i < CACHES
                     ? StandBoxes.Kind.CACHE
                     : i < CACHES + PARENTS ? StandBoxes.Kind.PARENT : StandBoxes.Kind.ORIGIN;
             InetSocketAddress at = new InetSocketAddress(network + (i + 1), PORT);
             boxes.listen(at, kind);
-            targets.put(new JSONObject()
-                    .put("uid", "s-" + i)
-                    .put("endpoint", at.getHostString() + ":" + PORT)
-                    .put("az", "central")
-                    .put("model", List.of("cache", "parent", "origin").get(kind.ordinal()))
-                    .put("pod_group", i % 2)
-                    .put("state", "in_service")
-                    .put("capacity_hint", 4)
-                    .put("boot_ms", 0));
+            nodes.add(NodeList.node("s-" + i, at, kind, i % 2, 4, 0));
         }
         StandChannel.listen(group, channel, 1);
-        JSONObject known = new JSONObject()
-                .put("cursor", 1)
-                .put(
-                        "cmds",
-                        new JSONArray()
-                                .put(new JSONObject()
-                                        .put("cursor", 1)
-                                        .put(
-                                                "nodes",
-                                                new JSONObject()
-                                                        .put("rev", 1)
-                                                        .put("all", true)
-                                                        .put("targets", targets))));
         try (RealFleet fleet = new RealFleet(schedule, watch, jar, folder, System.out::println)) {
             fleet.configure(json -> {
-                json.put("channel", channel.getHostString() + ":" + PORT).put("known", known);
+                json.put("channel", channel.getHostString() + ":" + PORT).put("known", nodes.known());
                 json.getJSONObject("settings")
                         .getJSONObject("familyInfo")
                         .put("zoneBalancers", new JSONArray().put(DOORMANS));
--- a/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
+++ b/lab/src/test/java/barleyspur/lab/EndingProcessesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import barleyspur.lab.stand.NodeList;
 import barleyspur.lab.stand.StandBoxes;
 import barleyspur.lab.stand.StandChannel;
 import barleyspur.lab.stand.StandClients;
@@ -29,8 +30,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
-import org.json.JSONArray;
-import org.json.JSONObject;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -274,11 +273,9 @@
         Tally cold = boxes.tally(processes.box(0));
         // What was sent before the news has arrived by then.
         cold.watch(boot + 250, boot + (long) COLD_MS);
-        told.tell("\"nodes\":"
-                + new JSONObject()
-                        .put("rev", 2)
-                        .put("all", false)
-                        .put("targets", new JSONArray().put(processes.target(0, FEW, SIZE, boot))));
+        NodeList restarted = new NodeList();
+        restarted.add(processes.target(0, FEW, SIZE, boot));
+        told.tell("\"nodes\":" + restarted.event(2, false));
         TimeUnit.MILLISECONDS.sleep((long) COLD_MS + 100);
         List<Long> times = cold.watchedTimes();
         double worst = 0;
--- a/lab/src/test/java/barleyspur/lab/ServeProcesses.java
+++ b/lab/src/test/java/barleyspur/lab/ServeProcesses.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import barleyspur.lab.stand.NodeList;
 import barleyspur.lab.stand.StandBoxes;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
@@ -11,7 +12,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
@@ -83,15 +83,8 @@
 
     /** One node of so many as the command channel lists it. */
     JSONObject target(int number, int nodes, double size, double bootMs) {
-        return new JSONObject()
-                .put("uid", "s-" + Integer.toHexString(number + 1))
-                .put("endpoint", text(box(number)))
-                .put("az", "central")
-                .put("model", kind(number, nodes).name().toLowerCase(Locale.ROOT))
-                .put("pod_group", 0)
-                .put("state", "in_service")
-                .put("capacity_hint", size)
-                .put("boot_ms", bootMs);
+        String uid = "s-" + Integer.toHexString(number + 1);
+        return NodeList.node(uid, box(number), kind(number, nodes), 0, size, bootMs);
     }
 
     /** So many nodes, which answer what they hold after so long. */
@@ -116,9 +109,9 @@
 
     /** The configuration of one doorman of so many. */
     JSONObject configuration(int number, int doormans, int nodes, InetSocketAddress channel, double size) {
-        JSONArray targets = new JSONArray();
+        NodeList listed = new NodeList();
         for (int i = 0; i < nodes; i++) {
-            targets.put(target(i, nodes, size, 0));
+            listed.add(target(i, nodes, size, 0));
         }
         JSONObject json =
                 new JSONObject(new JSONTokener(ServeProcesses.class.getResourceAsStream("/barleyspur/rehearsal.json")));
@@ -137,21 +130,7 @@
                 .put("listen", text(front(number)))
                 .put("channel", text(channel))
                 .put("seed", Integer.toHexString(77 + number))
-                .put(
-                        "known",
-                        new JSONObject()
-                                .put("cursor", 1)
-                                .put(
-                                        "cmds",
-                                        new JSONArray()
-                                                .put(new JSONObject()
-                                                        .put("cursor", 1)
-                                                        .put(
-                                                                "nodes",
-                                                                new JSONObject()
-                                                                        .put("rev", 1)
-                                                                        .put("all", true)
-                                                                        .put("targets", targets)))));
+                .put("known", listed.known());
     }
 
     /** Starts one doorman and does not wait for it. */
--- a/lab/src/test/java/barleyspur/lab/ThousandNodesTest.java
+++ b/lab/src/test/java/barleyspur/lab/ThousandNodesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import barleyspur.lab.stand.NodeList;
 import barleyspur.lab.stand.StandBoxes;
 import barleyspur.lab.stand.StandChannel;
 import io.netty.channel.EventLoopGroup;
@@ -13,7 +14,6 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.json.JSONArray;
 import org.json.JSONObject;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -61,12 +61,11 @@
             try (ThriftClient client = connected(processes)) {
                 ask(client, 1);
                 int reached = reached(processes, boxes);
-                JSONArray targets = new JSONArray();
+                NodeList all = new NodeList();
                 for (int i = 0; i < NODES; i++) {
-                    targets.put(processes.target(i, NODES, SIZE, 0));
+                    all.add(processes.target(i, NODES, SIZE, 0));
                 }
-                told.tell("\"nodes\":"
-                        + new JSONObject().put("rev", 2).put("all", true).put("targets", targets));
+                told.tell("\"nodes\":" + all.event(2, true));
                 ask(client, REQUESTS + 1);
                 System.out.printf(
                         "%d nodes, %d doormans: %d nodes reached, %d MB at most%n",
--- a/lab/src/test/java/barleyspur/lab/fleet/EmbeddedClocksTest.java
+++ b/lab/src/test/java/barleyspur/lab/fleet/EmbeddedClocksTest.java
@@ -8,6 +8,7 @@
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.LoopClock;
 import barleyspur.doorman.SocketPolls;
+import barleyspur.lab.stand.NodeList;
 import barleyspur.lab.stand.StandBoxes;
 import barleyspur.lab.stand.StandChannel;
 import barleyspur.lab.stand.StandClients;
@@ -24,7 +25,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.json.JSONArray;
 import org.json.JSONObject;
 import org.json.JSONTokener;
 import org.junit.jupiter.api.Test;
@@ -64,19 +64,11 @@
         List<Node> nodes = new ArrayList<>();
         try {
             StandBoxes boxes = new StandBoxes(group, "record", 40, new double[3]);
-            JSONArray targets = new JSONArray();
+            NodeList listed = new NodeList();
             for (int i = 0; i < 3; i++) {
                 InetSocketAddress at = new InetSocketAddress(network + (50 + i), 7001);
                 boxes.listen(at, StandBoxes.Kind.values()[i]);
-                targets.put(new JSONObject()
-                        .put("uid", "s-" + i)
-                        .put("endpoint", at.getHostString() + ":7001")
-                        .put("az", "central")
-                        .put("model", List.of("cache", "parent", "origin").get(i))
-                        .put("pod_group", 0)
-                        .put("state", "in_service")
-                        .put("capacity_hint", 64)
-                        .put("boot_ms", 0));
+                listed.add(NodeList.node("s-" + i, at, StandBoxes.Kind.values()[i], 0, 64, 0));
             }
             InetSocketAddress channel = new InetSocketAddress(network + "100", 7001);
             StandChannel.listen(group, channel, 1);
@@ -87,7 +79,7 @@
                 double rate = RATES[i];
                 fronts.add(new InetSocketAddress(network + (i + 1), 7001));
                 nodes.add(new Node(
-                        configuration(network, i, channel, targets),
+                        configuration(network, i, channel, listed),
                         settings(network, i),
                         (loop, polls) -> new Skewed(loop, polls, rate)));
                 nodes.get(i).start();
@@ -112,27 +104,13 @@
         }
     }
 
-    private Configuration configuration(String network, int i, InetSocketAddress channel, JSONArray targets)
+    private Configuration configuration(String network, int i, InetSocketAddress channel, NodeList listed)
             throws Exception {
         JSONObject json = new JSONObject(new JSONTokener(Node.class.getResourceAsStream("/barleyspur/rehearsal.json")))
                 .put("name", "e" + i)
                 .put("listen", network + (i + 1) + ":7001")
                 .put("channel", channel.getHostString() + ":7001")
-                .put(
-                        "known",
-                        new JSONObject()
-                                .put("cursor", 1)
-                                .put(
-                                        "cmds",
-                                        new JSONArray()
-                                                .put(new JSONObject()
-                                                        .put("cursor", 1)
-                                                        .put(
-                                                                "nodes",
-                                                                new JSONObject()
-                                                                        .put("rev", 1)
-                                                                        .put("all", true)
-                                                                        .put("targets", targets)))));
+                .put("known", listed.known());
         Path file = Files.writeString(folder.resolve("c" + i + ".json"), json.toString(1));
         return Configuration.load(Map.of("RELAY_CONFIG", file.toString(), "TMPDIR", folder.toString()));
     }
