--- a/doorman/src/test/java/barleyspur/front/thrift/EndingsTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/EndingsTest.java
@@ -49,7 +49,7 @@
     private static final int MARGIN_MS = 375;
 
     private static byte[] dispatch(int seqid, String className, String id) {
-        return Cuts.take(ThriftPropertiesTest.dispatch(
+        return Cuts.take(ThriftCalls.dispatch(
                 seqid,
                 Map.of("c", className, "i", id, "d", "2500", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"),
                 new byte[4]));
@@ -225,7 +225,7 @@
                 doorman.awaitEnded(burst.get(i));
             }
             cancels.write(dispatch(1, id(9_001)));
-            cancels.write(Cuts.take(ThriftPropertiesTest.cancelRequest(2, 1)));
+            cancels.write(Cuts.take(ThriftCalls.cancelRequest(2, 1)));
             cancels.write(dispatch(3, id(9_002)));
             release.run();
             assertNextIs(doorman, id(9_002));
@@ -252,7 +252,7 @@
             rst.reset();
             doorman.awaitEnded(fin);
             doorman.awaitEnded(rst);
-            cancels.write(Cuts.take(ThriftPropertiesTest.cancelRequest(2, 1)));
+            cancels.write(Cuts.take(ThriftCalls.cancelRequest(2, 1)));
             cancels.write(dispatch(3, id(4)));
             assertAlive(probe, 2);
             doorman.box.serve();
@@ -293,7 +293,7 @@
                 doorman.box.next().answer("DONE", DONE, new byte[240_000]);
             }
             turn(probe);
-            client.write(Cuts.take(ThriftPropertiesTest.cancelRequest(40, 1)));
+            client.write(Cuts.take(ThriftCalls.cancelRequest(40, 1)));
             assertEquals(List.of("cancel", id(1)), doorman.box.next().words());
             waits.answer("WAIT", "-", null);
             assertStillServes(doorman, id(50));
@@ -488,7 +488,7 @@
                 .put("hardLimitMs", 60_000));
         doorman.box.serve();
         Wire client = doorman.client();
-        client.write(Cuts.take(ThriftPropertiesTest.dispatch(
+        client.write(Cuts.take(ThriftCalls.dispatch(
                 1,
                 Map.of("c", "segment", "i", id(1), "d", "50000", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"),
                 new byte[4])));
@@ -553,7 +553,7 @@
     void aKeyedRequestCarriesItsKeyWithEachAttempt() throws Exception {
         try (Loopback doorman = start();
                 Wire client = doorman.client()) {
-            client.write(Cuts.take(ThriftPropertiesTest.dispatch(
+            client.write(Cuts.take(ThriftCalls.dispatch(
                     1,
                     Map.of(
                             "c",
@@ -717,7 +717,7 @@
             assertEquals(SERVED, answer(client, 2));
             client.write(dispatch(3, id(3)));
             Request cancelled = doorman.box.next();
-            client.write(Cuts.take(ThriftPropertiesTest.cancelRequest(4, 3)));
+            client.write(Cuts.take(ThriftCalls.cancelRequest(4, 3)));
             assertEquals("cancel", doorman.box.next().verb());
             cancelled.answer("DONE", DONE, new byte[13]);
             client.write(dispatch(5, id(5)));
--- a/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/FrontConnectionTest.java
@@ -23,7 +23,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -102,9 +101,7 @@
     }
 
     private void dispatch(int seqid, String className, String id) {
-        Map<String, String> fields = new HashMap<>(
-                Map.of("c", className, "i", id, "d", "1500", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"));
-        channel.writeInbound(ThriftPropertiesTest.dispatch(seqid, fields, new byte[4]));
+        channel.writeInbound(ThriftCalls.dispatch(seqid, ThriftCalls.fields(className, id), new byte[4]));
     }
 
     /** Type and sequence number of the next message to the client, and whether {@code text} is in it. */
@@ -124,20 +121,8 @@
     /** Guards a client that writes in pieces of any size, down to one byte: its request is taken once, when whole. */
     @Test
     void aRequestThatComesOneByteAtATimeIsTakenWhenWhole() {
-        Map<String, String> fields = Map.of(
-                "c",
-                "small",
-                "i",
-                "9b1f03aa5c7e2d41",
-                "d",
-                "1500",
-                "o",
-                "7f3a9c21e0b4d655",
-                "seg",
-                "3",
-                "bucket",
-                "17");
-        ByteBuf whole = ThriftPropertiesTest.dispatch(1, fields, new byte[4]);
+        Map<String, String> fields = ThriftCalls.fields("small", "9b1f03aa5c7e2d41");
+        ByteBuf whole = ThriftCalls.dispatch(1, fields, new byte[4]);
         while (whole.isReadable()) {
             assertEquals(List.of(), events, "nothing before the last byte");
             channel.writeInbound(whole.readRetainedSlice(1));
@@ -159,7 +144,7 @@
         dispatch(2, "small");
         writable(false);
         assertTrue(channel.config().isAutoRead());
-        channel.writeInbound(ThriftPropertiesTest.cancelRequest(3, 1));
+        channel.writeInbound(ThriftCalls.cancelRequest(3, 1));
         assertEquals(new Director.Gone(((Director.Request) events.get(0)).id()), events.get(2));
         channel.close();
         channel.runPendingTasks();
@@ -219,21 +204,9 @@
     /** Guards: what a client has cancelled, or closed on, in the turn in which it asked is never begun. */
     @Test
     void aRequestThatComesWithItsCancelIsNotBegun() {
-        Map<String, String> fields = Map.of(
-                "c",
-                "small",
-                "i",
-                "9b1f03aa5c7e2d41",
-                "d",
-                "1500",
-                "o",
-                "7f3a9c21e0b4d655",
-                "seg",
-                "3",
-                "bucket",
-                "17");
-        channel.writeInbound(Unpooled.wrappedBuffer(
-                ThriftPropertiesTest.dispatch(1, fields, new byte[4]), ThriftPropertiesTest.cancelRequest(2, 1)));
+        Map<String, String> fields = ThriftCalls.fields("small", "9b1f03aa5c7e2d41");
+        channel.writeInbound(
+                Unpooled.wrappedBuffer(ThriftCalls.dispatch(1, fields, new byte[4]), ThriftCalls.cancelRequest(2, 1)));
         assertEquals(List.of(), events);
         channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
             @Override
@@ -241,29 +214,16 @@
                 ctx.close();
             }
         });
-        channel.writeInbound(ThriftPropertiesTest.dispatch(3, fields, new byte[4]));
+        channel.writeInbound(ThriftCalls.dispatch(3, fields, new byte[4]));
         assertEquals(List.of(), events, "its client was gone before it could be taken");
     }
 
     /** Guards requests before a fault: what was whole gets its answer, though it can't be taken any more. */
     @Test
     void aRequestBeforeAFaultIsAnswered() {
-        Map<String, String> fields = Map.of(
-                "c",
-                "small",
-                "i",
-                "9b1f03aa5c7e2d41",
-                "d",
-                "1500",
-                "o",
-                "7f3a9c21e0b4d655",
-                "seg",
-                "3",
-                "bucket",
-                "17");
+        Map<String, String> fields = ThriftCalls.fields("small", "9b1f03aa5c7e2d41");
         channel.writeInbound(Unpooled.wrappedBuffer(
-                ThriftPropertiesTest.dispatch(1, fields, new byte[4]),
-                Unpooled.wrappedBuffer(new byte[] {-1, -1, -1, -1})));
+                ThriftCalls.dispatch(1, fields, new byte[4]), Unpooled.wrappedBuffer(new byte[] {-1, -1, -1, -1})));
         assertEquals(List.of(), events);
         ByteBuf first = channel.readOutbound();
         assertEquals(Thrift.VERSION | Thrift.REPLY, first.getInt(Integer.BYTES));
--- /dev/null
+++ b/doorman/src/test/java/barleyspur/front/thrift/ThriftCalls.java
@@ -0,0 +1,61 @@
+package barleyspur.front.thrift;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Framed calls as clients write them, for tests. */
+final class ThriftCalls {
+
+    private ThriftCalls() {}
+
+    /** A framed {@code dispatch}, with a field that this version does not know. */
+    static ByteBuf dispatch(int seqid, Map<String, String> fields, byte[] body) {
+        ByteBuf out = Unpooled.buffer();
+        out.writeInt(0).writeInt(Thrift.VERSION | Thrift.CALL);
+        string(out, "dispatch".getBytes(StandardCharsets.UTF_8));
+        out.writeInt(seqid);
+        out.writeByte(Thrift.LIST)
+                .writeShort(9)
+                .writeByte(Thrift.I32)
+                .writeInt(2)
+                .writeInt(1)
+                .writeInt(2);
+        out.writeByte(Thrift.MAP).writeShort(1).writeByte(Thrift.STRING).writeByte(Thrift.STRING);
+        out.writeInt(fields.size());
+        fields.forEach((name, value) -> {
+            string(out, name.getBytes(StandardCharsets.UTF_8));
+            string(out, value.getBytes(StandardCharsets.UTF_8));
+        });
+        out.writeByte(Thrift.STRING).writeShort(2);
+        string(out, body);
+        out.writeByte(Thrift.STOP);
+        return out.setInt(0, out.readableBytes() - Integer.BYTES);
+    }
+
+    /** A framed {@code cancelRequest} of the call with the other number. */
+    static ByteBuf cancelRequest(int seqid, int cancelled) {
+        ByteBuf out = Unpooled.buffer();
+        out.writeInt(0).writeInt(Thrift.VERSION | Thrift.ONEWAY);
+        string(out, "cancelRequest".getBytes(StandardCharsets.UTF_8));
+        out.writeInt(seqid)
+                .writeByte(Thrift.I32)
+                .writeShort(1)
+                .writeInt(cancelled)
+                .writeByte(Thrift.STOP);
+        return out.setInt(0, out.readableBytes() - Integer.BYTES);
+    }
+
+    /** The fields of a request for one part, with 1,500 ms left; to be changed at will. */
+    static Map<String, String> fields(String className, String id) {
+        return new HashMap<>(
+                Map.of("c", className, "i", id, "d", "1500", "o", "7f3a9c21e0b4d655", "seg", "3", "bucket", "17"));
+    }
+
+    /** Writes a string or binary value: its length, then its bytes. */
+    static void string(ByteBuf out, byte[] bytes) {
+        out.writeInt(bytes.length).writeBytes(bytes);
+    }
+}
--- a/doorman/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
@@ -28,46 +28,6 @@
 
     private static final int MAX_FRAME = 4_096;
 
-    /** A framed {@code dispatch}, with a field that this version does not know. */
-    static ByteBuf cancelRequest(int seqid, int cancelled) {
-        ByteBuf out = Unpooled.buffer();
-        out.writeInt(0).writeInt(Thrift.VERSION | Thrift.ONEWAY);
-        string(out, "cancelRequest".getBytes(StandardCharsets.UTF_8));
-        out.writeInt(seqid)
-                .writeByte(Thrift.I32)
-                .writeShort(1)
-                .writeInt(cancelled)
-                .writeByte(Thrift.STOP);
-        return out.setInt(0, out.readableBytes() - Integer.BYTES);
-    }
-
-    static ByteBuf dispatch(int seqid, Map<String, String> fields, byte[] body) {
-        ByteBuf out = Unpooled.buffer();
-        out.writeInt(0).writeInt(Thrift.VERSION | Thrift.CALL);
-        string(out, "dispatch".getBytes(StandardCharsets.UTF_8));
-        out.writeInt(seqid);
-        out.writeByte(Thrift.LIST)
-                .writeShort(9)
-                .writeByte(Thrift.I32)
-                .writeInt(2)
-                .writeInt(1)
-                .writeInt(2);
-        out.writeByte(Thrift.MAP).writeShort(1).writeByte(Thrift.STRING).writeByte(Thrift.STRING);
-        out.writeInt(fields.size());
-        fields.forEach((name, value) -> {
-            string(out, name.getBytes(StandardCharsets.UTF_8));
-            string(out, value.getBytes(StandardCharsets.UTF_8));
-        });
-        out.writeByte(Thrift.STRING).writeShort(2);
-        string(out, body);
-        out.writeByte(Thrift.STOP);
-        return out.setInt(0, out.readableBytes() - Integer.BYTES);
-    }
-
-    private static void string(ByteBuf out, byte[] bytes) {
-        out.writeInt(bytes.length).writeBytes(bytes);
-    }
-
     @Property(seed = "11")
     void callsSurviveAnyCuts(
             @ForAll @Size(max = 5) List<@StringLength(max = 30) String> values,
@@ -79,7 +39,7 @@
         values.forEach(v -> fields.put("f" + fields.size(), v.replaceAll("[\\ud800-\\udfff]", "?")));
         ByteBuf twice = Unpooled.buffer();
         for (int i = 0; i < 2; i++) {
-            ByteBuf one = dispatch(seqid + i, fields, body);
+            ByteBuf one = ThriftCalls.dispatch(seqid + i, fields, body);
             twice.writeBytes(one);
             one.release();
         }
@@ -101,7 +61,7 @@
         ByteBuf frame = Unpooled.buffer();
         if (headed) {
             frame.writeInt(Thrift.VERSION | Thrift.CALL);
-            string(frame, "dispatch".getBytes(StandardCharsets.UTF_8));
+            ThriftCalls.string(frame, "dispatch".getBytes(StandardCharsets.UTF_8));
             frame.writeInt(1);
         }
         frame.writeBytes(garbage);
@@ -114,7 +74,7 @@
 
     @Property(seed = "13")
     void aDamagedCallIsMalformedOrACall(@ForAll byte damage, @ForAll int at) {
-        ByteBuf frame = dispatch(5, Map.of("c", "video-parts", "seg", "3"), new byte[20])
+        ByteBuf frame = ThriftCalls.dispatch(5, Map.of("c", "video-parts", "seg", "3"), new byte[20])
                 .skipBytes(Integer.BYTES);
         frame.setByte(frame.readerIndex() + Math.floorMod(at, frame.readableBytes()), damage);
         try {
@@ -170,19 +130,7 @@
     @Property(seed = "15")
     void badFieldsAreNamed(@ForAll @StringLength(max = 20) String value) {
         for (String name : List.of("c", "i", "d", "o", "seg", "bucket", "etag", "k")) {
-            Map<String, String> fields = new HashMap<>(Map.of(
-                    "c",
-                    "small",
-                    "i",
-                    "9b1f03aa5c7e2d41",
-                    "d",
-                    "1500",
-                    "o",
-                    "7f3a9c21e0b4d655",
-                    "seg",
-                    "3",
-                    "bucket",
-                    "17"));
+            Map<String, String> fields = ThriftCalls.fields("small", "9b1f03aa5c7e2d41");
             fields.put(name, "x," + value);
             IllegalArgumentException e = assertThrows(
                     IllegalArgumentException.class,
