--- a/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
+++ b/doorman/src/test/java/barleyspur/doorman/DoormanTest.java
@@ -129,23 +129,14 @@
         doorman.listed(true, List.of(NODE));
     }
 
+    private static Request request(String id, int group, ByteBuf body) {
+        return new Request(id, 0, "small", "7f3a9c21e0b4d655", 5, "0", 0, group, 1_000, 0, null, null, body);
+    }
+
     private void take(Consumer<Director.Event> decisions) {
         decide = decisions;
         ticket = doorman.take(
-                new Request(
-                        "9b1f03aa5c7e2d41",
-                        0,
-                        "small",
-                        "7f3a9c21e0b4d655",
-                        5,
-                        "0",
-                        0,
-                        7,
-                        1_000,
-                        0,
-                        null,
-                        null,
-                        body.refCnt() > 0 ? body : Unpooled.copiedBuffer(new byte[3])),
+                request("9b1f03aa5c7e2d41", 7, body.refCnt() > 0 ? body : Unpooled.copiedBuffer(new byte[3])),
                 clock.nowMs(),
                 caller);
     }
@@ -403,23 +394,7 @@
     @Test
     void requestsBeyondTheLimitAreRefused() {
         take(e -> {});
-        doorman.take(
-                new Request(
-                        "9b1f03aa5c7e2d42",
-                        0,
-                        "small",
-                        "7f3a9c21e0b4d655",
-                        5,
-                        "0",
-                        0,
-                        0,
-                        1_000,
-                        0,
-                        null,
-                        null,
-                        Unpooled.EMPTY_BUFFER),
-                clock.nowMs(),
-                caller);
+        doorman.take(request("9b1f03aa5c7e2d42", 0, Unpooled.EMPTY_BUFFER), clock.nowMs(), caller);
         assertEquals(List.of("refused 700.0"), answers);
     }
 
@@ -495,23 +470,7 @@
     }
 
     private void takeThatWaited(int number, double waitedMs) {
-        doorman.take(
-                new Request(
-                        "9b1f03aa5c7e2d4" + number,
-                        0,
-                        "small",
-                        "7f3a9c21e0b4d655",
-                        5,
-                        "0",
-                        0,
-                        7,
-                        1_000,
-                        0,
-                        null,
-                        null,
-                        Unpooled.EMPTY_BUFFER),
-                clock.nowMs() - waitedMs,
-                caller);
+        doorman.take(request("9b1f03aa5c7e2d4" + number, 7, Unpooled.EMPTY_BUFFER), clock.nowMs() - waitedMs, caller);
     }
 
     /** Guards the last answer of each request: a process that has stood still for a while may do so again when it is due. */
