Read all ten notes of depots that tell all; six were dropped and caches were blamed

A missing note where all is told means to the policy that the cache itself refused or failed (attributeFailure, recordOutcomeLateness).

The simulator's host reads notes by number and never had the fault.

Test: DepotConnectionTest.everyNoteOfTheProtocolReachesTheCaller; before: expected FILLED_FROM_ORIGIN but was NONE. Looked for elsewhere: the field first (time waited for the source) is not read either; nothing uses it. The words of answers and states are all read.

--- a/doorman/src/main/java/barleyspur/depot/Resp.java
+++ b/doorman/src/main/java/barleyspur/depot/Resp.java
@@ -117,15 +117,24 @@
         return null;
     }
 
-    /** Parses the value of the field {@code how}. */
+    /**
+     * Parses the value of the field {@code how}. Deployments whose settings say that depots tell all use ten notes,
+     * others only some of them; notes of later protocol versions are ignored, as notes are only advice.
+     */
     static Note parseNote(String how) {
         return how == null
                 ? Note.NONE
                 : switch (how) {
                     case "h" -> Note.HIT;
                     case "f" -> Note.FILLED;
+                    case "o" -> Note.FILLED_FROM_ORIGIN;
                     case "j" -> Note.JOINED;
                     case "s" -> Note.STALE;
+                    case "r" -> Note.SOURCE_REFUSED;
+                    case "b" -> Note.SOURCE_FAILED;
+                    case "l" -> Note.SOURCE_LACKS;
+                    case "n" -> Note.NO_FILL_PLACE;
+                    case "x" -> Note.ORIGIN_FAILED;
                     default -> Note.NONE;
                 };
     }
--- a/doorman/src/test/java/barleyspur/depot/DepotConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/depot/DepotConnectionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import barleyspur.decision.RoutingPolicy.Note;
 import barleyspur.decision.RoutingPolicy.Result;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Depots;
@@ -70,6 +71,40 @@
         channel.runPendingTasks();
     }
 
+    /** Opens a call, answers it with this note and returns the note that the caller received. */
+    private Note noteOf(String id, String status, String how) {
+        List<Note> notes = new ArrayList<>();
+        connection.openCall(id, waitedMs -> header(id), null, (Answer answer) -> {
+            notes.add(answer.note());
+            if (answer.body() != null) {
+                answer.body().release();
+            }
+        });
+        channel.writeInbound(Resp.array(channel.alloc(), id, status, "how=" + how, ""));
+        assertEquals(1, notes.size());
+        return notes.get(0);
+    }
+
+    /**
+     * Guards deployments whose depots tell all: a note that is dropped makes the cache answer for a source that
+     * refused or failed.
+     */
+    @Test
+    void everyNoteOfTheProtocolReachesTheCaller() {
+        completeConnect();
+        assertEquals(Note.HIT, noteOf("h1", "DONE", "h"));
+        assertEquals(Note.FILLED, noteOf("f1", "DONE", "f"));
+        assertEquals(Note.FILLED_FROM_ORIGIN, noteOf("o1", "DONE", "o"));
+        assertEquals(Note.JOINED, noteOf("j1", "DONE", "j"));
+        assertEquals(Note.STALE, noteOf("s1", "DONE", "s"));
+        assertEquals(Note.SOURCE_REFUSED, noteOf("r1", "WAIT", "r"));
+        assertEquals(Note.SOURCE_FAILED, noteOf("b1", "BROKE", "b"));
+        assertEquals(Note.SOURCE_LACKS, noteOf("l1", "LACK", "l"));
+        assertEquals(Note.NO_FILL_PLACE, noteOf("n1", "WAIT", "n"));
+        assertEquals(Note.ORIGIN_FAILED, noteOf("x1", "BROKE", "x"));
+        assertEquals(Note.NONE, noteOf("q1", "WAIT", "q"));
+    }
+
     private void answer(String id, String status) {
         channel.writeInbound(Resp.array(channel.alloc(), id, status, "-", ""));
     }
