One slow client no longer has all others refused: unread answers are shared fairly

Callers saw: beside one client that read 1 MB/s with 32 answers of 240,000 bytes open, all others were refused for seconds.

Cause: unread answers share one bound (ResponseBackpressure). Beyond it depots are read for nobody and every request is refused until half is read; one connection could use all of it.

Fix: from three quarters of the bound on, an answer to a connection that has more than an equal share queued is refused, where a repeat is harmless; the rest stays for the others. The bound and what happens at it are as before.

ResponseBackpressureTest takes connections now and has the share.

Looked for elsewhere: depots' connections share a bound by spreading (DepotClient, three quarters), clients' connections by eviction; a client that reads nothing at all is closed after the longest deadline as before.

--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -135,6 +135,11 @@
         dispatch(new RoutingPolicy.Retuned(next));
     }
 
+    /** Returns the longest time for which a refused client may be asked to stay away. */
+    public double maxRetryAfterMs() {
+        return settings.maxRetryAfterMs();
+    }
+
     /**
      * Returns whether a request with this id was accepted recently. Every request needs a new id, retries by clients
      * included.
--- a/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
@@ -1,5 +1,6 @@
 package barleyspur.front.thrift;
 
+import barleyspur.decision.RoutingPolicy;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.RateLimitedLog;
@@ -365,10 +366,11 @@
 
     private void accept(ThriftCall.Dispatch call, Request request, double arrivedMs) {
         int seqid = call.seqid();
-        PendingResponse response = new PendingResponse(seqid, request.id(), responses, () -> {
-            pending.remove(seqid);
-            markIdleIfNothingPending();
-        });
+        PendingResponse response =
+                new PendingResponse(seqid, request.id(), responses, overloadRetryAfterMs(request), () -> {
+                    pending.remove(seqid);
+                    markIdleIfNothingPending();
+                });
         pending.put(seqid, response);
         server.registry().markBusy(this);
         // The body is a slice of the frame and is needed until the request ends, longer than the frame itself.
@@ -376,6 +378,16 @@
         response.setRequest(doorman.accept(request, arrivedMs, response));
     }
 
+    /**
+     * Returns the retry delay with which the response is refused if the client has too many unread ones, or -1 if it
+     * must not be refused, because a repeat of the request might not be harmless.
+     */
+    private double overloadRetryAfterMs(Request request) {
+        RoutingPolicy.Effect effect =
+                server.classes().get().classes().get(request.category()).effect();
+        return effect == RoutingPolicy.Effect.SAFE ? doorman.maxRetryAfterMs() : -1;
+    }
+
     @Override
     public void allWritten() {
         if (pending.isEmpty()) {
--- a/doorman/src/main/java/barleyspur/front/thrift/PendingResponse.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/PendingResponse.java
@@ -13,15 +13,23 @@
     private final int seqid;
     private final String requestId;
     private final ResponseWriter responses;
+    /** The retry delay with which a response that can't be queued is refused; negative if it may not be refused. */
+    private final double overloadRetryAfterMs;
     /** Removes this response from the pending ones of its connection. */
     private final Runnable removeFromPending;
 
     private Doorman.Cancellable request;
 
-    PendingResponse(int seqid, String requestId, ResponseWriter responses, Runnable removeFromPending) {
+    PendingResponse(
+            int seqid,
+            String requestId,
+            ResponseWriter responses,
+            double overloadRetryAfterMs,
+            Runnable removeFromPending) {
         this.seqid = seqid;
         this.requestId = requestId;
         this.responses = responses;
+        this.overloadRetryAfterMs = overloadRetryAfterMs;
         this.removeFromPending = removeFromPending;
     }
 
@@ -43,6 +51,11 @@
 
     @Override
     public void served(ByteBuf body, String tag) {
+        if (overloadRetryAfterMs >= 0 && !responses.mayQueue(body)) {
+            body.release();
+            refused(overloadRetryAfterMs);
+            return;
+        }
         removeFromPending.run();
         responses.writeServed(seqid, requestId, body, tag == null ? Map.of() : Map.of("etag", tag));
     }
--- a/doorman/src/main/java/barleyspur/front/thrift/ResponseWriter.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ResponseWriter.java
@@ -33,7 +33,7 @@
 
     private final Channel channel;
     private final Clock clock;
-    private final ResponseBackpressure backpressure;
+    private final ResponseBackpressure.ConnectionQueue queue;
     private final RateLimitedLog log;
     private final DoubleSupplier longestWaitMs;
     private final Listener listener;
@@ -53,7 +53,7 @@
             Listener listener) {
         this.channel = channel;
         this.clock = clock;
-        this.backpressure = backpressure;
+        this.queue = backpressure.newConnection();
         this.log = log;
         this.longestWaitMs = longestWaitMs;
         this.listener = listener;
@@ -64,6 +64,11 @@
         return unwritten;
     }
 
+    /** Returns whether a response with this body may be queued, as the client has not too many unread ones. */
+    boolean mayQueue(ByteBuf body) {
+        return queue.mayQueue(body.readableBytes());
+    }
+
     /** Writes a successful response with {@code body}, which is released once it has been written. */
     void writeServed(int seqid, String requestId, ByteBuf body, Map<String, String> fields) {
         int bodyBytes = body.readableBytes();
@@ -109,10 +114,10 @@
 
     private void write(ByteBuf message, int bodyBytes, String requestId, String outcome) {
         int bytes = message.readableBytes();
-        backpressure.add(bodyBytes);
+        queue.add(bodyBytes);
         unwritten++;
         channel.writeAndFlush(message).addListener(future -> {
-            backpressure.add(-bodyBytes);
+            queue.add(-bodyBytes);
             RequestTrace.answerWritten(requestId, outcome, bytes, future.cause());
             written(future.cause());
         });
--- a/doorman/src/test/java/barleyspur/front/thrift/ResponseBackpressureTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ResponseBackpressureTest.java
@@ -1,6 +1,8 @@
 package barleyspur.front.thrift;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -13,15 +15,34 @@
     void limitIsSignalledOnceAndLastsUntilHalfIsWritten() {
         List<Boolean> signals = new ArrayList<>();
         ResponseBackpressure backpressure = new ResponseBackpressure(100, signals::add);
-        backpressure.add(100);
+        ResponseBackpressure.ConnectionQueue connection = backpressure.newConnection();
+        connection.add(100);
         assertEquals(List.of(), signals);
-        backpressure.add(60);
-        backpressure.add(40);
+        connection.add(60);
+        backpressure.newConnection().add(40);
         assertEquals(List.of(true), signals);
-        backpressure.add(-149);
+        connection.add(-149);
         assertEquals(true, backpressure.isOverLimit());
-        backpressure.add(-1);
+        connection.add(-1);
         assertEquals(List.of(true, false), signals);
         assertEquals(false, backpressure.isOverLimit());
     }
+
+    /** One slow client may use what nobody else needs, but not the part that keeps the others served. */
+    @Test
+    void connectionWithMoreThanItsShareLeavesTheRestToOthers() {
+        ResponseBackpressure backpressure = new ResponseBackpressure(100, overLimit -> {});
+        ResponseBackpressure.ConnectionQueue slow = backpressure.newConnection();
+        ResponseBackpressure.ConnectionQueue fast = backpressure.newConnection();
+        slow.add(60);
+        assertTrue(slow.mayQueue(15));
+        assertFalse(slow.mayQueue(16));
+        assertTrue(fast.mayQueue(37));
+        assertFalse(fast.mayQueue(38));
+        fast.add(37);
+        fast.add(-37);
+        assertTrue(slow.mayQueue(15));
+        slow.add(-60);
+        assertTrue(fast.mayQueue(75));
+    }
 }
