No second attempt once the origin has failed a fill

Cause: a fill that ended with "the origin failed" was tried again at another cache through another parent, up to the cap, while retry tokens lasted. All parents fetch from the same origin, so these attempts failed as well, took 220 to 800 ms each, and added to the load.

Fix: LeastRecentlyLostPolicy.onAllAttemptsFailed gives the request up, unless an untried cache is believed to hold a copy.

Test: OriginFailureTest; before: another Get through the next cache.

--- a/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
+++ b/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
@@ -679,13 +679,29 @@
         }
         currentRequest.closed |= outcome.closed();
         if (!currentRequest.closed && !currentRequest.hasAttemptsInFlight()) {
-            retryOrGiveUp(
-                    currentRequest,
-                    !attempt.fill && attempt.source == attempt.target && outcome.result() == Result.MISS);
+            onAllAttemptsFailed(currentRequest, attempt, outcome);
         }
         removeIfDone(currentRequest);
     }
 
+    /** Decides whether a request of which all attempts have ended is tried again. */
+    private void onAllAttemptsFailed(OpenRequest pending, Attempt lastAttempt, Outcome outcome) {
+        if (outcome.note() == Note.ORIGIN_FAILED && !hasUntriedHolder(pending)) {
+            // Behind every parent is the same origin: a further fill would fail like this one, and add to its
+            // overload.
+            giveUp(pending);
+        } else {
+            boolean lookup = !lastAttempt.fill && lastAttempt.source == lastAttempt.target;
+            retryOrGiveUp(pending, lookup && outcome.result() == Result.MISS);
+        }
+    }
+
+    private boolean hasUntriedHolder(OpenRequest pending) {
+        List<TrackedNode> untried = ListUtils.filter(nodes.caches, node -> !pending.hasTried(node));
+        return !holders(pending.request, copyLocations.get(PartKey.of(pending.request)), untried)
+                .isEmpty();
+    }
+
     /**
      * Makes a further attempt if the retry budget covers it, so that retries don't feed an overload. After
      * a lookup at a cache that had no copy, the request bypasses the caches at no cost.
