Reloads work where the parent process ignores SIGHUP

Operators saw: a doorman started under nohup, or by a parent that ignores SIGHUP, took no new configuration.

Cause: the JVM leaves a signal ignored that it finds ignored when the handler is installed; no Java call changes that.

--- a/doorman/src/main/java/barleyspur/cli/Cli.java
+++ b/doorman/src/main/java/barleyspur/cli/Cli.java
@@ -163,6 +163,7 @@
     }
 
     private static int startAndStop() throws Command.InvalidInputException, IOException {
+        ReloadSignal.load();
         try {
             DoormanServer doorman = new DoormanServer(Configuration.example(), OwnSettings.none());
             doorman.start();
--- a/doorman/src/main/java/barleyspur/cli/ReloadSignal.java
+++ b/doorman/src/main/java/barleyspur/cli/ReloadSignal.java
@@ -13,9 +13,20 @@
 
     private boolean pending;
 
-    /** Installs the handler; returns false if the parent process has set the signal to be ignored. */
+    /**
+     * Installs the handler, also where the parent process has set the signal to be ignored; returns false if the
+     * platform does not allow that. The deployment starts the process with the signal ignored, so that none can end
+     * the JVM before this call. One that is ignored until then asks for a file that has not been read yet.
+     */
     boolean install() {
-        return Signals.handle(NAME, this::onSignal);
+        return Signals.handle(NAME, this::onSignal)
+                || IgnoredSignals.makeDeliverable(Signals.numberOf(NAME)) && Signals.handle(NAME, this::onSignal);
+    }
+
+    /** Loads all that {@link #install} may need, for the archive of classes that the build records. */
+    static void load() {
+        IgnoredSignals.makeDeliverable(Signals.numberOf(NAME));
+        Signals.handle(NAME, () -> {});
     }
 
     /** Called when the signal arrives. */
--- a/doorman/src/main/java/barleyspur/cli/Signals.java
+++ b/doorman/src/main/java/barleyspur/cli/Signals.java
@@ -10,6 +10,17 @@
 
     private Signals() {}
 
+    /** Returns the number of a signal on this platform. */
+    static int numberOf(String name) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            return (int) signal.getMethod("getNumber")
+                    .invoke(signal.getConstructor(String.class).newInstance(name));
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("this JVM does not know SIG" + name, e);
+        }
+    }
+
     /**
      * Runs {@code task} on a JVM thread each time the signal arrives. Returns false if the parent process has set the
      * signal to be ignored: the JVM keeps that, so the signal never arrives.
