--- a/lab/src/test/java/barleyspur/lab/ProcessLifecycleTest.java
+++ b/lab/src/test/java/barleyspur/lab/ProcessLifecycleTest.java
@@ -140,6 +140,32 @@
                 () -> processes.readLog(0).contains("reload: done"));
     }
 
+    /**
+     * Guards reloads right after a start: a series of SIGHUP from the moment in which the JVM has been started does not
+     * end the process, before its own handler is installed or after.
+     */
+    @Test
+    void sighupFromTheFirstMomentDoesNotEndTheProcess() throws Exception {
+        Process process = processes.launch(
+                0, processes.configuration(0, 1, NODE_COUNT, processes.channelAddress(7), CAPACITY_HINT));
+        await("the shell has been replaced by the JVM", () -> isJava(process));
+        while (!processes.readLog(0).contains("serves")) {
+            ProcessSignal.send(process, "HUP");
+            assertTrue(process.isAlive(), "SIGHUP terminated the process");
+        }
+        ProcessSignal.send(process, "HUP");
+        await(
+                "the process reloads its configuration",
+                () -> processes.readLog(0).contains("reload: done"));
+    }
+
+    private static boolean isJava(Process process) {
+        return process.info()
+                .command()
+                .filter(command -> command.endsWith("java"))
+                .isPresent();
+    }
+
     /**
      * Guards overlapping restarts: SIGTERM during the start terminates the process in time and as a planned shutdown.
      */
