Errors count against a node only once another node has answered the request

Cause: depots answer some malformed requests with an error, which counted against the depot; the request was then tried at the others, up to the cap, so that one bad request put up to eight errors on the few caches of a location.

Fix: an error without a note waits for the request's next outcome (LeastRecentlyLostPolicy.attributeErrors): it counts where another node served the request, and not where several erred and none served it. After three erring nodes the request is given up. A trial counts at once, so that a bad node's exclusion goes on as before.

--- a/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
+++ b/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
@@ -87,6 +87,8 @@
     private static final String LOAD_FIELD = "load_share";
     /** The reported load from which on a cache gets no backup attempts. */
     private static final double MAX_BACKUP_LOAD = 0.85;
+    /** The number of nodes that may answer a request with an error before it is given up. */
+    private static final int MAX_ERRING_NODES = 3;
     /** The least remaining time, in ticks, in which another attempt is still made. */
     private static final double MIN_REMAINING_TICKS = 5;
     /** The factor by which the priority of a request may at most raise or lower a limit for it. */
@@ -690,6 +692,8 @@
             // Behind every parent is the same origin: a further fill would fail like this one, and add to its
             // overload.
             giveUp(pending);
+        } else if (pending.erringNodes() >= MAX_ERRING_NODES) {
+            giveUp(pending);
         } else {
             boolean lookup = !lastAttempt.fill && lastAttempt.source == lastAttempt.target;
             retryOrGiveUp(pending, lookup && outcome.result() == Result.MISS);
@@ -779,6 +783,7 @@
     /** Closes a request and cancels its attempts in flight. */
     private void close(OpenRequest pending) {
         pending.closed = true;
+        attributeErrors(pending, false);
         for (int i = 0; i < pending.attempts.size(); i++) {
             if (!pending.attempts.get(i).ended && settings.mayCancel()) {
                 actions.accept(new Cancel(pending.request.id(), i));
@@ -898,11 +903,40 @@
             case OK -> onServed(pending, attempt, attemptOutcome, usedSource);
             case CONNECT_FAILED -> recordFailure(attempt.target, attempt, true);
             case RESET -> recordFailure(attempt.target, attempt, false);
-            case ERROR, TIMEOUT, FULL -> attributeFailure(attempt, attemptOutcome, usedSource);
+            case ERROR -> onError(pending, attempt, attemptOutcome, usedSource);
+            case TIMEOUT, FULL -> attributeFailure(attempt, attemptOutcome, usedSource);
             default -> {}
         }
     }
 
+    /**
+     * Handles an error. Without a note, the node or the request may be at fault, and which of them shows
+     * only in what other nodes answer: see {@link #attributeErrors}. It guards against requests of bad
+     * clients, which all nodes answer with an error and which excluded one healthy cache after another. It
+     * could do harm where a node fails and the request's next attempt takes long: the node is excluded that
+     * much later. A trial counts at once.
+     */
+    private void onError(OpenRequest pending, Attempt attempt, Outcome outcome, boolean usedSource) {
+        if (outcome.note() != Note.NONE || attempt.isTrial || pending.closed) {
+            attributeFailure(attempt, outcome, usedSource);
+        } else {
+            pending.unattributedErrors.add(new OpenRequest.UnattributedError(attempt, outcome, usedSource));
+        }
+    }
+
+    /**
+     * Attributes the errors of a request, once it was served or has been closed: to their nodes, unless
+     * several nodes answered with an error and none served the request.
+     */
+    private void attributeErrors(OpenRequest pending, boolean served) {
+        boolean requestAtFault = !served && pending.erringNodes() > 1;
+        List<OpenRequest.UnattributedError> errors = List.copyOf(pending.unattributedErrors);
+        pending.unattributedErrors.clear();
+        if (!requestAtFault) {
+            errors.forEach(error -> attributeFailure(error.attempt(), error.outcome(), error.usedSource()));
+        }
+    }
+
     /**
      * Attributes a failure to the target or to the source. Notes distinguish a failed source from a failed
      * cache. Without them a failed fill counts against both, and the comparison with their peers clears the
@@ -936,6 +970,7 @@
     }
 
     private void onServed(OpenRequest pending, Attempt attempt, Outcome outcome, boolean usedSource) {
+        attributeErrors(pending, true);
         if (pending.request.sizeKb() <= 0) {
             workEstimator.addSample(pending.request.classIndex(), outcome.latencyMs());
         }
--- a/decision/src/main/java/barleyspur/decision/OpenRequest.java
+++ b/decision/src/main/java/barleyspur/decision/OpenRequest.java
@@ -6,6 +6,9 @@
 /** A request that is not closed yet, or that still has attempts in flight. */
 final class OpenRequest {
 
+    /** An error of a node for which the node or the request may be at fault. */
+    record UnattributedError(Attempt attempt, RoutingPolicy.Outcome outcome, boolean usedSource) {}
+
     final RoutingPolicy.Request request;
     final double deadlineMs;
     /**
@@ -15,6 +18,8 @@
     final double admissionPosition;
     /** All attempts in the order in which they were sent. */
     final List<Attempt> attempts = new ArrayList<>(2);
+    /** Errors that have not been attributed yet. */
+    final List<UnattributedError> unattributedErrors = new ArrayList<>(0);
     /** Whether the final answer was given or has begun. */
     boolean closed;
     /** Whether an attempt that has ended may have taken effect. */
@@ -48,6 +53,14 @@
         return false;
     }
 
+    /** Returns how many nodes have answered with an error that has not been attributed yet. */
+    long erringNodes() {
+        return unattributedErrors.stream()
+                .map(error -> error.attempt().target)
+                .distinct()
+                .count();
+    }
+
     /** Returns whether attempts are in flight. */
     boolean hasAttemptsInFlight() {
         return endedAttempts < attempts.size();
