--- a/doorman/src/main/java/barleyspur/cli/IgnoredSignals.java
+++ b/doorman/src/main/java/barleyspur/cli/IgnoredSignals.java
@@ -10,7 +10,7 @@
  */
 final class IgnoredSignals {
 
-    private static final String C_LIBRARY = "c";
+    private static final String LIBC = "c";
     /**
      * A function of the C library that takes an int, as a signal handler does, and has no effect. It stands in until
      * the JVM has installed its own handler, so that the default action, which ends the process, never applies.
@@ -22,7 +22,7 @@
     /** Makes the signal of this number deliverable; returns false if the platform does not allow that. */
     static boolean makeDeliverable(int number) {
         try {
-            NativeLibrary library = NativeLibrary.getInstance(C_LIBRARY);
+            NativeLibrary library = NativeLibrary.getInstance(LIBC);
             Function signal = library.getFunction("signal");
             Function handler = library.getFunction(FUNCTION_WITHOUT_EFFECT);
             signal.invoke(Pointer.class, new Object[] {number, handler});
