--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -100,8 +100,7 @@
         lastId = (lastId + 1) % ID_LIMIT;
         stallMargin.observe(nowMs, nowMs - arrivedMs);
         RoutingPolicy.RequestClass requestClass = settings.classes().get(request.category());
-        double workMs = request.sizeKb() > 0 ? request.sizeKb() / settings.paceKbPerMs() : 0;
-        double marginMs = stallMargin.marginMs(request.remainingMs(), requestClass.latencyTargetMs(workMs), nowMs);
+        double marginMs = stallMargin.marginMs(request.remainingMs(), nowMs);
         RequestContext context = new RequestContext(lastId, request, handler, arrivedMs, marginMs);
         contexts.put(context.id, context);
         recentIds.add(request.id());
