Test bed: a clock advance waits until the sockets were polled once more

Seen: ConnectionFailureTest.invalidClientsAreDisconnectedWithoutAffectingOthers failed beside other builds, in two of three runs of its class: no message arrived at the box.

Cause, from the trail of a failing run: the request after the clock's advance by 2,500 ms was taken with waited=2500 and refused at once. The test bed waited for a scheduled task, which is meant to run in a later iteration of the event loop; where the loop's thread was suspended for a millisecond it ran in the same one, so that the next poll dated the request to before the advance. The product was right.

Change: advanceClock waits until the loop has polled since (SocketPollTimes.lastPollMs, new), and not for ever, as a loop that shuts down may never run the task (seen once, as a test that hung). No check was changed.

--- a/doorman/src/main/java/barleyspur/doorman/SocketPollTimes.java
+++ b/doorman/src/main/java/barleyspur/doorman/SocketPollTimes.java
@@ -30,7 +30,7 @@
 
     private DoubleSupplier clockMs = () -> 0;
     /** When the sockets were last polled. */
-    private double lastPollMs;
+    private volatile double lastPollMs;
 
     private double earliestArrivalMs;
     /** Whether the loop is in a blocking poll, or has just returned from one. */
@@ -55,6 +55,11 @@
         return earliestArrivalMs;
     }
 
+    /** Returns when the sockets were last polled; may be called from any thread. */
+    public double lastPollMs() {
+        return lastPollMs;
+    }
+
     /**
      * Polls without waiting. Only if nothing is ready and no task is pending, makes the loop wait, for at most
      * {@code maxWaitMs}.
--- a/doorman/src/test/java/barleyspur/DoormanTestBed.java
+++ b/doorman/src/test/java/barleyspur/DoormanTestBed.java
@@ -48,6 +48,8 @@
      */
     private static final int CONNECT_TIMEOUT_MS = 1_500;
 
+    private static final int WAKEUP_TIMEOUT_MS = 10;
+
     private static final String SETTINGS =
             """
         {"areas": ["central"], "flavors": ["cache", "parent", "origin"], "groupSize": 1, "myNumber": 0, "myZone": 0,
@@ -232,9 +234,12 @@
     /** Advances the clock while nothing arrives, and runs each timer at its due time. */
     public void advanceClock(double durationMs) {
         loop.submit(() -> clock.advance(durationMs)).syncUninterruptibly();
-        // This runs in a later iteration than the current one. By then the loop has polled its sockets again, so data
-        // that arrives after this call isn't dated to before the advance.
-        loop.schedule(() -> {}, 1, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+        // Data that arrives after this call must not be dated to before the advance, so the loop has to poll its
+        // sockets once more. A task may still run in the current iteration, if the loop's thread was suspended.
+        do {
+            // A loop that is shutting down may never run it.
+            loop.schedule(() -> {}, 1, TimeUnit.MILLISECONDS).awaitUninterruptibly(WAKEUP_TIMEOUT_MS);
+        } while (!loop.isShuttingDown() && !clock.hasPolledSinceAdvance());
     }
 
     /** Advances the clock while the event loop is held, as if it were busy: no timer runs before it is released. */
@@ -317,6 +322,11 @@
             return () -> timers.remove(task);
         }
 
+        /** Returns whether the loop has polled its sockets since the clock last moved. */
+        boolean hasPolledSinceAdvance() {
+            return polls.lastPollMs() >= nowMs;
+        }
+
         void advance(double durationMs) {
             double endMs = nowMs + durationMs;
             for (; ; ) {
