DepotClientTest releases what was written to its embedded channels

Cause: embedded channels keep what is written to them, and the test never took or released it; on a socket the transport releases it after the write. So the test dropped the buffers, not the program. It releases its channels after each test now.

--- a/doorman/src/test/java/barleyspur/depot/DepotClientTest.java
+++ b/doorman/src/test/java/barleyspur/depot/DepotClientTest.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Tests which connection a call uses while the node list changes. Six in ten boxes may be replaced within 7 s. */
@@ -55,6 +56,12 @@
             new DepotClient.Limits(MAX_STREAMS, 15_000, MAX_CONNECTIONS),
             List.of());
 
+    /** Embedded channels keep what was written to them until they are released. */
+    @AfterEach
+    void releaseChannels() {
+        channels.forEach(EmbeddedChannel::finishAndReleaseAll);
+    }
+
     private static NodeListing box(int number, InetSocketAddress address, double bootMs) {
         return new NodeListing("s-" + number, address, 0, 0, 0, RoutingPolicy.State.READY, 1, bootMs);
     }
