Soak of endings: real processes under restarts, upgrades, drains, reloads and depots' faults

lab command soak plays seeds on processes that the run line starts: signals in series, also during starts and drains, valid and invalid files, clients that keep using their connections until SIGKILL at the protocol's earliest moment, crowds in three runs of ten.

FakeBoxes can close, reset and silence connections; LoadGenerator's frames are ThriftFrames now, which both use.

--- a/lab/src/main/java/barleyspur/lab/Lab.java
+++ b/lab/src/main/java/barleyspur/lab/Lab.java
@@ -5,6 +5,7 @@
 import barleyspur.lab.fleet.FleetDemo;
 import barleyspur.lab.fleet.FleetMeasurement;
 import barleyspur.lab.fleet.FleetRunCommand;
+import barleyspur.lab.soak.SoakCommand;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -45,6 +46,7 @@
           budget measure  measure the utilisation, redistribution time and cost of budgets, in virtual time
           budget scale  benchmark a doorman's processor cost of 10, 1,000 and 5,000 budgets
           check budget  check the division of budgets exhaustively in a small model
+          soak         run a doorman through restarts, upgrades, drains and reloads, by seeds, and check every answer
           tier-replay  compare retention policies for the disk tier and Belady's bound on a synthetic trace
         Run barleyspur-lab COMMAND --help for the options of a command.
         """;
@@ -104,6 +106,12 @@
                                 "jar", "FILE", "jar of the doorman; default doorman/target/barleyspur.jar"))
                         .addOption(optionWithValue(
                                 "folder", "DIR", "folder for the logs and the report; default found/fleet"));
+            case "soak" ->
+                options.addOption(optionWithValue("seed", "N", "the first seed; default 1"))
+                        .addOption(optionWithValue("seeds", "COUNT", "number of seeds; default 1"))
+                        .addOption(optionWithValue("seconds", "S", "about how long a run takes; default 15"))
+                        .addOption(optionWithValue("jar", "FILE", "jar of the doorman; default the deployment's"))
+                        .addOption(optionWithValue("folder", "DIR", "folder for the logs; default found/soak"));
             case "scale" ->
                 options.addOption(optionWithValue("seconds", "N", "duration of each iteration; default 2"))
                         .addOption(Option.builder()
@@ -150,6 +158,8 @@
                                         "Divide budgets among several doormans under faults; see docs/BUDGETS.md.";
                                     case "check" ->
                                         "Check a model of three doormans and a budget of two units exhaustively.";
+                                    case "soak" ->
+                                        "Run a doorman through restarts, upgrades, drains and reloads; see docs/SOAK.md.";
                                     default -> "Replay a synthetic trace through retention policies for the disk tier.";
                                 },
                                 options,
@@ -163,6 +173,9 @@
             if (command.equals("budget")) {
                 return runBudget(commandLine);
             }
+            if (command.equals("soak")) {
+                return runSoak(commandLine);
+            }
             if (command.equals("check")) {
                 if (!commandLine.getArgList().equals(List.of("budget"))) {
                     throw new IllegalArgumentException(
@@ -286,6 +299,26 @@
         }
     }
 
+    private static int runSoak(CommandLine commandLine) throws IOException {
+        Path jar = commandLine.hasOption("jar") ? doormanJar(commandLine).toAbsolutePath() : null;
+        try {
+            return SoakCommand.run(new SoakCommand.Request(
+                                    parseInteger(commandLine, "seed", 1, 0),
+                                    parseInteger(commandLine, "seeds", 1, 1),
+                                    parseInteger(commandLine, "seconds", 15, 1),
+                                    Path.of(""),
+                                    jar,
+                                    null,
+                                    Path.of(commandLine.getOptionValue("folder", "found/soak"))))
+                            .isEmpty()
+                    ? OK
+                    : FAILED;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return FAILED;
+        }
+    }
+
     private static Path doormanJar(CommandLine commandLine) {
         Path jar = Path.of(commandLine.getOptionValue("jar", "doorman/target/barleyspur.jar"));
         if (!Files.isReadable(jar)) {
--- a/lab/src/main/java/barleyspur/lab/stand/FakeBoxes.java
+++ b/lab/src/main/java/barleyspur/lab/stand/FakeBoxes.java
@@ -7,9 +7,13 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.ImmediateEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -48,6 +52,8 @@
     private final int hitMs;
     private final double[] ratesPerS;
     private final Map<InetSocketAddress, ArrivalMeter> meters = new ConcurrentHashMap<>();
+    private final Map<InetSocketAddress, ChannelGroup> connections = new ConcurrentHashMap<>();
+    private final Set<InetSocketAddress> silentBoxes = ConcurrentHashMap.newKeySet();
     private double lastStallCheckMs = nowMs();
     private double stalledMs;
     private double stalledAtMs;
@@ -103,6 +109,28 @@
         return Math.max(stalledMs, nowMs() - lastStallCheckMs) + STALL_CHECK_MS;
     }
 
+    /** Closes all connections to one box. */
+    public void closeConnections(InetSocketAddress address) {
+        connections.get(address).close();
+    }
+
+    /** Resets all connections to one box. */
+    public void resetConnections(InetSocketAddress address) {
+        for (Channel connection : connections.get(address)) {
+            connection.config().setOption(ChannelOption.SO_LINGER, 0);
+            connection.close();
+        }
+    }
+
+    /** Makes one box accept requests without answering them, or ends this. */
+    public void setSilent(InetSocketAddress address, boolean silent) {
+        if (silent) {
+            silentBoxes.add(address);
+        } else {
+            silentBoxes.remove(address);
+        }
+    }
+
     /** Returns the meter of one box. */
     public ArrivalMeter meter(InetSocketAddress address) {
         return meters.get(address);
@@ -112,6 +140,8 @@
     public void listen(InetSocketAddress address, Kind kind) throws InterruptedException {
         ArrivalMeter meter = new ArrivalMeter(ratesPerS[kind.ordinal()]);
         meters.put(address, meter);
+        ChannelGroup boxConnections = new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
+        connections.put(address, boxConnections);
         Map<String, Boolean> keptParts = new LinkedHashMap<>(16, 0.75f, true) {
             private static final long serialVersionUID = 1L;
 
@@ -126,7 +156,8 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new RespDecoder(), new BoxHandler(kind, keptParts, meter));
+                        boxConnections.add(channel);
+                        channel.pipeline().addLast(new RespDecoder(), new BoxHandler(address, kind, keptParts, meter));
                     }
                 })
                 .bind(address)
@@ -134,12 +165,14 @@
     }
 
     private final class BoxHandler extends SimpleChannelInboundHandler<RespDecoder.Message> {
+        private final InetSocketAddress address;
         private final Kind kind;
         private final Map<String, Boolean> keptParts;
         private final ArrivalMeter meter;
         private final Set<String> cancelled = new HashSet<>();
 
-        BoxHandler(Kind kind, Map<String, Boolean> keptParts, ArrivalMeter meter) {
+        BoxHandler(InetSocketAddress address, Kind kind, Map<String, Boolean> keptParts, ArrivalMeter meter) {
+            this.address = address;
             this.meter = meter;
             this.kind = kind;
             this.keptParts = keptParts;
@@ -153,7 +186,7 @@
             String command = message.strings().get(0);
             if (command.equals("cancel")) {
                 cancelled.add(message.strings().get(1));
-            } else if (command.equals("serve")) {
+            } else if (command.equals("serve") && !silentBoxes.contains(address)) {
                 serve(ctx, message.strings().get(1), message.strings().get(2));
             }
         }
--- a/lab/src/main/java/barleyspur/lab/stand/LoadGenerator.java
+++ b/lab/src/main/java/barleyspur/lab/stand/LoadGenerator.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -13,7 +12,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -54,8 +52,6 @@
      */
     public record RequestClass(String name, double share, double latencyTargetMs, double deadlineMs) {}
 
-    private static final int REPLY_TYPE = 2;
-    private static final int STRUCT_FIELD_TYPE = 12;
     private static final int MAX_FRAME = 1 << 20;
     private static final double NANOS_PER_MS = 1e6;
     private static final int OBJECT_COUNT = 300;
@@ -108,8 +104,7 @@
             channel = ctx.channel();
             pending.clear();
             lastSequenceNumber = 1;
-            ByteBuf frame = beginCall("alive", lastSequenceNumber);
-            ctx.writeAndFlush(finishFrame(frame.writeByte(0)));
+            ctx.writeAndFlush(ThriftFrames.alive(lastSequenceNumber));
         }
 
         @Override
@@ -122,23 +117,19 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf in) {
-            int type = in.readInt() & 0xFF;
-            String method =
-                    in.readCharSequence(in.readInt(), StandardCharsets.US_ASCII).toString();
-            int sequenceNumber = in.readInt();
-            if (method.equals("alive")) {
+            ThriftFrames.Answer answer = ThriftFrames.readAnswer(in);
+            if (answer.method().equals("alive")) {
                 ready = true;
                 return;
             }
-            PendingRequest request = pending.remove(sequenceNumber);
+            PendingRequest request = pending.remove(answer.sequenceNumber());
             if (request == null) {
                 return;
             }
             OutcomeCounts counts = counts(request.requestClass);
-            int outcome = type == REPLY_TYPE && in.readByte() == STRUCT_FIELD_TYPE ? in.readShort() : 2;
-            if (outcome == 1) {
+            if (answer.outcome() == ThriftFrames.Outcome.REFUSED) {
                 counts.refused++;
-            } else if (outcome == 2) {
+            } else if (answer.outcome() != ThriftFrames.Outcome.SERVED) {
                 counts.failed++;
             } else if ((System.nanoTime() - request.sentNanos) / NANOS_PER_MS <= request.requestClass.latencyTargetMs) {
                 counts.inTime++;
@@ -165,11 +156,7 @@
                     "1",
                     "m",
                     "100.5");
-            ByteBuf frame = beginCall("dispatch", sequenceNumber);
-            frame.writeByte(13).writeShort(1).writeByte(11).writeByte(11).writeInt(fields.size());
-            fields.forEach((name, value) -> writeText(writeText(frame, name), value));
-            writeText(frame.writeByte(11).writeShort(2), "").writeByte(0);
-            channel.writeAndFlush(finishFrame(frame));
+            channel.writeAndFlush(ThriftFrames.dispatch(sequenceNumber, fields));
             loop.schedule(
                     () -> {
                         if (pending.remove(sequenceNumber) != null) {
@@ -289,17 +276,4 @@
     private static String toHex(long number) {
         return String.format("%016x", number);
     }
-
-    private static ByteBuf beginCall(String method, int sequenceNumber) {
-        return writeText(Unpooled.buffer().writeInt(0).writeInt(0x80010001), method)
-                .writeInt(sequenceNumber);
-    }
-
-    private static ByteBuf finishFrame(ByteBuf frame) {
-        return frame.setInt(0, frame.readableBytes() - Integer.BYTES);
-    }
-
-    private static ByteBuf writeText(ByteBuf out, String text) {
-        return out.writeInt(text.length()).writeBytes(text.getBytes(StandardCharsets.US_ASCII));
-    }
 }
--- /dev/null
+++ b/lab/src/test/java/barleyspur/lab/soak/SoakTest.java
@@ -0,0 +1,102 @@
+package barleyspur.lab.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import javax.tools.JavaCompiler;
+import javax.tools.ToolProvider;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Isolated;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A short soak of endings with fixed seeds, and deliberately wrong versions of the program that the soak must catch.
+ * The long soak is started by hand: see {@code docs/SOAK.md}.
+ */
+@Isolated
+class SoakTest {
+
+    private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+    private static final Path JAR = ROOT.resolve("doorman").resolve("target").resolve("barleyspur.jar");
+    private static final int SECONDS = 12;
+    /** The number of seeds within which each wrong version must be caught. */
+    private static final int MAX_SEEDS = 10;
+
+    @TempDir
+    Path folder;
+
+    private List<Long> soak(long seed, int seeds, Path patchedClasses) throws Exception {
+        return SoakCommand.run(new SoakCommand.Request(seed, seeds, SECONDS, ROOT, null, patchedClasses, folder));
+    }
+
+    /** Guards every ending: seed 3 has a crowd, an upgrade and a quiesce, 12 reloads and a silent depot. */
+    @ParameterizedTest
+    @ValueSource(longs = {3, 11, 12})
+    void everyRequestGetsItsAnswer(long seed) throws Exception {
+        assertEquals(List.of(), soak(seed, 1, null));
+    }
+
+    /** Compiles one source file of the doorman with one text replaced, and returns the folder with its classes. */
+    private Path compileMutant(String file, String from, String to) throws IOException {
+        Path source =
+                ROOT.resolve("doorman").resolve("src/main/java/barleyspur").resolve(file);
+        String text = Files.readString(source);
+        assertTrue(text.contains(from), file + " has no " + from);
+        Path copy = Files.createDirectories(folder.resolve("mutant")).resolve(source.getFileName());
+        Files.writeString(copy, text.replace(from, to));
+        Path classes = Files.createDirectories(folder.resolve("classes"));
+        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+        int result = compiler.run(
+                null, null, null, "-nowarn", "-cp", JAR.toString(), "-d", classes.toString(), copy.toString());
+        assertEquals(0, result, "the mutant does not compile");
+        return classes;
+    }
+
+    private void assertCaught(Path mutant) throws Exception {
+        for (long seed = 1; seed <= MAX_SEEDS; seed++) {
+            if (!soak(seed, 1, mutant).isEmpty()) {
+                return;
+            }
+        }
+        throw new AssertionError(String.format(Locale.ROOT, "not caught within %d seeds", MAX_SEEDS));
+    }
+
+    /** A connection is closed during a drain although a request is open on it. */
+    @Test
+    void anAnswerDroppedAtSigtermIsCaught() throws Exception {
+        assertCaught(compileMutant(
+                "front/thrift/ClientConnection.java",
+                "pending.isEmpty() && received.isEmpty() && responses.unwritten() == 0",
+                "received.isEmpty()"));
+    }
+
+    /** Now and then a connection is reset with half of an answer written. */
+    @Test
+    void aResetWithinAnAnswerIsCaught() throws Exception {
+        assertCaught(compileMutant(
+                "front/thrift/ResponseWriter.java",
+                "        queue.add(bodyBytes);\n",
+                "        if (channel instanceof io.netty.channel.socket.SocketChannel && System.nanoTime() % 101 == 0) {\n"
+                        + "            channel.config().setOption(io.netty.channel.ChannelOption.SO_LINGER, 0);\n"
+                        + "            channel.writeAndFlush(message.readSlice(bytes / 2)).addListener(f -> channel.close());\n"
+                        + "            return;\n"
+                        + "        }\n"
+                        + "        queue.add(bodyBytes);\n"));
+    }
+
+    /** A file with an impossible deadline is not turned down. */
+    @Test
+    void aReloadThatTakesABadFileIsCaught() throws Exception {
+        assertCaught(compileMutant(
+                "config/SettingsReader.java",
+                "positiveNumber(prefix + \"hardLimitMs\")",
+                "number(prefix + \"hardLimitMs\", 0)"));
+    }
+}
