A miss that nothing can fill is not tried again at the same cache

Seen by the checker of routing expectations: in a fleet without parents and origin a request was tried at one cache up to the cap of attempts within a few milliseconds.

Cause: after a miss the request was routed anew and the same cache came first again.

Fix: without parents and origin a miss is final, unless an untried cache is believed to hold a copy.

--- a/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
+++ b/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
@@ -688,9 +688,11 @@
 
     /** Decides whether a request of which all attempts have ended is tried again. */
     private void onAllAttemptsFailed(OpenRequest pending, Attempt lastAttempt, Outcome outcome) {
-        if (outcome.note() == Note.ORIGIN_FAILED && !hasUntriedHolder(pending)) {
-            // Behind every parent is the same origin: a further fill would fail like this one, and add to its
-            // overload.
+        // Behind every parent is the same origin: a further fill would fail like this one, and add to the load.
+        boolean originFailed = outcome.note() == Note.ORIGIN_FAILED;
+        boolean nothingFills = nodes.parents.isEmpty() && nodes.origin == null;
+        boolean finalMiss = nothingFills && outcome.result() == Result.MISS;
+        if ((originFailed || finalMiss) && !hasUntriedHolder(pending)) {
             giveUp(pending);
         } else if (pending.erringNodes() >= MAX_ERRING_NODES) {
             giveUp(pending);
