--- a/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
+++ b/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
@@ -688,7 +688,7 @@
 
     /** Decides whether a request of which all attempts have ended is tried again. */
     private void onAllAttemptsFailed(OpenRequest pending, Attempt lastAttempt, Outcome outcome) {
-        // Behind every parent is the same origin: a further fill would fail like this one, and add to the load.
+        // Behind every parent is the same origin: a further fill would fail as well, and add to the load.
         boolean originFailed = outcome.note() == Note.ORIGIN_FAILED;
         boolean nothingFills = nodes.parents.isEmpty() && nodes.origin == null;
         boolean finalMiss = nothingFills && outcome.result() == Result.MISS;
