An idle connection is closed only after its socket was looked at once more

Cause: tasks that close idle connections run after the input of their iteration was read. Where the loop is late within it, a request lies unread and the connection is closed over it.

Evidence: the request is in no log of the doorman; the trail has its loop 50 to 65 ms late while it closed idle connections for its successor.

Fix: a close of an idle connection, and an eviction, wait for another poll where the last one is over 20 ms ago (Clock.lastPollMs).

Test: ConnectionFailureTest.requestThatWaitedForALateLoopIsAnsweredBeforeItsIdleConnectionIsClosed; before: the request never reached the box. Looked for elsewhere: time-outs of connections without any request close what sent nothing for 2 s, and a late loop can do the same to them; not changed, since no request has been read there and the time is forty times as long.

--- a/doorman/src/main/java/barleyspur/doorman/Clock.java
+++ b/doorman/src/main/java/barleyspur/doorman/Clock.java
@@ -9,6 +9,14 @@
     /** Returns the current time as a Unix timestamp in milliseconds. */
     double nowMs();
 
+    /**
+     * Returns when the sockets were last polled. What has arrived since then has not been read, however long the event
+     * loop has been busy.
+     */
+    default double lastPollMs() {
+        return nowMs();
+    }
+
     /**
      * Returns the earliest time at which the data now being read from a socket may have arrived. It is before
      * {@link #nowMs} where the data had to wait because the event loop was busy.
--- a/doorman/src/main/java/barleyspur/doorman/EventLoopClock.java
+++ b/doorman/src/main/java/barleyspur/doorman/EventLoopClock.java
@@ -26,6 +26,11 @@
         return startedAtMs + (System.nanoTime() - startedAtNanos) / NANOS_PER_MS;
     }
 
+    @Override
+    public double lastPollMs() {
+        return polls.lastPollMs();
+    }
+
     @Override
     public double earliestArrivalMs() {
         return polls.earliestArrivalMs();
--- a/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
@@ -22,6 +22,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -66,6 +67,13 @@
     private static final int MAX_UNWRITTEN_FACTOR = 2;
     /** Retry delay sent with requests that are refused during a drain or hand-off; the connection then closes. */
     static final long DRAIN_RETRY_AFTER_MS = 50;
+    /**
+     * The longest time for which input may lie unread when an idle connection is closed. A client sends a request once
+     * more that crosses a close within 50 ms.
+     */
+    private static final double MAX_UNREAD_MS = 20;
+
+    private static final int POLL_DELAY_MS = 1;
     /** Number of invalid calls after which a connection without pending requests is closed. */
     private static final int MAX_INVALID_CALLS = 8;
 
@@ -260,10 +268,27 @@
         if (idle
                 && server.lifecycle().closesIdleConnections()
                 && (used || server.lifecycle().closesUnusedConnections())) {
-            close(EndCause.IDLE);
+            if (mayHaveUnreadInput()) {
+                runAfterNextPoll(this::closeIfIdle);
+            } else {
+                close(EndCause.IDLE);
+            }
         }
     }
 
+    /**
+     * Returns whether a request may lie unread in the socket for so long that the client would not send it again: after
+     * an iteration in which the event loop was busy, or the process was paused.
+     */
+    private boolean mayHaveUnreadInput() {
+        return server.clock().nowMs() - server.clock().lastPollMs() > MAX_UNREAD_MS;
+    }
+
+    /** Runs a task once the event loop has polled the sockets; the task checks that, as it may run before. */
+    private void runAfterNextPoll(Runnable task) {
+        channel.eventLoop().schedule(task, POLL_DELAY_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** Starts to close the connection; further input is discarded. */
     private void close(EndCause cause) {
         if (!lingeringClose.hasBegun() && channel.isActive()) {
@@ -420,14 +445,18 @@
 
     /** Closes the connection in favour of a new one, unless a request has just been read on it. */
     void evict() {
-        channel.eventLoop().execute(() -> {
-            if (pending.isEmpty() && received.isEmpty()) {
-                close(EndCause.EVICTED);
-            } else if (pending.isEmpty()) {
-                // The request may prove to be invalid, so the connection has to stay a candidate for eviction.
-                server.registry().markIdle(this, server.clock().nowMs());
-            }
-        });
+        channel.eventLoop().execute(this::closeForNewConnection);
+    }
+
+    private void closeForNewConnection() {
+        if (pending.isEmpty() && received.isEmpty() && mayHaveUnreadInput()) {
+            runAfterNextPoll(this::closeForNewConnection);
+        } else if (pending.isEmpty() && received.isEmpty()) {
+            close(EndCause.EVICTED);
+        } else if (pending.isEmpty()) {
+            // The request may prove to be invalid, so the connection has to stay a candidate for eviction.
+            server.registry().markIdle(this, server.clock().nowMs());
+        }
     }
 
     /** Closes the channel if it is lingering, because its file descriptor is needed. */
--- a/doorman/src/test/java/barleyspur/DoormanTestBed.java
+++ b/doorman/src/test/java/barleyspur/DoormanTestBed.java
@@ -291,6 +291,11 @@
             polls.setClock(() -> nowMs);
         }
 
+        @Override
+        public double lastPollMs() {
+            return polls.lastPollMs();
+        }
+
         @Override
         public double earliestArrivalMs() {
             return polls.earliestArrivalMs();
--- a/doorman/src/test/java/barleyspur/front/thrift/ConnectionFailureTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ConnectionFailureTest.java
@@ -440,6 +440,34 @@
         }
     }
 
+    /**
+     * A request may lie unread for longer than a crossing of a close is excused, because the event loop is late just as
+     * its idle connection is to be closed. It must be read and answered first.
+     */
+    @Test
+    void requestThatWaitedForALateLoopIsAnsweredBeforeItsIdleConnectionIsClosed() throws Exception {
+        try (DoormanTestBed doorman = start();
+                TestConnection client = doorman.client()) {
+            client.write(dispatch(1, id(1)));
+            Request first = doorman.box.nextRequest();
+            doorman.server.drain();
+            doorman.advanceClock(800);
+            byte[] second = dispatch(2, id(2));
+            doorman.onNextClockRead(() -> {
+                try {
+                    client.write(second);
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+                doorman.advanceClockOnly(60);
+            });
+            first.answer("DONE", DONE, new byte[10]);
+            assertEquals(SERVED, readOutcome(client, 1));
+            assertNextAndServe(doorman, id(2));
+            assertEquals(SERVED, readOutcome(client, 2));
+        }
+    }
+
     /** A complete request in the event loop iteration of its connection's eviction prevents the eviction. */
     @Test
     void requestInTheIterationOfItsEvictionIsServed() throws Exception {
