--- a/lab/src/main/java/barleyspur/lab/soak/SoakConfiguration.java
+++ b/lab/src/main/java/barleyspur/lab/soak/SoakConfiguration.java
@@ -3,7 +3,9 @@
 import barleyspur.lab.stand.FakeBoxes;
 import barleyspur.lab.stand.NodeList;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -17,7 +19,7 @@
  * The addresses of a run, and the configuration file of its doormans: valid versions with and without an additional
  * class, and invalid ones, which name a class that must never be accepted.
  */
-final class SoakConfiguration {
+final class SoakConfiguration implements AutoCloseable {
 
     /** The class that only some valid files have. */
     static final String ADDED_CLASS = "added";
@@ -32,6 +34,7 @@
     private static final int CLIENT_PORT = 7001;
     private static final int CHANNEL_PORT = 7401;
     private static final int ADMIN_PORT = 7201;
+    private static final int LOCK_PORT = 7301;
     private static final int NETWORKS = 200;
     private static final int FIRST_NETWORK = 20;
     private static final List<FakeBoxes.Kind> NODES = List.of(
@@ -48,13 +51,42 @@
     private static final AtomicInteger RUN_COUNT = new AtomicInteger();
 
     private final String network;
+    /** Keeps other processes that run soaks away from the network. */
+    private final ServerSocket networkLock;
+
     private final Path file;
     private boolean hasAddedClass;
 
-    SoakConfiguration(Path folder) {
-        long number = ProcessHandle.current().pid() + RUN_COUNT.getAndIncrement();
-        network = "127." + (FIRST_NETWORK + number % NETWORKS) + ".";
+    SoakConfiguration(Path folder) throws IOException {
         file = folder.resolve("config.json");
+        String candidate = null;
+        ServerSocket lock = null;
+        for (int i = 0; lock == null && i < NETWORKS; i++) {
+            long number = ProcessHandle.current().pid() + RUN_COUNT.getAndIncrement();
+            candidate = "127." + (FIRST_NETWORK + number % NETWORKS) + ".";
+            lock = tryLock(new InetSocketAddress(candidate + "4.1", LOCK_PORT));
+        }
+        if (lock == null) {
+            throw new IOException("all networks of the soak are in use");
+        }
+        network = candidate;
+        networkLock = lock;
+    }
+
+    private static ServerSocket tryLock(InetSocketAddress address) throws IOException {
+        ServerSocket lock = new ServerSocket();
+        try {
+            lock.bind(address);
+            return lock;
+        } catch (BindException e) {
+            lock.close();
+            return null;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        networkLock.close();
     }
 
     Path file() {
