Membership's counters are a record instead of an array read by number

FleetMetrics and FleetService read counters()[0] to [3]; the record names them. Metric names and extensions are as before. A comment of DoormanServer no longer tells that its figure was measured.

--- a/doorman/src/main/java/barleyspur/DoormanServer.java
+++ b/doorman/src/main/java/barleyspur/DoormanServer.java
@@ -58,10 +58,7 @@
 
     private static final int RESERVED_SOCKETS = 64;
     private static final long MEGABYTE = 1 << 20;
-    /**
-     * Unread answers may use one part in this many of the memory limit: their buffers were measured to occupy three
-     * times the size of the answers.
-     */
+    /** Unread answers may use one part in this many of the memory limit; their buffers take three times as much. */
     private static final int UNREAD_MEMORY_DIVISOR = 24;
     /** Synthetic requests run before the start; by then the code on the path of a request is compiled. */
     private static final int WARM_UP_REQUESTS = 200;
--- a/doorman/src/main/java/barleyspur/fleet/Membership.java
+++ b/doorman/src/main/java/barleyspur/fleet/Membership.java
@@ -279,11 +279,18 @@
     }
 
     /**
-     * Counters of this process, in this order: pauses, raises of its generation above another process's, refutations,
-     * and the local health score.
+     * Counters of this process.
+     *
+     * @param pauses how often the process had no time for over two periods
+     * @param generationRaises how often it raised its generation above that of another process of its name
+     * @param refutations how often it refuted a suspicion of itself
+     * @param localHealthScore the score of Lifeguard by which it stretches its own time-outs
      */
-    public int[] counters() {
-        return new int[] {pauses, generationRaises, refutations, context.localHealthScore};
+    public record Counters(int pauses, int generationRaises, int refutations, int localHealthScore) {}
+
+    /** Returns the counters of this process. */
+    public Counters counters() {
+        return new Counters(pauses, generationRaises, refutations, context.localHealthScore);
     }
 
     // ---- records of other members ----------------------------------------------------------------------
--- a/doorman/src/main/java/barleyspur/fleet/net/FleetMetrics.java
+++ b/doorman/src/main/java/barleyspur/fleet/net/FleetMetrics.java
@@ -22,9 +22,12 @@
         Gauge.builder("fleet.members", membership, Membership::memberCount).register(registry);
         Gauge.builder("fleet.in.doubt", membership, v -> v.isInDoubt(clock.nowMs()) ? 1 : 0)
                 .register(registry);
-        Gauge.builder("fleet.stood.still", membership, v -> v.counters()[0]).register(registry);
-        Gauge.builder("fleet.refutations", membership, v -> v.counters()[2]).register(registry);
-        Gauge.builder("fleet.own.doubts", membership, v -> v.counters()[3]).register(registry);
+        Gauge.builder("fleet.stood.still", membership, v -> v.counters().pauses())
+                .register(registry);
+        Gauge.builder("fleet.refutations", membership, v -> v.counters().refutations())
+                .register(registry);
+        Gauge.builder("fleet.own.doubts", membership, v -> v.counters().localHealthScore())
+                .register(registry);
     }
 
     MeterRegistry registry() {
--- a/doorman/src/main/java/barleyspur/fleet/net/FleetService.java
+++ b/doorman/src/main/java/barleyspur/fleet/net/FleetService.java
@@ -263,8 +263,8 @@
         if (channel == null) {
             return;
         }
-        int[] counts = membership.counters();
-        MemberCounters counters = new MemberCounters(counts[0], counts[1]);
+        Membership.Counters counts = membership.counters();
+        MemberCounters counters = new MemberCounters(counts.pauses(), counts.generationRaises());
         MemberMetadata metadata = membership.self().metadata();
         // Compared before encoding, since this runs on every tick and there is rarely a change.
         if (!counters.equals(publishedCounters) || !lifecycle.phase().label().equals(metadata.phase())) {
