--- a/lab/src/main/java/barleyspur/lab/soak/SoakCommand.java
+++ b/lab/src/main/java/barleyspur/lab/soak/SoakCommand.java
@@ -51,10 +51,11 @@
         try (SoakRun run = new SoakRun(plan, program, request.folder().resolve("seed-" + seed))) {
             SoakJudge judge = run.run();
             System.out.printf(
-                    "seed %d%s: %s; %d MB at most; %s%n",
+                    "seed %d%s: %s; event loops late by %d ms at most; %d MB at most; %s%n",
                     seed,
                     plan.crowd() ? " with a crowd" : "",
                     judge.violations().isEmpty() ? "held" : judge.violations().size() + " violations",
+                    run.longestEventLoopLatenessMs(),
                     run.peakMemoryMb(),
                     describe(judge.counts()));
             printViolations(run, judge.violations());
--- a/lab/src/main/java/barleyspur/lab/soak/SoakConfiguration.java
+++ b/lab/src/main/java/barleyspur/lab/soak/SoakConfiguration.java
@@ -64,7 +64,7 @@
         for (int i = 0; lock == null && i < NETWORKS; i++) {
             long number = ProcessHandle.current().pid() + RUN_COUNT.getAndIncrement();
             candidate = "127." + (FIRST_NETWORK + number % NETWORKS) + ".";
-            lock = tryLock(new InetSocketAddress(candidate + "4.1", LOCK_PORT));
+            lock = tryLock(new InetSocketAddress(candidate + "205.1", LOCK_PORT));
         }
         if (lock == null) {
             throw new IOException("all networks of the soak are in use");
@@ -98,20 +98,20 @@
     }
 
     InetSocketAddress boxAddress(int number) {
-        return new InetSocketAddress(network + "100." + (number + 1), CLIENT_PORT);
+        return new InetSocketAddress(network + "204." + (number + 1), CLIENT_PORT);
     }
 
     InetSocketAddress clientAddress() {
-        return new InetSocketAddress(network + "1.1", CLIENT_PORT);
+        return new InetSocketAddress(network + "201.1", CLIENT_PORT);
     }
 
     InetSocketAddress channelAddress() {
-        return new InetSocketAddress(network + "2.1", CHANNEL_PORT);
+        return new InetSocketAddress(network + "202.1", CHANNEL_PORT);
     }
 
     /** Returns the administration address of the process with this number. */
     InetSocketAddress adminAddress(int process) {
-        return new InetSocketAddress(network + "3." + (process % 250 + 1), ADMIN_PORT);
+        return new InetSocketAddress(network + "203." + (process % 250 + 1), ADMIN_PORT);
     }
 
     /** Returns whether the last valid file has the additional class. */
--- a/lab/src/main/java/barleyspur/lab/soak/SoakProcess.java
+++ b/lab/src/main/java/barleyspur/lab/soak/SoakProcess.java
@@ -26,6 +26,7 @@
     private static final int STATUS_OK = 200;
     private static final Pattern RUN_LINE = Pattern.compile("(?m)^run = \"(.*)\"$");
     private static final Pattern RESIDENT_KB = Pattern.compile("VmRSS:\\s+(\\d+) kB");
+    private static final Pattern EVENT_LOOP_LATE = Pattern.compile("ms=(\\d+) event loop late$");
     private static final String JAR_OPTION = "-jar doorman/target/barleyspur.jar";
     private static final String TRACE_OPTION = "-Dorg.slf4j.simpleLogger.log.trail=debug ";
 
@@ -140,6 +141,20 @@
         return Long.toString(process.pid());
     }
 
+    /** Returns by how much the event loop was late at most since the process serves. */
+    int longestEventLoopLatenessMs() throws IOException {
+        int longestMs = 0;
+        boolean serving = false;
+        for (String line : logLines("")) {
+            serving |= line.endsWith(" serves");
+            Matcher late = EVENT_LOOP_LATE.matcher(line);
+            if (serving && late.find()) {
+                longestMs = Math.max(longestMs, Integer.parseInt(late.group(1)));
+            }
+        }
+        return longestMs;
+    }
+
     /** Returns the lines of the log that contain a text. */
     List<String> logLines(String text) throws IOException {
         try (Stream<String> lines = Files.lines(log, StandardCharsets.ISO_8859_1)) {
--- a/lab/src/main/java/barleyspur/lab/soak/SoakRun.java
+++ b/lab/src/main/java/barleyspur/lab/soak/SoakRun.java
@@ -386,6 +386,15 @@
         return lines;
     }
 
+    /** Returns by how much the event loops of the processes were late at most, after their starts. */
+    int longestEventLoopLatenessMs() throws IOException {
+        int longestMs = 0;
+        for (SoakProcess process : processes) {
+            longestMs = Math.max(longestMs, process.longestEventLoopLatenessMs());
+        }
+        return longestMs;
+    }
+
     int peakMemoryMb() {
         return peakMemoryMb;
     }
