--- a/lab/src/main/java/barleyspur/lab/soak/SoakClients.java
+++ b/lab/src/main/java/barleyspur/lab/soak/SoakClients.java
@@ -4,9 +4,7 @@
 import barleyspur.lab.stand.ThriftFrames.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -127,7 +125,7 @@
                 connection.connect();
             }
             for (int i = 0; i < badClients; i++) {
-                connectBadClient();
+                new SoakBadClient(loop, address, random.split(), () -> stopped).connect();
             }
         });
     }
@@ -409,39 +407,4 @@
             }
         }
     }
-
-    /** Connects, sends what no good client sends, stays for a while and leaves; again and again. */
-    private void connectBadClient() {
-        if (stopped) {
-            return;
-        }
-        int kind = random.nextInt(4);
-        int stayMs = random.nextInt(1_500);
-        bootstrap(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        // Whatever the doorman answers is discarded.
-                    }
-                })
-                .connect(address)
-                .addListener(done -> {
-                    if (done.isSuccess()) {
-                        Channel channel = ((ChannelFuture) done).channel();
-                        writeBadInput(channel, kind);
-                        loop.schedule(() -> channel.close(), stayMs, TimeUnit.MILLISECONDS);
-                    }
-                    loop.schedule(this::connectBadClient, stayMs + RECONNECT_MS, TimeUnit.MILLISECONDS);
-                });
-    }
-
-    private void writeBadInput(Channel channel, int kind) {
-        ByteBuf call = ThriftFrames.dispatch(1, fields("files", random.nextLong(), MIN_DEADLINE_MS, 1));
-        switch (kind) {
-            case 0 -> channel.writeAndFlush(Unpooled.copiedBuffer("GET / HTTP/1.1\r\n\r\n".getBytes()));
-            case 1 -> channel.writeAndFlush(call.retainedSlice(0, call.readableBytes() / 2));
-            case 2 -> channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[100_000]));
-            default -> channel.writeAndFlush(call.retainedDuplicate());
-        }
-        call.release();
-    }
 }
