--- a/lab/src/test/java/barleyspur/lab/soak/SoakTest.java
+++ b/lab/src/test/java/barleyspur/lab/soak/SoakTest.java
@@ -36,7 +36,7 @@
         return SoakCommand.run(new SoakCommand.Request(seed, seeds, SECONDS, ROOT, null, patchedClasses, folder));
     }
 
-    /** Guards every ending: seed 3 has a crowd, an upgrade and a quiesce, 12 reloads and a silent depot. */
+    /** Guards every ending: seed 3 has a crowd, upgrades and a quiesce; seed 11 restarts; seed 12 reloads and a silent depot. */
     @ParameterizedTest
     @ValueSource(longs = {3, 11, 12})
     void everyRequestGetsItsAnswer(long seed) throws Exception {
