--- a/review/2/CellCase.java
+++ b/review/2/CellCase.java
@@ -28,7 +28,6 @@
     static final class Key {
         /** The cell of the first attempt that may have run, or -1. */
         int begunCell = -1;
-        long begunMs;
         int runs;
         final Set<Integer> seenByCells = ConcurrentHashMap.newKeySet();
     }
@@ -53,27 +52,35 @@
         AtomicInteger resets = new AtomicInteger();
         AtomicInteger full = new AtomicInteger();
         List<String> targets = new ArrayList<>();
-        for (int i = 0; i < 2 * CELLS; i++) {
-            int cell = i % CELLS;
+        // Caches pass a request on to the origin, through the source that the doorman names, and it runs there. The depot
+        // that takes it drops a repeat that its cell has seen. Parent and origin take attempts too, as cells of their own.
+        for (int i = 0; i < 2 * CELLS + 2; i++) {
+            boolean isCache = i < 2 * CELLS;
+            int cell = isCache ? i % CELLS : 10 + i;
+            int places = isCache ? PLACES : Integer.MAX_VALUE;
             AtomicInteger busy = new AtomicInteger();
-            Rig.Depot depot = rig.own(rig.new Depot("s-" + (i + 1), (connection, command) -> {
+            Rig.Depot depot = rig.own(rig.new Depot(isCache ? "s-" + (i + 1) : "s-" + i + "0", (connection, command) -> {
                 String key = command.fields().get("once");
                 String where = connection.depot().uid + " of cell " + cell;
-                if (busy.incrementAndGet() > PLACES) {
+                synchronized (broken) {
+                    checkCell(keys.computeIfAbsent(key, k -> new Key()), key, cell, where, broken);
+                }
+                if (isCache && !command.fields().containsKey("parent")) {
+                    rig.note(where + " has no source for " + key + " id " + command.id() + ": LACK");
+                    connection.answer(command.id(), "LACK", "-", new byte[0]);
+                    return;
+                }
+                if (busy.incrementAndGet() > places) {
                     busy.decrementAndGet();
                     full.incrementAndGet();
                     rig.note(where + " is full for " + key + " id " + command.id() + ": WAIT");
-                    synchronized (broken) {
-                        checkCell(rig, keys.computeIfAbsent(key, k -> new Key()), key, cell, where, broken);
-                    }
                     connection.answer(command.id(), "WAIT", "-", new byte[0]);
                     return;
                 }
                 boolean repeat;
                 boolean cut;
                 synchronized (broken) {
-                    Key state = keys.computeIfAbsent(key, k -> new Key());
-                    checkCell(rig, state, key, cell, where, broken);
+                    Key state = keys.get(key);
                     repeat = !state.seenByCells.add(cell);
                     if (!repeat) {
                         state.runs++;
@@ -83,11 +90,10 @@
                     }
                     if (state.begunCell < 0) {
                         state.begunCell = cell;
-                        state.begunMs = command.atMs();
                     }
                     cut = rig.trouble && random.nextInt(RESET_ONE_IN) == 0;
                 }
-                rig.note(where + (repeat ? " drops the repeat of " : " runs ") + key + " id " + command.id());
+                rig.note(where + (repeat ? " drops the repeat of " : " takes and runs ") + key + " id " + command.id());
                 rig.timer.schedule(
                         () -> {
                             busy.decrementAndGet();
@@ -106,13 +112,18 @@
                         60,
                         TimeUnit.MILLISECONDS);
             }));
-            targets.add(Rig.target(depot.uid, depot.port(), "edge-1", "small-box", cell, "in_service", 0));
+            targets.add(
+                    isCache
+                            ? Rig.target(depot.uid, depot.port(), "edge-1", "small-box", cell, "in_service", 0)
+                            : Rig.target(
+                                    depot.uid,
+                                    depot.port(),
+                                    "central",
+                                    i == 2 * CELLS ? "parent" : "origin",
+                                    cell,
+                                    "in_service",
+                                    0));
         }
-        Rig.Server upstream = (connection, command) -> connection.answer(command.id(), "WAIT", "-", new byte[0]);
-        Rig.Depot parent = rig.own(rig.new Depot("s-10", upstream));
-        Rig.Depot origin = rig.own(rig.new Depot("s-20", upstream));
-        targets.add(Rig.target(parent.uid, parent.port(), "central", "parent", 10, "in_service", 0));
-        targets.add(Rig.target(origin.uid, origin.port(), "central", "origin", 11, "in_service", 0));
         Rig.Channel channel = rig.own(rig.new Channel(Rig.nodes(1, true, targets)));
         int port = Rig.freePort();
         Path config = rig.temp.resolve("config.json");
@@ -165,7 +176,7 @@
     }
 
     /** Further attempts go only to depots of the cell of the attempt that may have run. */
-    private static void checkCell(Rig rig, Key state, String key, int cell, String where, List<String> broken) {
+    private static void checkCell(Key state, String key, int cell, String where, List<String> broken) {
         if (state.begunCell >= 0 && state.begunCell != cell) {
             broken.add("attempt of key " + key + " at " + where + ", after one that may have run in cell "
                     + state.begunCell);
