Review: one script a case, without a shared one beside the cases

Cause: the scripts led to one in review/rig, so that folder looked like a fourth case, and the cases' own scripts named neither the record nor TROUBLE.

Change: each run.sh is whole; the shared stand-ins are review/Rig.java and review/Site.java, and the script passes record.txt to them. The cases' checks are as they were.

--- a/review/rig/Rig.java
+++ b/review/Rig.java
@@ -47,7 +47,6 @@
     static final int EXIT_CODES = 10;
 
     final Path root;
-    final Path folder;
     final Path temp;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final ScheduledExecutorService timer = Executors.newScheduledThreadPool(8, task -> {
@@ -58,12 +57,11 @@
     private final PrintWriter record;
     private final List<AutoCloseable> open = new ArrayList<>();
 
-    /** args: the repository's root, and the folder of the case. */
+    /** args: the repository's root, and the file of the record. */
     Rig(String[] args) throws IOException {
         root = Paths.get(args[0]).toAbsolutePath();
-        folder = Paths.get(args[1]).toAbsolutePath();
         temp = Files.createTempDirectory("review");
-        record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), false);
+        record = new PrintWriter(Files.newBufferedWriter(Paths.get(args[1])), false);
         note("run with TROUBLE=" + (trouble ? "1" : "0"));
         Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
     }
