RepeatRule holds the rule on repeats, moved out of LeastRecentlyLostPolicy

The rule on repeats of unsafe and keyed requests stood in mayTake, between the choice of candidates and that of a source, and Doorman has part of it again (isPastKeyWindow).

--- a/decision/src/main/java/barleyspur/decision/Attempt.java
+++ b/decision/src/main/java/barleyspur/decision/Attempt.java
@@ -1,7 +1,7 @@
 package barleyspur.decision;
 
 /** One attempt of a request, with what the policy knew when it was sent. */
-final class Attempt {
+final class Attempt implements RepeatRule.EarlierAttempt {
 
     TrackedNode target;
     TrackedNode source;
@@ -35,4 +35,14 @@
     boolean fillsThroughCache() {
         return fetchesFromSource() && source != target;
     }
+
+    @Override
+    public double sentAtMs() {
+        return sentAtMs;
+    }
+
+    @Override
+    public RepeatRule.Group group() {
+        return RepeatRule.Group.of(target.listing);
+    }
 }
--- a/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
+++ b/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
@@ -482,27 +482,15 @@
         return untried.isEmpty() ? preferred : untried;
     }
 
-    /**
-     * Rule 2: returns whether a node may take this request. An unsafe request that may have run is not sent
-     * again, and a keyed one only within its key window and to the group of nodes that drops its repeats.
-     */
+    /** Rule 2: returns whether a node may take this request, given its earlier attempts. */
     private boolean mayTake(OpenRequest pending, TrackedNode node) {
-        RequestClass requestClass = settings.classes().get(pending.request.classIndex());
-        if (requestClass.effect() == Effect.SAFE || !pending.mayHaveRun) {
-            return true;
-        }
-        if (requestClass.effect() == Effect.UNSAFE) {
-            return false;
-        }
-        Node first = pending.attempts.get(0).target.listing;
-        boolean insideKeyWindow =
-                nowMs - pending.attempts.get(0).sentAtMs < requestClass.keyWindowMs() - settings.tickMs();
-        return insideKeyWindow
-                && switch (requestClass.scope()) {
-                    case ALL -> true;
-                    case ZONE -> first.zone() == node.listing.zone();
-                    case CELL -> first.cell() == node.listing.cell();
-                };
+        return RepeatRule.allows(
+                settings.classes().get(pending.request.classIndex()),
+                pending.mayHaveRun,
+                pending.attempts,
+                RepeatRule.Group.of(node.listing),
+                nowMs,
+                settings.tickMs());
     }
 
     /**
