A keyed request stays in the group of each attempt that may have run

Cause: mayTake took the group and the window of the first attempt, whatever had become of it. One that never ran held the third attempt in its own cell, which had never seen the key. Before the write Doorman asked the window again, but not the group.

RulesTest shows it without a socket.

Fix: RepeatRule looks at all other attempts as they are: each one outstanding or that may have run holds the next in its group and window, one proven never to have run holds nothing. The policy asks it at the decision and Doorman the same directly before the write. The group is that of the listing at the time of the send, as a node may be listed anew elsewhere.

--- a/decision/src/main/java/barleyspur/decision/Attempt.java
+++ b/decision/src/main/java/barleyspur/decision/Attempt.java
@@ -1,9 +1,12 @@
 package barleyspur.decision;
 
 /** One attempt of a request, with what the policy knew when it was sent. */
-final class Attempt implements RepeatRule.EarlierAttempt {
+final class Attempt implements RepeatRule.OtherAttempt {
 
     TrackedNode target;
+    /** The group of the target when the attempt was sent; a later list may move the node to another one. */
+    RepeatRule.Group targetGroup;
+
     TrackedNode source;
     /** Whether the target is expected to fetch the object, because it holds no copy. */
     boolean fill;
@@ -19,6 +22,8 @@
     boolean isSourceTrial;
     /** Whether the outcome is known. */
     boolean ended;
+    /** Whether the attempt has ended with an outcome that doesn't prove that it never ran. */
+    boolean mayHaveRun;
 
     double sentAtMs;
     /** The estimated work, in milliseconds. */
@@ -36,6 +41,14 @@
         return fetchesFromSource() && source != target;
     }
 
+    @Override
+    public RepeatRule.Execution execution() {
+        if (!ended) {
+            return RepeatRule.Execution.OUTSTANDING;
+        }
+        return mayHaveRun ? RepeatRule.Execution.MAY_HAVE_RUN : RepeatRule.Execution.NEVER_RAN;
+    }
+
     @Override
     public double sentAtMs() {
         return sentAtMs;
@@ -43,6 +56,6 @@
 
     @Override
     public RepeatRule.Group group() {
-        return RepeatRule.Group.of(target.listing);
+        return targetGroup;
     }
 }
--- a/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
+++ b/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
@@ -486,7 +486,6 @@
     private boolean mayTake(OpenRequest pending, TrackedNode node) {
         return RepeatRule.allows(
                 settings.classes().get(pending.request.classIndex()),
-                pending.mayHaveRun,
                 pending.attempts,
                 RepeatRule.Group.of(node.listing),
                 nowMs,
@@ -573,6 +572,7 @@
             OpenRequest openRequest, TrackedNode target, TrackedNode source, int copyRank, boolean fill) {
         Attempt attempt = new Attempt();
         attempt.target = target;
+        attempt.targetGroup = RepeatRule.Group.of(target.listing);
         attempt.source = source;
         attempt.fill = fill;
         attempt.sentAtMs = nowMs;
@@ -646,6 +646,7 @@
         }
         Attempt attempt = currentRequest.attempts.get(outcome.attempt());
         attempt.ended = true;
+        attempt.mayHaveRun = outcome.result().mayHaveRun();
         currentRequest.endedAttempts++;
         int loadIndex = settings.reportFields().indexOf(LOAD_FIELD);
         attempt.target.reportedLoad = loadIndex >= 0
@@ -658,7 +659,6 @@
         recordOutcomeLateness(currentRequest, attempt, outcome);
         attributeOutcome(currentRequest, attempt, outcome);
         updateCopyLocations(currentRequest.request, attempt, outcome);
-        currentRequest.mayHaveRun |= outcome.result().mayHaveRun();
         boolean late = outcome.latencyMs() > latencyTargetMs(currentRequest);
         double earned = attempt.fill || !unanswered && !late
                 ? 0
@@ -759,7 +759,8 @@
      */
     private void giveUp(OpenRequest pending) {
         RequestClass requestClass = settings.classes().get(pending.request.classIndex());
-        boolean mayHaveTakenEffect = pending.mayHaveRun || pending.hasAttemptsInFlight();
+        boolean mayHaveTakenEffect = pending.attempts.stream()
+                .anyMatch(attempt -> !attempt.execution().isProvenNeverToHaveRun());
         boolean repeatWouldBeHarmless = requestClass.effect() == Effect.SAFE
                 || requestClass.effect() == Effect.KEYED && requestClass.scope() == Scope.ALL;
         long id = pending.request.id();
--- a/decision/src/main/java/barleyspur/decision/OpenRequest.java
+++ b/decision/src/main/java/barleyspur/decision/OpenRequest.java
@@ -22,8 +22,6 @@
     final List<UnattributedError> unattributedErrors = new ArrayList<>(0);
     /** Whether the final answer was given or has begun. */
     boolean closed;
-    /** Whether an attempt that has ended may have taken effect. */
-    boolean mayHaveRun;
     /** The number of attempts that have ended. */
     int endedAttempts;
 
--- a/decision/src/main/java/barleyspur/decision/RepeatRule.java
+++ b/decision/src/main/java/barleyspur/decision/RepeatRule.java
@@ -4,64 +4,92 @@
 import java.util.List;
 
 /**
- * Rule 2, no effect of a request twice: decides whether a request may be sent to a node, given its earlier
- * attempts. A safe request may always be repeated, an unsafe one never once it may have run, and a keyed
- * one only within its key window and to the group of nodes that drops its repeats.
+ * Rule 2, no effect of a request twice: decides whether a request may be sent to a node, given what is known
+ * of its other attempts at that moment. The policy asks when it chooses a node, and whoever writes the
+ * attempt asks again directly before the write, because other attempts may have begun or ended meanwhile.
+ *
+ * <p>Only attempts that {@linkplain Execution#isProvenNeverToHaveRun() may have run} restrict the next one;
+ * their order doesn't matter. A safe request is never restricted, and an unsafe one is never sent again. A
+ * keyed request stays in the group of each of these attempts and within the key window of each, because a
+ * group of nodes drops only the repeats of the keys that it has seen itself.
  */
 public final class RepeatRule {
 
     private RepeatRule() {}
 
-    /** The group of nodes that an attempt of a keyed request reached. */
+    /** What is known of an attempt. */
+    public enum Execution {
+        /** It has not ended, so that it may run at any time. */
+        OUTSTANDING,
+        /** It has ended in a way that doesn't show whether it ran. */
+        MAY_HAVE_RUN,
+        /** It was not written, or its end proves that it never ran. */
+        NEVER_RAN;
+
+        /** Returns whether the attempt can't have any effect. */
+        public boolean isProvenNeverToHaveRun() {
+            return this == NEVER_RAN;
+        }
+    }
+
+    /** The zone and the cell of a node, within which the nodes know each other's keys. */
     public record Group(int zone, int cell) {
 
-        /** Returns the group that a listed node belongs to. */
-        static Group of(RoutingPolicy.Node node) {
-            return new Group(node.zone(), node.cell());
+        /** Returns the group that a node belongs to according to its listing. */
+        static Group of(RoutingPolicy.Node listing) {
+            return new Group(listing.zone(), listing.cell());
         }
     }
 
-    /** An earlier attempt of the same request. */
-    public interface EarlierAttempt {
+    /** Another attempt of the same request. */
+    public interface OtherAttempt {
+        /** Returns what is known of the attempt now. */
+        Execution execution();
+
         /** Returns when the attempt was sent. */
         double sentAtMs();
 
-        /** Returns the group of the node that it was sent to. */
+        /** Returns the group that the node belonged to when the attempt was sent to it. */
         Group group();
     }
 
     /**
-     * Returns whether a further attempt may be sent to a node of {@code group} at {@code nowMs}.
+     * Returns whether a request may be sent to a node at {@code nowMs}.
      *
-     * @param mayHaveRun whether an earlier attempt may have run
-     * @param attempts the earlier attempts in the order in which they were sent
-     * @param tickMs the resolution of the clock, by which the window is shortened
+     * @param otherAttempts all other attempts of the request
+     * @param targetGroup the group that the node belongs to now
+     * @param tickMs the resolution of the clock, by which the key window is shortened
      */
     public static boolean allows(
             RequestClass requestClass,
-            boolean mayHaveRun,
-            List<? extends EarlierAttempt> attempts,
-            Group group,
+            List<? extends OtherAttempt> otherAttempts,
+            Group targetGroup,
             double nowMs,
             double tickMs) {
-        if (!mayHaveRun) {
+        if (requestClass.effect() == RoutingPolicy.Effect.SAFE) {
             return true;
         }
-        return switch (requestClass.effect()) {
-            case SAFE -> true;
-            case UNSAFE -> false;
-            case KEYED -> allowsKeyed(requestClass, attempts.get(0), group, nowMs, tickMs);
-        };
+        for (OtherAttempt other : otherAttempts) {
+            boolean restricts = !other.execution().isProvenNeverToHaveRun();
+            if (restricts && !allowsAfter(other, requestClass, targetGroup, nowMs, tickMs)) {
+                return false;
+            }
+        }
+        return true;
     }
 
-    private static boolean allowsKeyed(
-            RequestClass requestClass, EarlierAttempt first, Group group, double nowMs, double tickMs) {
-        boolean insideKeyWindow = nowMs - first.sentAtMs() < requestClass.keyWindowMs() - tickMs;
-        return insideKeyWindow
-                && switch (requestClass.scope()) {
-                    case ALL -> true;
-                    case ZONE -> first.group().zone() == group.zone();
-                    case CELL -> first.group().cell() == group.cell();
-                };
+    private static boolean allowsAfter(
+            OtherAttempt other, RequestClass requestClass, Group target, double nowMs, double tickMs) {
+        boolean isKeyed = requestClass.effect() == RoutingPolicy.Effect.KEYED;
+        boolean isInsideKeyWindow = nowMs - other.sentAtMs() < requestClass.keyWindowMs() - tickMs;
+        return isKeyed && isInsideKeyWindow && isSameGroup(other.group(), target, requestClass.scope());
+    }
+
+    private static boolean isSameGroup(Group one, Group other, RoutingPolicy.Scope scope) {
+        return switch (scope) {
+            case ALL -> true;
+            case ZONE -> one.zone() == other.zone();
+            case CELL -> one.cell() == other.cell();
+        };
     }
 }
--- a/decision/src/test/java/barleyspur/decision/RulesTest.java
+++ b/decision/src/test/java/barleyspur/decision/RulesTest.java
@@ -118,6 +118,52 @@
         assertEquals(get.node() % 2, next.node() % 2);
     }
 
+    /**
+     * Guards against a key that ran in two cells: a first attempt that proved never to have run kept later ones in its
+     * own cell, whatever cell the key had reached by then.
+     */
+    @Test
+    void aKeyedRequestStaysInTheCellOfTheAttemptThatMayHaveRunNotOfTheFirst() {
+        int leftCellOfFirst = 0;
+        for (int seed = 0; seed < 30; seed++) {
+            harness = new PolicyHarness(PolicyHarness.settings(), seed).listNodes(4);
+            Get first = PolicyHarness.onlyAction(harness.request(3, 42, 3_000), Get.class);
+            Get second = PolicyHarness.onlyAction(harness.outcome(first, 0, Result.FULL, Note.NONE), Get.class);
+            List<Action> end = harness.outcome(second, 1, Result.RESET, Note.NONE);
+            for (Get third : PolicyHarness.actionsOf(end, Get.class)) {
+                assertEquals(second.node() % 2, third.node() % 2, "seed " + seed);
+                leftCellOfFirst += first.node() % 2 != third.node() % 2 ? 1 : 0;
+            }
+        }
+        assertTrue(leftCellOfFirst > 0, "the second attempt was in another cell at least once");
+    }
+
+    /** Past the caches the same holds: a key that may have run in a cell is sent to no parent of another one. */
+    @Test
+    void aKeyedRequestThatMayHaveRunIsNotSentPastTheCachesToAnotherCell() {
+        harness = new PolicyHarness(PolicyHarness.settings()).listNodes(1);
+        Get first = PolicyHarness.onlyAction(harness.request(3, 42, 3_000), Get.class);
+        harness.outcome(first, 0, Result.RESET, Note.NONE);
+        List<Action> afterLoss = harness.changeNodes(PolicyHarness.node(1, PolicyHarness.CACHE, State.GONE, 0));
+        assertEquals(List.of(), PolicyHarness.actionsOf(afterLoss, Get.class));
+        Get next = PolicyHarness.onlyAction(harness.request(3, 43, 3_000), Get.class);
+        for (Get repeat : PolicyHarness.actionsOf(harness.outcome(next, 0, Result.RESET, Note.NONE), Get.class)) {
+            assertEquals(next.node() % 2, repeat.node() % 2);
+        }
+    }
+
+    /** A node that is listed anew in another cell may not have told that cell which keys it has seen. */
+    @Test
+    void theCellOfAnAttemptIsTheOneInWhichItsNodeWasListedWhenItWasSent() {
+        Get first = PolicyHarness.onlyAction(harness.request(3, 42, 3_000), Get.class);
+        long cell = first.node() % 2;
+        harness.changeNodes(
+                new RoutingPolicy.Node(first.node(), 1, PolicyHarness.CACHE, (int) (1 - cell), State.READY, 1, 0));
+        Get next = PolicyHarness.onlyAction(harness.outcome(first, 0, Result.RESET, Note.NONE), Get.class);
+        assertNotEquals(first.node(), next.node());
+        assertEquals(cell, next.node() % 2);
+    }
+
     @Test
     void aKeyedRequestIsNotSentAgainAfterItsWindow() {
         Get get = PolicyHarness.onlyAction(harness.request(3, 42, 5_000), Get.class);
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -1,5 +1,6 @@
 package barleyspur.doorman;
 
+import barleyspur.decision.RepeatRule;
 import barleyspur.decision.RoutingPolicy;
 import barleyspur.decision.RoutingPolicy.Result;
 import barleyspur.log.LogEvent;
@@ -392,9 +393,7 @@
                 depots.send(node, attemptRequest(context, node, attemptTimeoutMs, get), new Depots.AttemptListener() {
                     @Override
                     public Result beforeWrite() {
-                        return context.finished || attempt.ended || isPastKeyWindow(context, attempt)
-                                ? Result.MOOT
-                                : Result.OK;
+                        return mayBeWritten(context, attempt) ? Result.OK : Result.MOOT;
                     }
 
                     @Override
@@ -412,20 +411,21 @@
     }
 
     /**
-     * Returns whether sending this repeat of a keyed request would exceed the window in which depots are known to drop
-     * repeats, measured from the first attempt that may have run. The repeat was decided in time but had to wait for a
-     * connection.
+     * Returns whether the attempt may be written now. It was allowed when it was decided, but had to wait for a
+     * connection, and meanwhile other attempts may have begun or ended, or its node may have been listed anew.
      */
-    private boolean isPastKeyWindow(RequestContext context, RequestContext.Attempt attempt) {
-        RoutingPolicy.RequestClass requestClass = settings.classes().get(context.request.category());
-        if (requestClass.effect() != RoutingPolicy.Effect.KEYED) {
+    private boolean mayBeWritten(RequestContext context, RequestContext.Attempt attempt) {
+        NodeListing listing = nodeTable.get(attempt.node);
+        if (context.finished || attempt.ended || listing == null) {
             return false;
         }
-        double nowMs = clock.nowMs();
-        return context.attempts.stream()
-                .anyMatch(a -> a != attempt
-                        && (a.mayHaveRun || a.written && !a.ended)
-                        && nowMs - a.writtenAtMs >= requestClass.keyWindowMs() - settings.tickMs());
+        attempt.group = new RepeatRule.Group(listing.zone(), listing.cell());
+        return RepeatRule.allows(
+                settings.classes().get(context.request.category()),
+                context.attemptsBesides(attempt),
+                attempt.group,
+                clock.nowMs(),
+                settings.tickMs());
     }
 
     private Depots.AttemptRequest attemptRequest(
--- a/doorman/src/main/java/barleyspur/doorman/RequestContext.java
+++ b/doorman/src/main/java/barleyspur/doorman/RequestContext.java
@@ -1,5 +1,6 @@
 package barleyspur.doorman;
 
+import barleyspur.decision.RepeatRule;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -7,7 +8,7 @@
 final class RequestContext {
 
     /** One attempt; its number is its index in {@link #attempts}. */
-    static final class Attempt {
+    static final class Attempt implements RepeatRule.OtherAttempt {
         final long node;
         /** The node that a miss is filled from; equal to {@link #node} for no fill. */
         final long source;
@@ -22,6 +23,8 @@
         boolean written;
 
         double writtenAtMs;
+        /** The group that the node belonged to when the attempt was last about to be written. */
+        RepeatRule.Group group;
         /** Whether the attempt has ended with a result that does not prove that it never ran. */
         boolean mayHaveRun;
 
@@ -30,6 +33,24 @@
             this.source = source;
             this.startedAtMs = startedAtMs;
         }
+
+        @Override
+        public RepeatRule.Execution execution() {
+            if (!written || ended && !mayHaveRun) {
+                return RepeatRule.Execution.NEVER_RAN;
+            }
+            return ended ? RepeatRule.Execution.MAY_HAVE_RUN : RepeatRule.Execution.OUTSTANDING;
+        }
+
+        @Override
+        public double sentAtMs() {
+            return writtenAtMs;
+        }
+
+        @Override
+        public RepeatRule.Group group() {
+            return group;
+        }
     }
 
     final long id;
@@ -54,6 +75,14 @@
         this.deadlineMs = arrivedAtMs + request.remainingMs() - marginMs;
     }
 
+    /** Returns all attempts but {@code attempt}. */
+    List<Attempt> attemptsBesides(Attempt attempt) {
+        if (attempts.size() == 1) {
+            return List.of();
+        }
+        return attempts.stream().filter(other -> other != attempt).toList();
+    }
+
     /** Returns whether no byte of any attempt has been written. */
     boolean nothingWritten() {
         return attempts.stream().noneMatch(attempt -> attempt.written);
