MutantsTest finds the two wrong versions of the repeat rule where the rule is now

MutantsTest has failed since the rule moved to RepeatRule: two of its wrong versions replace text that no longer stands in LeastRecentlyLostPolicy. Both are written anew against the moved lines, with the same meaning: an unsafe request is sent again, and an unsafe request that may have run is refused.

--- a/doorman/src/test/java/barleyspur/expect/MutantsTest.java
+++ b/doorman/src/test/java/barleyspur/expect/MutantsTest.java
@@ -62,8 +62,8 @@
         a budget that is much too large | no cold cache is pushed over | LeastRecentlyLostPolicy.java | double load = COLD_BUDGET_SHARE * rule.overloadMultiple() * | double load = 8 * rule.overloadMultiple() *
         a purge bounds no age | no copy from before a purge is asked for | LeastRecentlyLostPolicy.java | return freshMs > 0 ? Math.min(freshMs, boundMs) : boundMs; | return freshMs;
         a purge bounds ages for too short a time | no copy from before a purge is asked for | LeastRecentlyLostPolicy.java | sincePurgeMs > settings.purgeCompleteMs() + settings.tickMs() | sincePurgeMs > settings.purgeGraceMs()
-        an unsafe request is sent again | an unsafe request goes out once | LeastRecentlyLostPolicy.java | if (requestClass.effect() == Effect.UNSAFE) {¶return false; | if (requestClass.effect() == Effect.UNSAFE) {¶return true;
-        an unsafe request that may have run is refused | an unsafe refusal means it never ran | LeastRecentlyLostPolicy.java | boolean mayHaveTakenEffect = pending.mayHaveRun | boolean mayHaveTakenEffect = pending.endedAttempts < 0
+        an unsafe request is sent again | an unsafe request goes out once | RepeatRule.java | boolean restricts = !other | boolean restricts = requestClass.effect() != RoutingPolicy.Effect.UNSAFE && !other
+        an unsafe request that may have run is refused | an unsafe refusal means it never ran | LeastRecentlyLostPolicy.java | boolean mayHaveTakenEffect = pending.attempts | boolean mayHaveTakenEffect = pending.endedAttempts < 0 && pending.attempts
         no final answer shortly before the deadline | answered in time | LeastRecentlyLostPolicy.java | private void giveUp(OpenRequest pending) { | private void giveUp(OpenRequest pending) { if (pending.deadlineMs - nowMs < 10) { return; }
         no final answer when the retry budget is spent | final answers at once | LeastRecentlyLostPolicy.java | retryTokens < 1) {¶giveUp(pending); | retryTokens < 1) {¶
         a refusal without a pause | come back later | LeastRecentlyLostPolicy.java | new Refuse(id, settings.maxRetryAfterMs()) | new Refuse(id, 0)
