What clients make a doorman hold is bounded in bytes, over all connections

Cause: every request that an iteration read was parsed and kept, and the limit of 32 was checked after it. Bodies were slices, which kept their read buffers until the request ended, empty ones too; half frames had no common bound.

Evidence: the heap dump at the error has 38,644 parsed requests with 629,096 strings, 55 of 56 MB, from some 7 MB of input.

Fix: requests are counted as they are read, before their fields are looked at. Over its connection's limit a request is refused and not kept, and after as many as the limit in one iteration its client is disconnected. Bodies are copied and reserved in a budget of all connections (ByteBudget, InputBudgets), so are half frames and the state of open requests; what isn't granted is skipped as it arrives and refused with a delay. Each connection has a part that no other can take. The socket is read in any case, so that a close or a cancel is noticed as before. ThriftFrameDecoder holds half frames itself now, since ByteToMessageDecoder's buffer can't be counted. GET /admin/memory shows heap, direct memory and the budgets.

--- a/doorman/src/main/java/barleyspur/DoormanServer.java
+++ b/doorman/src/main/java/barleyspur/DoormanServer.java
@@ -17,6 +17,7 @@
 import barleyspur.doorman.EventLoopClock;
 import barleyspur.doorman.SocketPollTimes;
 import barleyspur.fleet.net.FleetService;
+import barleyspur.front.thrift.InputBudgets;
 import barleyspur.front.thrift.ThriftServer;
 import barleyspur.lifecycle.Lifecycle;
 import barleyspur.log.LogEvent;
@@ -28,6 +29,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
@@ -100,6 +102,7 @@
     private final Doorman doorman;
     private final CommandChannel commandChannel;
     private final ThriftServer thriftServer;
+    private final InputBudgets inputBudgets;
     private final CommandReader commandReader;
     private final Clock clock;
     private final Lifecycle lifecycle = new Lifecycle();
@@ -186,15 +189,19 @@
                 clock,
                 commandReader);
         requestClasses = RequestClassRegistry.of(configuration.names().classes(), settings.classes());
+        int maxClientConnections = Math.max(
+                limits.maxSockets() / SOCKET_SHARES + 1,
+                limits.maxSockets() - limits.maxSockets() / SOCKET_SHARES - RESERVED_SOCKETS);
+        inputBudgets = InputBudgets.of(
+                PlatformDependent.maxDirectMemory(), Runtime.getRuntime().maxMemory(), maxClientConnections);
         thriftServer = new ThriftServer(
                 eventLoops,
                 doorman,
                 clock,
                 requestClasses,
-                Math.max(
-                        limits.maxSockets() / SOCKET_SHARES + 1,
-                        limits.maxSockets() - limits.maxSockets() / SOCKET_SHARES - RESERVED_SOCKETS),
+                maxClientConnections,
                 limits.memoryMb() * MEGABYTE / UNREAD_MEMORY_DIVISOR,
+                inputBudgets,
                 depots::pauseReading,
                 lifecycle,
                 configuration.managementAddress() != null);
@@ -205,6 +212,7 @@
             // Only a platform that configures an administration address runs upgrades with two processes at a time.
             Routes.Builder routes =
                     new LifecycleRoutes(lifecycle, clock, this::onLifecycleChanged).addTo(Routes.builder());
+            new MemoryReport(inputBudgets).addTo(routes);
             if (fleet != null) {
                 fleet.addTo(routes);
             }
--- a/doorman/src/main/java/barleyspur/WarmUp.java
+++ b/doorman/src/main/java/barleyspur/WarmUp.java
@@ -7,6 +7,7 @@
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
 import barleyspur.doorman.NodeListing;
+import barleyspur.front.thrift.InputBudgets;
 import barleyspur.front.thrift.ThriftServer;
 import barleyspur.lifecycle.Lifecycle;
 import barleyspur.reload.RequestClassRegistry;
@@ -90,6 +91,7 @@
                 RequestClassRegistry.of(configuration.names().classes(), settings.classes()),
                 CLIENT_COUNT,
                 Long.MAX_VALUE,
+                InputBudgets.of(Long.MAX_VALUE, Long.MAX_VALUE, CLIENT_COUNT),
                 full -> {},
                 lifecycle,
                 false);
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -95,6 +95,7 @@
                     pendingResponses);
             request.body().release();
             handler.refused(settings.maxRetryAfterMs());
+            handler.released();
             return () -> {};
         }
         double nowMs = clock.nowMs();
@@ -222,6 +223,7 @@
     private void removeIfDone(RequestContext context) {
         if (context.finished && context.openAttempts == 0) {
             contexts.remove(context.id);
+            context.handler.released();
         }
     }
 
--- a/doorman/src/main/java/barleyspur/doorman/ResponseHandler.java
+++ b/doorman/src/main/java/barleyspur/doorman/ResponseHandler.java
@@ -2,7 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 
-/** Receives the answer to one request: exactly one of these methods is called, once. */
+/**
+ * Receives the answer to one request. Exactly one of the four answers is given, once, unless the client leaves before;
+ * {@link #released} follows in any case.
+ */
 public interface ResponseHandler {
 
     /** Answers with {@code body}, which is now owned by the handler, under {@code tag}, which may be null. */
@@ -16,4 +19,7 @@
 
     /** Fails the request; it may or may not have taken effect. */
     void failed();
+
+    /** Reports that nothing of the request is kept any more: it has ended, and so have all its attempts. */
+    default void released() {}
 }
--- a/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
@@ -35,10 +35,14 @@
  * all available input, so that a close or cancel that arrived together with a request is handled before it. A client
  * that keeps sending requests without reading the responses is disconnected.
  *
+ * <p>As everything is read, what is read must not be held without a bound. A request is counted as it is read: beyond the
+ * limit of this connection, or of the {@link InputBudgets} of all, it is refused at once and not kept, and a client that
+ * sends far more than its limit without waiting for answers is disconnected.
+ *
  * <p>The server closes a connection through {@link LingeringClose}, unless the client is gone or doesn't read; then
  * the channel is closed immediately.
  */
-final class ClientConnection extends SimpleChannelInboundHandler<ByteBuf>
+final class ClientConnection extends SimpleChannelInboundHandler<Object>
         implements ResponseWriter.Listener, RequestReadTimeout.Listener {
 
     /** Reasons for which a connection ends. */
@@ -84,20 +88,22 @@
             Supplier<RequestClassRegistry> classes,
             int maxPending,
             ResponseBackpressure backpressure,
+            InputBudgets inputBudgets,
             ConnectionRegistry<ClientConnection> registry,
             RateLimitedLog log,
             Lifecycle lifecycle) {}
 
-    /** A request that has been read, and the earliest time at which it may have reached this machine. */
-    private record ReceivedDispatch(ThriftCall.Dispatch call, double arrivedMs) {}
-
     private final ServerContext server;
     private final Doorman doorman;
     private final RateLimitedLog log;
     private final ThriftFrameDecoder decoder;
     private final Map<Integer, PendingResponse> pending = new HashMap<>();
-    /** Requests read in this iteration of the event loop, in order; each holds a reference to its body. */
-    private final ArrayDeque<ReceivedDispatch> received = new ArrayDeque<>();
+    /** Requests read in this iteration of the event loop, in order. */
+    private final ArrayDeque<ReceivedRequest> received = new ArrayDeque<>();
+
+    private final RequestMemory memory;
+    /** The number of requests over the limit that were read in this iteration of the event loop. */
+    private int excessRequests;
 
     private Channel channel;
     private LingeringClose lingeringClose;
@@ -112,6 +118,7 @@
         this.doorman = server.doorman();
         this.log = server.log();
         this.decoder = decoder;
+        this.memory = new RequestMemory(server.inputBudgets());
     }
 
     @Override
@@ -132,14 +139,21 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws ThriftCall.MalformedCallException {
+    protected void channelRead0(ChannelHandlerContext ctx, Object message) throws ThriftCall.MalformedCallException {
         if (lingeringClose.hasBegun()) {
             return;
         }
-        ThriftCall call = ThriftCall.parse(frame);
+        if (message instanceof ThriftFrameDecoder.UnheldFrame unheld) {
+            refuseUnheld(unheld.head());
+        } else {
+            handle(ThriftCall.parse((ByteBuf) message));
+        }
+        closeIfAnswersAreUnread();
+    }
+
+    private void handle(ThriftCall call) {
         if (call instanceof ThriftCall.Dispatch dispatch) {
-            dispatch.body().retain();
-            received.add(new ReceivedDispatch(dispatch, server.clock().earliestArrivalMs()));
+            receive(dispatch);
         } else if (call instanceof ThriftCall.CancelRequest cancel) {
             cancel(cancel.cancelled());
         } else if (call instanceof ThriftCall.Alive alive) {
@@ -151,13 +165,73 @@
         }
     }
 
+    /** Keeps a request until it is processed, or refuses it at once if it can't be kept. */
+    private void receive(ThriftCall.Dispatch call) {
+        if (pending.size() + received.size() + responses.unwritten() >= server.maxPending()) {
+            refuseExcess(call.seqid());
+            return;
+        }
+        RequestMemory.Reservation reservation = memory.tryReserve(call.body().readableBytes());
+        if (reservation == null) {
+            refuseForMemory(call.seqid());
+            return;
+        }
+        received.add(ReceivedRequest.of(
+                call, server.classes().get(), channel.alloc(), server.clock().earliestArrivalMs(), reservation));
+    }
+
+    /**
+     * Refuses a request over the limit on pending requests. Unwritten responses count as pending, because the client
+     * still waits for them; a client that respects its limit never exceeds it by this count. After as many of them in
+     * one iteration as the limit allows in all, the client is disconnected: it doesn't wait for answers.
+     */
+    private void refuseExcess(int seqid) {
+        logTooManyOpen(false);
+        responses.writeRefused(seqid, "", Map.of());
+        if (++excessRequests > server.maxPending()) {
+            log.warn("connection closed: it sends on without waiting for answers", "client", channel.remoteAddress());
+            closeWithError(ThriftProtocol.PROTOCOL_ERROR, "too many requests are open");
+        }
+    }
+
+    private void refuseForMemory(int seqid) {
+        log.warn("refused: no memory is left for requests", "client", channel.remoteAddress());
+        responses.writeRefused(seqid, "", retryAfter(doorman.maxRetryAfterMs()));
+        markUsed();
+    }
+
+    /** Refuses a request whose frame was skipped, as no memory was left for it. */
+    private void refuseUnheld(ThriftCall.Head head) throws ThriftCall.MalformedCallException {
+        if (!head.isDispatch()) {
+            throw new ThriftCall.MalformedCallException("a call without arguments is too long");
+        }
+        refuseForMemory(head.seqid());
+    }
+
+    private static Map<String, String> retryAfter(double delayMs) {
+        return delayMs > 0 ? Map.of("w", Long.toString(Math.round(delayMs))) : Map.of();
+    }
+
+    private void rejectInvalid(ReceivedRequest invalid, String cause) {
+        invalid.release();
+        log.warn("bad request", "client", channel.remoteAddress(), "cause", cause);
+        rejectCall(DISPATCH, invalid.seqid(), ThriftProtocol.PROTOCOL_ERROR, cause);
+    }
+
+    private void closeIfAnswersAreUnread() {
+        if (!lingeringClose.hasBegun() && responses.unwritten() >= MAX_UNWRITTEN_FACTOR * server.maxPending()) {
+            log.warn("connection closed: it asks for more and reads no answers", "client", channel.remoteAddress());
+            closeWithError(ThriftProtocol.PROTOCOL_ERROR, "answers are not read");
+        }
+    }
+
     /** Drops a request without a response, whether it is already pending or has only been read so far. */
     private void cancel(int seqid) {
-        for (Iterator<ReceivedDispatch> iterator = received.iterator(); iterator.hasNext(); ) {
-            ThriftCall.Dispatch call = iterator.next().call();
-            if (call.seqid() == seqid) {
+        for (Iterator<ReceivedRequest> iterator = received.iterator(); iterator.hasNext(); ) {
+            ReceivedRequest request = iterator.next();
+            if (request.seqid() == seqid) {
                 iterator.remove();
-                call.body().release();
+                request.release();
                 markUsed();
             }
         }
@@ -176,23 +250,17 @@
     }
 
     private void processReceived() {
-        for (ReceivedDispatch next = received.poll(); next != null; next = received.poll()) {
-            ThriftCall.Dispatch call = next.call();
-            try {
-                if (!lingeringClose.hasBegun() && channel.isActive()) {
-                    dispatch(call, next.arrivedMs());
-                }
-            } catch (ThriftCall.MalformedCallException e) {
-                closeMalformed(e);
-            } finally {
-                call.body().release();
+        excessRequests = 0;
+        for (ReceivedRequest next = received.poll(); next != null; next = received.poll()) {
+            if (lingeringClose.hasBegun() || !channel.isActive()) {
+                next.release();
+            } else {
+                dispatch(next);
             }
         }
+        closeIfAnswersAreUnread();
         if (lingeringClose.hasBegun()) {
             lingeringClose.onDiscarded(decoder.discardedBytes());
-        } else if (responses.unwritten() >= MAX_UNWRITTEN_FACTOR * server.maxPending()) {
-            log.warn("connection closed: it asks for more and reads no answers", "client", channel.remoteAddress());
-            closeWithError(ThriftProtocol.PROTOCOL_ERROR, "answers are not read");
         } else {
             updateReadTimeout();
         }
@@ -323,61 +391,50 @@
             response.cancel("connection rejected");
             response.writeFailure();
         });
-        for (ReceivedDispatch next = received.poll(); next != null; next = received.poll()) {
-            ThriftCall.Dispatch call = next.call();
-            responses.writeFailed(call.seqid(), call.fields().getOrDefault("i", ""));
-            call.body().release();
+        for (ReceivedRequest next = received.poll(); next != null; next = received.poll()) {
+            responses.writeFailed(next.seqid(), next.requestId());
+            next.release();
         }
         responses.writeException("", 0, kind, message);
         close(EndCause.REJECTED);
     }
 
-    private void dispatch(ThriftCall.Dispatch call, double arrivedMs) throws ThriftCall.MalformedCallException {
-        if (pending.containsKey(call.seqid())) {
-            throw new ThriftCall.MalformedCallException("sequence number " + call.seqid() + " is in use");
+    private void dispatch(ReceivedRequest next) {
+        if (pending.containsKey(next.seqid())) {
+            next.release();
+            closeMalformed(new ThriftCall.MalformedCallException("sequence number " + next.seqid() + " is in use"));
+            return;
+        }
+        if (next.rejection() != null) {
+            rejectInvalid(next, next.rejection());
+            return;
         }
-        Request request;
-        try {
-            request = toRequest(call);
-        } catch (IllegalArgumentException e) {
-            log.warn("bad request", "client", channel.remoteAddress(), "cause", e.getMessage());
-            rejectCall(DISPATCH, call.seqid(), ThriftProtocol.PROTOCOL_ERROR, e.getMessage());
+        Request request = next.request();
+        if (doorman.hasRecentId(request.id())) {
+            // A depot can't tell two requests with the same id apart.
+            rejectInvalid(next, "field i is the id of an earlier request");
             return;
         }
         used = true;
         if (!server.lifecycle().acceptsRequest(server.clock().nowMs(), request.remainingMs())) {
             // The connection can be closed only when no request is pending; the client retries at another doorman.
-            responses.writeRefused(call.seqid(), request.id(), Map.of("w", Long.toString(DRAIN_RETRY_AFTER_MS)));
-            markIdleIfNothingPending();
-        } else if (hasTooManyPending()) {
-            responses.writeRefused(call.seqid(), request.id(), Map.of());
-            markIdleIfNothingPending();
+            refuse(next, retryAfter(DRAIN_RETRY_AFTER_MS));
+        } else if (server.backpressure().isOverLimit()) {
+            logTooManyOpen(true);
+            refuse(next, Map.of());
         } else {
-            accept(call, request, arrivedMs);
+            accept(next);
         }
     }
 
-    /** Returns the request of a call; throws IllegalArgumentException if its fields are invalid. */
-    private Request toRequest(ThriftCall.Dispatch call) {
-        Request request =
-                RequestFields.parse(call.fields(), call.body(), server.classes().get());
-        if (doorman.hasRecentId(request.id())) {
-            // A depot can't tell two requests with the same id apart.
-            throw new IllegalArgumentException("field i is the id of an earlier request");
-        }
-        return request;
+    private void refuse(ReceivedRequest refused, Map<String, String> fields) {
+        responses.writeRefused(refused.seqid(), refused.requestId(), fields);
+        refused.release();
+        markIdleIfNothingPending();
     }
 
-    /**
-     * Whether the client has reached the limit on pending requests, or all clients together have too many unread
-     * responses. Unwritten responses count as pending, because the client still waits for them; a client that respects
-     * its limit never exceeds it by this count.
-     */
-    private boolean hasTooManyPending() {
-        boolean overLimit = server.backpressure().isOverLimit();
-        if (pending.size() + responses.unwritten() < server.maxPending() && !overLimit) {
-            return false;
-        }
+    /** Logs a refusal; {@code unread} if it is due to the unread responses of all clients together. */
+    private void logTooManyOpen(boolean unread) {
         log.warn(
                 "refused: too many requests are open here",
                 "client",
@@ -385,22 +442,20 @@
                 "open",
                 pending.size(),
                 "unread",
-                overLimit);
-        return true;
+                unread);
     }
 
-    private void accept(ThriftCall.Dispatch call, Request request, double arrivedMs) {
-        int seqid = call.seqid();
-        PendingResponse response =
-                new PendingResponse(seqid, request.id(), responses, overloadRetryAfterMs(request), () -> {
+    private void accept(ReceivedRequest next) {
+        int seqid = next.seqid();
+        Request request = next.request();
+        PendingResponse response = new PendingResponse(
+                seqid, request.id(), responses, overloadRetryAfterMs(request), next.memory(), () -> {
                     pending.remove(seqid);
                     markIdleIfNothingPending();
                 });
         pending.put(seqid, response);
         server.registry().markBusy(this);
-        // The body is a slice of the frame and is needed until the request ends, longer than the frame itself.
-        call.body().retain();
-        response.setRequest(doorman.accept(request, arrivedMs, response));
+        response.setRequest(doorman.accept(request, next.arrivedMs(), response));
     }
 
     /**
@@ -485,7 +540,7 @@
         responses.stopStallTimer();
         RequestTrace.connectionEnded(
                 channel.remoteAddress(), endCause, pending.size() + received.size(), responses.unwritten());
-        received.forEach(next -> next.call().body().release());
+        received.forEach(ReceivedRequest::release);
         received.clear();
         List<PendingResponse> unfinished = new ArrayList<>(pending.values());
         pending.clear();
--- a/doorman/src/main/java/barleyspur/front/thrift/PendingResponse.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/PendingResponse.java
@@ -17,6 +17,8 @@
     private final double overloadRetryAfterMs;
     /** Removes this response from the pending ones of its connection. */
     private final Runnable removeFromPending;
+    /** What the request holds of the input budgets. */
+    private final RequestMemory.Reservation memory;
 
     private Doorman.Cancellable request;
 
@@ -25,11 +27,13 @@
             String requestId,
             ResponseWriter responses,
             double overloadRetryAfterMs,
+            RequestMemory.Reservation memory,
             Runnable removeFromPending) {
         this.seqid = seqid;
         this.requestId = requestId;
         this.responses = responses;
         this.overloadRetryAfterMs = overloadRetryAfterMs;
+        this.memory = memory;
         this.removeFromPending = removeFromPending;
     }
 
@@ -79,4 +83,9 @@
         removeFromPending.run();
         writeFailure();
     }
+
+    @Override
+    public void released() {
+        memory.release();
+    }
 }
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftCall.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftCall.java
@@ -11,6 +11,17 @@
     /** The sequence number by which the client matches the response. */
     int seqid();
 
+    /** The start of a call, without its arguments. */
+    record Head(String method, int seqid) {
+        /** The length of the longest valid head: version and type, the method's length and name, sequence number. */
+        static final int MAX_BYTES = Integer.BYTES + Integer.BYTES + Reader.MAX_NAME_BYTES + Integer.BYTES;
+
+        /** Returns whether this is the head of a request. */
+        boolean isDispatch() {
+            return method.equals(Reader.DISPATCH);
+        }
+    }
+
     /** A request. {@code body} is a slice of the frame, which the parser doesn't retain. */
     record Dispatch(int seqid, Map<String, String> fields, ByteBuf body) implements ThriftCall {}
 
@@ -41,11 +52,21 @@
         }
     }
 
+    /** Parses only the head of the call whose first bytes are {@code start}. */
+    static Head parseHead(ByteBuf start) throws MalformedCallException {
+        try {
+            return new Reader(start).readHead();
+        } catch (IndexOutOfBoundsException e) {
+            throw new MalformedCallException("the frame ends before the call does");
+        }
+    }
+
     /** Reads the call from one frame. */
     final class Reader {
         private static final int MAX_DEPTH = 8;
         private static final int MAX_ENTRIES = 256;
         private static final int MAX_NAME_BYTES = 64;
+        private static final String DISPATCH = "dispatch";
 
         private final ByteBuf in;
 
@@ -53,7 +74,22 @@
             this.in = in;
         }
 
+        /** Reads a whole call. */
         ThriftCall readCall() throws MalformedCallException {
+            Head head = readHead();
+            return switch (head.method()) {
+                case DISPATCH -> readDispatch(head.seqid());
+                case "cancelRequest" -> readCancelRequest(head.seqid());
+                case "alive" -> {
+                    skipStruct(0);
+                    yield new Alive(head.seqid());
+                }
+                default -> new UnknownMethod(head.seqid(), head.method());
+            };
+        }
+
+        /** Reads the start of a call. */
+        Head readHead() throws MalformedCallException {
             int versionAndType = in.readInt();
             if ((versionAndType & 0xFFFF0000) != ThriftProtocol.VERSION) {
                 throw new MalformedCallException("no version of the strict binary protocol");
@@ -63,16 +99,7 @@
                 throw new MalformedCallException("message type " + type + " is not a call");
             }
             String method = readString(MAX_NAME_BYTES);
-            int seqid = in.readInt();
-            return switch (method) {
-                case "dispatch" -> readDispatch(seqid);
-                case "cancelRequest" -> readCancelRequest(seqid);
-                case "alive" -> {
-                    skipStruct(0);
-                    yield new Alive(seqid);
-                }
-                default -> new UnknownMethod(seqid, method);
-            };
+            return new Head(method, in.readInt());
         }
 
         private ThriftCall readDispatch(int seqid) throws MalformedCallException {
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftServer.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftServer.java
@@ -59,6 +59,7 @@
      * Creates a server that doesn't listen yet.
      *
      * @param maxUnreadBytes how many bytes of response bodies may be queued for clients that read slowly
+     * @param inputBudgets   what may be held of what clients send
      * @param onOverLimit    called with true when more are queued, so that depots must not be read, and with false when
      *                       that has ended
      */
@@ -69,6 +70,7 @@
             RequestClassRegistry classes,
             int maxConnections,
             long maxUnreadBytes,
+            InputBudgets inputBudgets,
             Consumer<Boolean> onOverLimit,
             Lifecycle lifecycle,
             boolean sharePort) {
@@ -84,6 +86,7 @@
                 () -> this.classes,
                 MAX_PENDING,
                 new ResponseBackpressure(maxUnreadBytes, onOverLimit),
+                inputBudgets,
                 registry,
                 log,
                 lifecycle);
@@ -154,7 +157,8 @@
             registry.longestClosing().closeWithoutLinger();
         }
         connections.add(channel);
-        ThriftFrameDecoder decoder = new ThriftFrameDecoder(MAX_FRAME_BYTES);
+        ThriftFrameDecoder decoder = new ThriftFrameDecoder(
+                MAX_FRAME_BYTES, context.inputBudgets().partialFrames().newShare());
         channel.pipeline().addLast(decoder, new ClientConnection(context, decoder));
     }
 
--- a/doorman/src/test/java/barleyspur/front/thrift/ClientConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ClientConnectionTest.java
@@ -13,6 +13,7 @@
 import barleyspur.doorman.UnresponsiveDepots;
 import barleyspur.lifecycle.Lifecycle;
 import barleyspur.reload.RequestClassRegistry;
+import barleyspur.transport.ByteBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -39,9 +40,13 @@
         grades.0.hardLimitMs=5000\ngrades.0.repeat=repeatable\nfamilyInfo.midKind=2\nfamilyInfo.masterKind=3
         familyInfo.paceKbPerS=7600\nlimits.sendCap=2\nrules.fallMs=1500\nrules.answerSlackMs=8
         rules.drainGraceMs=1000\nrules.coldFrom=0.24\nrules.coldMs=17000\nrules.tipMultiple=4
+        limits.retryAfter=true\nlimits.maxRetryAfterMs=800
         """));
     static final RequestClassRegistry CLASSES = RequestClassRegistry.of(List.of("small"), SETTINGS.classes());
     private static final int MAX_PENDING = 2;
+    private static final int MAX_PARTIAL_BYTES = 40_000;
+    private static final int MAX_BODY_BYTES = 20_000;
+    private static final int CONNECTIONS = 4;
 
     private final List<RoutingPolicy.Event> events = new ArrayList<>();
     private Consumer<RoutingPolicy.Action> actionSink;
@@ -57,18 +62,24 @@
     private final ConnectionRegistry<ClientConnection> registry = new ConnectionRegistry<>();
     private final Lifecycle lifecycle = new Lifecycle();
     private final List<Runnable> timers = new ArrayList<>();
+    private final InputBudgets budgets = new InputBudgets(
+            new ByteBudget(MAX_PARTIAL_BYTES, CONNECTIONS),
+            new ByteBudget(MAX_BODY_BYTES, CONNECTIONS),
+            new ByteBudget(10 * InputBudgets.REQUEST_STATE_BYTES, CONNECTIONS));
     private double now;
     private final EmbeddedChannel channel = connect();
 
     private EmbeddedChannel connect() {
         lifecycle.startServing(now);
-        ThriftFrameDecoder decoder = new ThriftFrameDecoder(100_000);
+        ThriftFrameDecoder decoder =
+                new ThriftFrameDecoder(100_000, budgets.partialFrames().newShare());
         ClientConnection.ServerContext context = new ClientConnection.ServerContext(
                 doorman,
                 this,
                 () -> CLASSES,
                 MAX_PENDING,
                 new ResponseBackpressure(1_000, overLimit -> {}),
+                budgets,
                 registry,
                 new RateLimitedLog(LoggerFactory.getLogger("front"), this),
                 lifecycle);
@@ -263,6 +274,130 @@
         assertEquals(MAX_PENDING, events.size());
     }
 
+    private static ByteBuf requests(int from, int to, int bodyBytes) {
+        ByteBuf all = Unpooled.buffer();
+        for (int i = from; i <= to; i++) {
+            Map<String, String> fields = ThriftCalls.fields("small", String.format("%016x", i));
+            ByteBuf frame = ThriftCalls.dispatch(i, fields, new byte[bodyBytes]);
+            all.writeBytes(frame);
+            frame.release();
+        }
+        return all;
+    }
+
+    /** Releases the messages that were written to the client and returns their number. */
+    private int releaseAnswers() {
+        int answers = 0;
+        for (ByteBuf message = channel.readOutbound(); message != null; message = channel.readOutbound()) {
+            message.release();
+            answers++;
+        }
+        return answers;
+    }
+
+    private void assertNothingIsHeld() {
+        assertEquals(0, budgets.partialFrames().heldBytes());
+        assertEquals(0, budgets.bodies().heldBytes());
+        assertEquals(0, budgets.requests().heldBytes());
+    }
+
+    /**
+     * Guards against the hang after a flood: all requests that one iteration of the event loop read were kept, parsed,
+     * without a bound. Now those over the limit are refused as they are read, and a client that sends far more ends.
+     */
+    @Test
+    void requestsOverTheLimitAreNotKeptWhileInputIsRead() {
+        channel.pipeline().fireChannelRead(requests(1, 1_000, 0));
+        assertNothingIsHeld();
+        assertEquals(
+                MAX_PENDING * InputBudgets.REQUEST_STATE_BYTES,
+                budgets.requests().peakBytes());
+        assertEquals(
+                MAX_PENDING + (MAX_PENDING + 1) + 2,
+                releaseAnswers(),
+                "the requests kept, those refused until the end, the exception, and the flush of the close");
+        channel.pipeline().fireChannelReadComplete();
+        channel.runPendingTasks();
+        assertEquals(List.of(), events, "no request of a disconnected client is accepted");
+        advance(ClientConnection.LINGER_MS);
+        assertFalse(channel.isOpen());
+    }
+
+    /** Requests over the limit by a few are refused one by one, and the connection stays. */
+    @Test
+    void fewRequestsOverTheLimitInOneReadAreRefused() {
+        channel.writeInbound(requests(1, 2 * MAX_PENDING, 0));
+        assertEquals(MAX_PENDING, events.size());
+        assertEquals(MAX_PENDING, releaseAnswers());
+        dispatch(9, "small");
+        assertEquals(1, releaseAnswers(), "the connection is still read");
+        assertTrue(channel.isOpen());
+    }
+
+    /** Calls that need no routing are bounded by their unwritten answers while input is read, not only after it. */
+    @Test
+    void clientThatReadsNothingIsRejectedWhileItsInputIsRead() {
+        WriteBlocker blocker = new WriteBlocker();
+        channel.pipeline().addFirst(blocker);
+        ByteBuf calls = Unpooled.buffer();
+        for (int i = 0; i < 1_000; i++) {
+            int start = calls.writerIndex();
+            calls.writeInt(0).writeInt(ThriftProtocol.VERSION | ThriftProtocol.CALL);
+            ThriftCalls.string(calls, "alive".getBytes(StandardCharsets.UTF_8));
+            calls.writeInt(i).writeByte(ThriftProtocol.STOP);
+            calls.setInt(start, calls.writerIndex() - start - Integer.BYTES);
+        }
+        channel.pipeline().fireChannelRead(calls);
+        int queued = blocker.messages.size();
+        assertTrue(queued >= 2 * MAX_PENDING && queued <= 2 * MAX_PENDING + 2, queued + " messages are queued");
+        blocker.release();
+    }
+
+    /** A body for which no memory is left is refused with a delay; the connection and its other requests stay. */
+    @Test
+    void requestWhoseBodyCannotBeHeldIsRefused() {
+        channel.writeInbound(requests(1, 1, 12_000));
+        assertEquals(12_000, budgets.bodies().heldBytes());
+        channel.writeInbound(requests(2, 2, 12_000));
+        assertEquals(1, events.size());
+        assertAnswer(ThriftProtocol.REPLY, 2, "800");
+        channel.writeInbound(requests(3, 3, 100));
+        assertEquals(2, events.size(), "a small body is held");
+        channel.writeInbound(ThriftCalls.cancelRequest(4, 1));
+        assertEquals(100, budgets.bodies().heldBytes(), "returned by the end of the request");
+        channel.close();
+        channel.runPendingTasks();
+        assertNothingIsHeld();
+    }
+
+    /**
+     * A frame for which no memory is left is skipped as it arrives and refused at its end; what follows it on the
+     * connection is read as always.
+     */
+    @Test
+    void frameThatCannotBeHeldIsSkippedAndRefused() {
+        ByteBuf frame = requests(1, 1, 60_000);
+        channel.writeInbound(frame.readRetainedSlice(45_000));
+        assertEquals(0, budgets.partialFrames().heldBytes(), "too much for the budget");
+        assertNull(channel.readOutbound(), "refused once it is complete");
+        channel.writeInbound(Unpooled.wrappedBuffer(frame, requests(2, 2, 0)));
+        assertAnswer(ThriftProtocol.REPLY, 1, "800");
+        assertEquals(1, events.size(), "the request behind it is accepted");
+        assertEquals(InputBudgets.REQUEST_STATE_BYTES, budgets.requests().heldBytes());
+    }
+
+    /** Half a frame is counted by the buffer that holds it, and is returned when its connection ends. */
+    @Test
+    void partialFrameIsCountedUntilItsConnectionEnds() {
+        ByteBuf frame = requests(1, 1, 20_000);
+        channel.writeInbound(frame.readRetainedSlice(10_000));
+        assertTrue(budgets.partialFrames().heldBytes() >= 10_000);
+        frame.release();
+        channel.close();
+        channel.runPendingTasks();
+        assertNothingIsHeld();
+    }
+
     @Test
     void closeCancelsPendingRequests() {
         dispatch(1, "small");
--- a/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/SharedPortTest.java
@@ -37,7 +37,16 @@
         Doorman doorman = new Doorman(
                 ClientConnectionTest.SETTINGS, 9, (now, event, sink) -> {}, clock, new UnresponsiveDepots());
         return new ThriftServer(
-                group, doorman, clock, ClientConnectionTest.CLASSES, 16, 1 << 20, overLimit -> {}, lifecycle, share);
+                group,
+                doorman,
+                clock,
+                ClientConnectionTest.CLASSES,
+                16,
+                1 << 20,
+                InputBudgets.of(1 << 20, 1 << 20, 16),
+                overLimit -> {},
+                lifecycle,
+                share);
     }
 
     private static InetSocketAddress freePort() throws IOException {
--- a/doorman/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ThriftPropertiesTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import barleyspur.ChunkedInput;
+import barleyspur.transport.ByteBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -44,7 +45,9 @@
             one.release();
         }
         List<Object> frames = ChunkedInput.feed(
-                new EmbeddedChannel(new ThriftFrameDecoder(MAX_FRAME)), ChunkedInput.readAndRelease(twice), splitSeed);
+                new EmbeddedChannel(new ThriftFrameDecoder(MAX_FRAME, new ByteBudget(2 * MAX_FRAME, 1).newShare())),
+                ChunkedInput.readAndRelease(twice),
+                splitSeed);
         assertEquals(2, frames.size());
         for (int i = 0; i < 2; i++) {
             ByteBuf frame = (ByteBuf) frames.get(i);
@@ -87,8 +90,10 @@
 
     @Property(seed = "14")
     void randomStreamFailsOnlyAsMalformed(@ForAll @Size(max = 300) byte[] input, @ForAll long splitSeed) {
-        List<Object> frames =
-                ChunkedInput.feedGarbage(new EmbeddedChannel(new ThriftFrameDecoder(MAX_FRAME)), input, splitSeed);
+        List<Object> frames = ChunkedInput.feedGarbage(
+                new EmbeddedChannel(new ThriftFrameDecoder(MAX_FRAME, new ByteBudget(2 * MAX_FRAME, 1).newShare())),
+                input,
+                splitSeed);
         if (frames != null) {
             frames.forEach(f -> assertTrue(((ByteBuf) f).release()));
         }
--- a/lab/src/test/java/barleyspur/lab/ThriftClient.java
+++ b/lab/src/test/java/barleyspur/lab/ThriftClient.java
@@ -28,8 +28,19 @@
     }
 
     void send(String method, int sequenceNumber, Map<String, String> fields) throws IOException {
+        send(frame(method, sequenceNumber, fields, null));
+    }
+
+    /** Writes bytes as they are. */
+    void send(byte[] bytes) throws IOException {
+        out.write(bytes);
+    }
+
+    /** Returns the frame of a call; {@code fields} and {@code body} may be null for none. */
+    static byte[] frame(String method, int sequenceNumber, Map<String, String> fields, byte[] body) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream frame = new DataOutputStream(bytes);
+        frame.writeInt(0);
         frame.writeInt(0x80010001);
         writeText(frame, method);
         frame.writeInt(sequenceNumber);
@@ -44,9 +55,16 @@
                 writeText(frame, field.getValue());
             }
         }
+        if (body != null) {
+            frame.writeByte(11);
+            frame.writeShort(2);
+            frame.writeInt(body.length);
+            frame.write(body);
+        }
         frame.writeByte(0);
-        out.writeInt(bytes.size());
-        out.write(bytes.toByteArray());
+        byte[] complete = bytes.toByteArray();
+        ByteBuffer.wrap(complete).putInt(complete.length - Integer.BYTES);
+        return complete;
     }
 
     private static void writeText(DataOutputStream output, String text) throws IOException {
