A doorman whose event loop ends, or whose heap is used up, ends with exit code 3

Cause: nothing watched the thread. Netty logs what ends it, and the main thread waits for nothing. An OutOfMemoryError in a task or a handler is caught and logged by Netty, so that the loop goes on without what was lost.

Fix, behind the bounds and not in their place: the thread is made by EventLoopThreadFactory, which reports its end unless the doorman is being stopped; serve logs one line and halts with 3, since shutdown hooks would wait for a drain that nothing carries out. The run line has ExitOnOutOfMemoryError, which ends the JVM with the same code and one line of its own, wherever the heap ran out. Embedding programs set their own handler (DoormanServer.setFailureHandler). Health was looked at: it is answered by the same loop, so it says nothing where the loop doesn't turn. Direct memory that can't be allocated fails the connection, as before.

--- a/doorman/src/main/java/barleyspur/DoormanServer.java
+++ b/doorman/src/main/java/barleyspur/DoormanServer.java
@@ -97,8 +97,11 @@
             new ThreadPoolExecutor.DiscardPolicy());
 
     private final SocketPollTimes pollTimes = new SocketPollTimes();
-    private final EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1, pollTimes.ioHandlerFactory());
+    private final EventLoopThreadFactory eventLoopThreads = new EventLoopThreadFactory(this::onEventLoopFailure);
+    private final EventLoopGroup eventLoops =
+            new MultiThreadIoEventLoopGroup(1, eventLoopThreads, pollTimes.ioHandlerFactory());
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private volatile Runnable failureHandler = () -> {};
     private final Doorman doorman;
     private final CommandChannel commandChannel;
     private final ThriftServer thriftServer;
@@ -402,11 +405,30 @@
         }
     }
 
+    /**
+     * Sets what is run if the event loop thread ends by an error: no request can be answered any more, although the
+     * address may still be open, so a process that does nothing else should end. {@link #awaitEnd} returns as well.
+     */
+    public void setFailureHandler(Runnable handler) {
+        failureHandler = handler;
+    }
+
+    private void onEventLoopFailure(Throwable cause) {
+        try {
+            LogEvent.log(LOG.atError(), "the event loop has ended: no request is answered any more", "cause", cause);
+        } finally {
+            // Logging may fail as well, for want of memory.
+            stopped.countDown();
+            failureHandler.run();
+        }
+    }
+
     private void stopEventLoop() {
+        eventLoopThreads.allowEnd();
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> stopped.countDown());
     }
 
-    /** Waits until the process has shut down after a drain. */
+    /** Waits until the process has shut down after a drain, or the event loop has ended by an error. */
     public void awaitEnd() throws InterruptedException {
         stopped.await();
     }
--- a/doorman/src/main/java/barleyspur/cli/Cli.java
+++ b/doorman/src/main/java/barleyspur/cli/Cli.java
@@ -215,6 +215,8 @@
         checkSettings(settings, configuration);
         try {
             DoormanServer doorman = new DoormanServer(configuration, settings);
+            // Not by exit(), whose shutdown hooks would wait for a drain that nothing carries out.
+            doorman.setFailureHandler(() -> Runtime.getRuntime().halt(Command.FATAL));
             reloadSignal.setTask(
                     () -> doorman.reload(() -> reloadConfiguration(settings), () -> reloadSettings(line, settings)));
             // After SIGTERM the JVM waits for its shutdown hooks, so the hook waits for the drain. It is added before
--- a/doorman/src/main/java/barleyspur/cli/Command.java
+++ b/doorman/src/main/java/barleyspur/cli/Command.java
@@ -25,6 +25,12 @@
     /** Exit code of an invalid command line or input. */
     static final int USAGE = 2;
 
+    /**
+     * Exit code of a doorman that can't go on: its event loop has ended, or no memory is left. The latter is reported by
+     * the JVM itself (ExitOnOutOfMemoryError), which exits with the same code.
+     */
+    static final int FATAL = 3;
+
     /** Thrown for an invalid command line or input. */
     static final class InvalidInputException extends Exception {
         private static final long serialVersionUID = 1L;
