A connection that is being ended is no longer read in the iteration in which its limit is passed

Cause, in part: bytes thrown away while a connection ends were counted against their limit of 256 KiB only after the iteration, in which each connection may bring 1 MB.

Fix: the decoder reports them as they come, so that reading stops within the iteration. InputBudgets loses a method that nothing used. Covered by ClientConnectionTest.duplicateSequenceNumberClosesTheConnection.

--- a/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
@@ -259,9 +259,7 @@
             }
         }
         closeIfAnswersAreUnread();
-        if (lingeringClose.hasBegun()) {
-            lingeringClose.onDiscarded(decoder.discardedBytes());
-        } else {
+        if (!lingeringClose.hasBegun()) {
             updateReadTimeout();
         }
     }
@@ -363,7 +361,7 @@
             endCause = cause;
             server.registry().markClosing(this);
             readTimeout.stop();
-            decoder.startDiscarding();
+            decoder.startDiscarding(lingeringClose::onDiscarded);
             lingeringClose.begin(LINGER_MS);
         }
     }
--- a/doorman/src/main/java/barleyspur/front/thrift/InputBudgets.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/InputBudgets.java
@@ -31,9 +31,4 @@
                 new ByteBudget(directBytes / BODIES_DIVISOR, maxConnections),
                 new ByteBudget(heapBytes / REQUESTS_DIVISOR, maxConnections));
     }
-
-    /** Returns how many requests can be open at the same time. */
-    public int maxOpenRequests() {
-        return (int) Math.min(Integer.MAX_VALUE, requests.maxBytes() / REQUEST_STATE_BYTES);
-    }
 }
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftFrameDecoder.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftFrameDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.CorruptedFrameException;
+import java.util.function.LongConsumer;
 
 /**
  * Splits a stream into Thrift frames.
@@ -35,6 +36,7 @@
     private long frameCount;
     private boolean discarding;
     private long discardedBytes;
+    private LongConsumer onDiscarded = bytes -> {};
 
     /** Creates a decoder that reserves the memory of partial frames in {@code share}. */
     ThriftFrameDecoder(int maxFrameBytes, ByteBudget.Share share) {
@@ -58,6 +60,7 @@
         if (discarding) {
             discardedBytes += in.readableBytes();
             in.skipBytes(in.readableBytes());
+            onDiscarded.accept(discardedBytes);
         } else if (skippedHead != null) {
             skip(ctx, in);
         } else if (partial == null && containsFrame(in)) {
@@ -167,15 +170,15 @@
         releasePartial();
     }
 
-    /** Discards all input from now on. */
-    void startDiscarding() {
-        discarding = true;
-        releasePartial();
+    /** Discards all input from now on, and reports how many bytes that were so far each time that there are more. */
+    void startDiscarding(LongConsumer newOnDiscarded) {
+        onDiscarded = newOnDiscarded;
+        startDiscarding();
     }
 
-    /** Returns the number of bytes that were discarded. */
-    long discardedBytes() {
-        return discardedBytes;
+    private void startDiscarding() {
+        discarding = true;
+        releasePartial();
     }
 
     /** Returns the number of complete frames that were received. */
--- a/doorman/src/main/java/barleyspur/transport/LingeringClose.java
+++ b/doorman/src/main/java/barleyspur/transport/LingeringClose.java
@@ -48,7 +48,7 @@
         return forcedCloseTimer != null;
     }
 
-    /** Reports the total number of bytes discarded since closing started. */
+    /** Reports the total number of bytes discarded since closing started; stops the reading at the limit at once. */
     public void onDiscarded(long bytes) {
         if (bytes > MAX_DISCARDED_BYTES) {
             channel.config().setAutoRead(false);
