--- a/deploy/expectations.hcl
+++ b/deploy/expectations.hcl
@@ -63,6 +63,11 @@
   never { answer { runs = "> 1" } }
 }
 
+expectation "no attempt leaves the group of one that may have run" {
+  about = "A keyed request is repeated only where its key is known: at any box, in its zone or in its cell, by its class."
+  never { attempt { leaves_group = true } }
+}
+
 # ---- rule 3: drains ----
 
 expectation "no new work for a draining box" {
--- a/doorman/src/main/java/barleyspur/expect/EventField.java
+++ b/doorman/src/main/java/barleyspur/expect/EventField.java
@@ -42,6 +42,8 @@
     OUTSTANDING("attempt", "outstanding", ValueType.NUMBER, EventKind.ATTEMPT, ofAttempt(attempt ->
             (double) attempt.outstanding())),
     MAYBE_RAN("attempt", "maybe_ran", ValueType.FLAG, EventKind.ATTEMPT, ofAttempt(attempt -> attempt.maybeRan())),
+    LEAVES_GROUP(
+            "attempt", "leaves_group", ValueType.FLAG, EventKind.ATTEMPT, ofAttempt(attempt -> attempt.leavesGroup())),
     AFTER_END("attempt", "after_end", ValueType.FLAG, EventKind.ATTEMPT, ofAttempt(attempt -> attempt.afterAnswer())),
     RANK("attempt", "rank", ValueType.NUMBER, EventKind.ATTEMPT, ofAttempt(attempt -> (double) attempt.rank())),
     JOIN("attempt", "join", ValueType.FLAG, EventKind.ATTEMPT, ofAttempt(attempt -> attempt.join())),
--- a/doorman/src/main/java/barleyspur/expect/RoutingEvent.java
+++ b/doorman/src/main/java/barleyspur/expect/RoutingEvent.java
@@ -88,6 +88,8 @@
      * @param sincePreviousMs  time since the previous attempt; NaN for the first one
      * @param outstanding      number of outstanding attempts of the try
      * @param maybeRan         whether an earlier attempt of the try is outstanding or may have been executed
+     * @param leavesGroup      whether the target is outside of the group of nodes that drops repeats of a keyed request,
+     *                         given an earlier attempt of the try that is outstanding or may have been executed
      * @param maxAgeMs         maximum age of an acceptable copy, the freshness time of the request class if the action
      *                         sets none; 0: no limit
      * @param allowsPurgedCopy whether the attempt accepts a copy from before a purge although the grace period since
@@ -103,6 +105,7 @@
             double sincePreviousMs,
             int outstanding,
             boolean maybeRan,
+            boolean leavesGroup,
             int rank,
             boolean join,
             boolean onlyHeld,
--- a/doorman/src/main/java/barleyspur/expect/ScenarioSimulation.java
+++ b/doorman/src/main/java/barleyspur/expect/ScenarioSimulation.java
@@ -554,9 +554,12 @@
             SimulatedDoorman doorman, OpenTry openTry, SentAttempt sent, RoutingPolicy.Get get) {
         int outstanding = 0;
         boolean maybeRan = false;
+        boolean leavesGroup = false;
         for (SentAttempt other : openTry.attempts) {
             outstanding += other.completed ? 0 : 1;
             maybeRan |= other.mayHaveRun;
+            leavesGroup |= other.mayHaveRun
+                    && !dropsRepeats(openTry.clientTry.requestClass(), other.target.box, sent.target.box);
         }
         double sincePreviousMs = openTry.attempts.isEmpty()
                 ? Double.NaN
@@ -576,6 +579,7 @@
                 sincePreviousMs,
                 outstanding,
                 maybeRan,
+                leavesGroup,
                 get.rank(),
                 get.join(),
                 get.onlyHeld(),
@@ -586,6 +590,18 @@
                 openTry.finished);
     }
 
+    /** Returns whether one box drops the repeats of a keyed request that the other has seen; true for other requests. */
+    private static boolean dropsRepeats(RoutingPolicy.RequestClass requestClass, Box one, Box other) {
+        if (requestClass.effect() != RoutingPolicy.Effect.KEYED) {
+            return true;
+        }
+        return switch (requestClass.scope()) {
+            case ALL -> true;
+            case ZONE -> one.zoneIndex() == other.zoneIndex();
+            case CELL -> one.cell() == other.cell();
+        };
+    }
+
     private RoutingEvent.BoxView boxView(SimulatedDoorman doorman, OpenTry openTry, SimulatedBox simulatedBox) {
         ListEntry entry = listEntry(doorman, simulatedBox.box);
         double warmAfterMs = deployment.roleOf(simulatedBox.box) == Deployment.Role.DISTRICT
--- a/lab/src/main/java/barleyspur/lab/soak/SoakClients.java
+++ b/lab/src/main/java/barleyspur/lab/soak/SoakClients.java
@@ -148,6 +148,10 @@
         lastKillMs = judge.nowMs();
     }
 
+    boolean isStopped() {
+        return stopped;
+    }
+
     /** Stops sending; open requests are still judged. */
     void stopSending() {
         stopped = true;
--- a/lab/src/main/java/barleyspur/lab/soak/SoakCommand.java
+++ b/lab/src/main/java/barleyspur/lab/soak/SoakCommand.java
@@ -53,7 +53,7 @@
             System.out.printf(
                     "seed %d%s: %s; event loops late by %d ms at most; %d MB at most; %s%n",
                     seed,
-                    plan.crowd() ? " with a crowd" : "",
+                    plan.crowd() ? " with a crowd" : plan.floods() ? " with floods" : "",
                     judge.violations().isEmpty() ? "held" : judge.violations().size() + " violations",
                     run.longestEventLoopLatenessMs(),
                     run.peakMemoryMb(),
--- a/lab/src/main/java/barleyspur/lab/soak/SoakPlan.java
+++ b/lab/src/main/java/barleyspur/lab/soak/SoakPlan.java
@@ -9,14 +9,16 @@
  *
  * @param steps the actions, each of which is completed before the next one begins
  * @param crowd whether ten times as many requests arrive, and a third of the clients are bad
+ * @param floods whether many clients send far more than they may and leave, again and again; never with a crowd
  */
-record SoakPlan(long seed, List<Step> steps, boolean crowd) {
+record SoakPlan(long seed, List<Step> steps, boolean crowd, boolean floods) {
 
     private static final int MIN_SIGNALS = 2;
     private static final int MAX_SIGNALS = 6;
     private static final int MAX_PAUSE_MS = 600;
     private static final int MAX_SIGNAL_PAUSE_MS = 300;
     private static final double CROWD_SHARE = 0.3;
+    private static final double FLOOD_SHARE = 0.4;
     /** The typical duration of an action with its pause, by which their number follows from that of the run. */
     private static final int MS_PER_STEP = 3_000;
 
@@ -42,7 +44,9 @@
         }
         // Every run ends at least one process.
         steps.add(drawStep(random.nextBoolean() ? SoakAction.RESTART : SoakAction.UPGRADE, random, depots));
-        return new SoakPlan(seed, List.copyOf(steps), crowd);
+        // Drawn apart from the rest, so that the actions of a seed don't depend on it.
+        boolean floods = !crowd && new SplittableRandom(~seed).nextDouble() < FLOOD_SHARE;
+        return new SoakPlan(seed, List.copyOf(steps), crowd, floods);
     }
 
     private static Step drawStep(SoakAction action, SplittableRandom random, int depots) {
--- a/lab/src/main/java/barleyspur/lab/soak/SoakRun.java
+++ b/lab/src/main/java/barleyspur/lab/soak/SoakRun.java
@@ -16,6 +16,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /** Plays one plan on real processes and judges it. */
@@ -104,6 +105,14 @@
             Thread monitor = new Thread(this::monitorHealth, "health");
             monitor.start();
             clients.start(plan.crowd() ? CROWD_CLIENTS : CLIENTS, plan.crowd() ? CROWD_BAD_CLIENTS : 0);
+            if (plan.floods()) {
+                new SoakFlood(
+                                group.next(),
+                                configuration.clientAddress(),
+                                new SplittableRandom(plan.seed()),
+                                clients::isStopped)
+                        .start();
+            }
             for (SoakPlan.Step step : plan.steps()) {
                 pause(step.pauseMs());
                 play(step);
--- a/lab/src/main/java/barleyspur/lab/stand/ThriftFrames.java
+++ b/lab/src/main/java/barleyspur/lab/stand/ThriftFrames.java
@@ -42,11 +42,17 @@
 
     /** Returns the call {@code dispatch} with these fields and an empty body. */
     public static ByteBuf dispatch(int sequenceNumber, Map<String, String> fields) {
+        return dispatch(sequenceNumber, fields, 0);
+    }
+
+    /** Returns the call {@code dispatch} with these fields and a body of zeros. */
+    public static ByteBuf dispatch(int sequenceNumber, Map<String, String> fields, int bodyBytes) {
         ByteBuf frame = begin("dispatch", sequenceNumber);
         frame.writeByte(MAP_TYPE).writeShort(1).writeByte(TEXT_TYPE).writeByte(TEXT_TYPE);
         frame.writeInt(fields.size());
         fields.forEach((name, value) -> writeText(writeText(frame, name), value));
-        return finish(writeText(frame.writeByte(TEXT_TYPE).writeShort(2), "").writeByte(STOP));
+        frame.writeByte(TEXT_TYPE).writeShort(2);
+        return finish(frame.writeInt(bodyBytes).writeZero(bodyBytes).writeByte(STOP));
     }
 
     /** Reads the beginning of an answer from a frame without its length. */
--- a/lab/src/test/java/barleyspur/lab/soak/SoakTest.java
+++ b/lab/src/test/java/barleyspur/lab/soak/SoakTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import javax.tools.JavaCompiler;
 import javax.tools.ToolProvider;
 import org.junit.jupiter.api.Test;
@@ -36,21 +37,36 @@
         return SoakCommand.run(new SoakCommand.Request(seed, seeds, SECONDS, ROOT, null, patchedClasses, folder));
     }
 
-    /** Guards every ending: seed 3 has a crowd, upgrades and a quiesce; seed 11 restarts; seed 12 reloads and a silent depot. */
+    /**
+     * Guards every ending: seed 3 has a crowd, upgrades and a quiesce; seed 11 restarts; seed 12 reloads and a silent depot.
+     */
     @ParameterizedTest
     @ValueSource(longs = {3, 11, 12})
     void everyRequestGetsItsAnswer(long seed) throws Exception {
         assertEquals(List.of(), soak(seed, 1, null));
     }
 
-    /** Compiles one source file of the doorman with one text replaced, and returns the folder with its classes. */
+    /** Guards the requests of sound clients while others flood the process, through restarts and upgrades. */
+    @Test
+    void floodsLeaveEveryRequestItsAnswer() throws Exception {
+        assertEquals(List.of(), soak(4, 1, null));
+    }
+
     private Path compileMutant(String file, String from, String to) throws IOException {
+        return compileMutant(file, Map.of(from, to));
+    }
+
+    /** Compiles one source file of the doorman with texts replaced, and returns the folder with its classes. */
+    private Path compileMutant(String file, Map<String, String> replacements) throws IOException {
         Path source =
                 ROOT.resolve("doorman").resolve("src/main/java/barleyspur").resolve(file);
         String text = Files.readString(source);
-        assertTrue(text.contains(from), file + " has no " + from);
+        for (Map.Entry<String, String> replacement : replacements.entrySet()) {
+            assertTrue(text.contains(replacement.getKey()), file + " has no " + replacement.getKey());
+            text = text.replace(replacement.getKey(), replacement.getValue());
+        }
         Path copy = Files.createDirectories(folder.resolve("mutant")).resolve(source.getFileName());
-        Files.writeString(copy, text.replace(from, to));
+        Files.writeString(copy, text);
         Path classes = Files.createDirectories(folder.resolve("classes"));
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
         int result = compiler.run(
@@ -91,6 +107,18 @@
                         + "        queue.add(bodyBytes);\n"));
     }
 
+    /** Requests are kept as they are read, however many of them one iteration brings. */
+    @Test
+    void requestsKeptWithoutABoundAreCaught() throws Exception {
+        assertCaught(compileMutant(
+                "front/thrift/ClientConnection.java",
+                Map.of(
+                        "pending.size() + received.size() + responses.unwritten() >= server.maxPending()",
+                        "received.size() == Integer.MAX_VALUE",
+                        "new RequestMemory(server.inputBudgets())",
+                        "new RequestMemory(InputBudgets.of(Long.MAX_VALUE, Long.MAX_VALUE, 1))")));
+    }
+
     /** A file with an impossible deadline is not turned down. */
     @Test
     void aReloadThatTakesABadFileIsCaught() throws Exception {
