--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -402,6 +402,7 @@
                     public void onSent() {
                         attempt.written = true;
                         attempt.writtenAtMs = clock.nowMs();
+                        attempt.group = groupOf(nodeTable.get(attempt.node));
                     }
 
                     @Override
@@ -421,15 +422,18 @@
         if (context.finished || attempt.ended || listing == null) {
             return false;
         }
-        attempt.group = new RepeatRule.Group(listing.zone(), listing.cell());
         return RepeatRule.allows(
                 settings.classes().get(context.request.category()),
                 context.attemptsBesides(attempt),
-                attempt.group,
+                groupOf(listing),
                 clock.nowMs(),
                 settings.tickMs());
     }
 
+    private static RepeatRule.Group groupOf(NodeListing listing) {
+        return new RepeatRule.Group(listing.zone(), listing.cell());
+    }
+
     private Depots.AttemptRequest attemptRequest(
             RequestContext context, long node, double attemptTimeoutMs, RoutingPolicy.Get get) {
         if (get == null) {
--- a/doorman/src/main/java/barleyspur/doorman/RequestContext.java
+++ b/doorman/src/main/java/barleyspur/doorman/RequestContext.java
@@ -23,7 +23,7 @@
         boolean written;
 
         double writtenAtMs;
-        /** The group that the node belonged to when the attempt was last about to be written. */
+        /** The group that the node belonged to when the attempt was written; null before. */
         RepeatRule.Group group;
         /** Whether the attempt has ended with a result that does not prove that it never ran. */
         boolean mayHaveRun;
