--- a/review/rig2/src/Depot.java
+++ b/review/rig2/src/Depot.java
@@ -26,6 +26,14 @@
         void answer(double delayMs, String word, String answerFields, byte[] answerBody) {
             Rig.after(delayMs, () -> connection.answer(this, word, answerFields, answerBody));
         }
+
+        /** Answers after a while, at so many bytes a second, unless the request was given up before. */
+        void answerPaced(double delayMs, String word, String answerFields, byte[] answerBody, int bytesPerS) {
+            Rig.thread("answer", () -> {
+                Rig.sleep(delayMs);
+                connection.answerPaced(this, word, answerFields, answerBody, bytesPerS);
+            });
+        }
     }
 
     /** Decides what an attempt is answered. */
@@ -110,21 +118,45 @@
             }
         }
 
-        private void write(String id, String word, String fields, byte[] body) throws IOException {
-            ByteArrayOutputStream message = new ByteArrayOutputStream(body.length + 256);
-            message.writeBytes(bytes("*4\r\n"));
-            for (byte[] part : new byte[][] {bytes(id), bytes(word), bytes(fields), body}) {
-                message.writeBytes(bytes("$" + part.length + "\r\n"));
-                message.writeBytes(part);
-                message.writeBytes(bytes("\r\n"));
+        /** Writes an answer at a pace; other answers on this connection wait for it. */
+        private void answerPaced(Attempt attempt, String word, String fields, byte[] body, int bytesPerS)
+                throws IOException, InterruptedException {
+            if (!open.remove(attempt.id())) {
+                return;
+            }
+            byte[] message = encode(attempt.id(), word, fields, body);
+            synchronized (this) {
+                double startMs = record.ms();
+                for (int from = 0; from < message.length; ) {
+                    Rig.sleep(startMs + from * 1000.0 / bytesPerS - record.ms());
+                    int count = Math.min(message.length - from, Math.max(1, bytesPerS / 20));
+                    out.write(message, from, count);
+                    out.flush();
+                    from += count;
+                }
             }
+        }
+
+        private void write(String id, String word, String fields, byte[] body) throws IOException {
+            byte[] message = encode(id, word, fields, body);
             synchronized (this) {
-                message.writeTo(out);
+                out.write(message);
                 out.flush();
             }
         }
     }
 
+    private static byte[] encode(String id, String word, String fields, byte[] body) {
+        ByteArrayOutputStream message = new ByteArrayOutputStream(body.length + 256);
+        message.writeBytes(bytes("*4\r\n"));
+        for (byte[] part : new byte[][] {bytes(id), bytes(word), bytes(fields), body}) {
+            message.writeBytes(bytes("$" + part.length + "\r\n"));
+            message.writeBytes(part);
+            message.writeBytes(bytes("\r\n"));
+        }
+        return message.toByteArray();
+    }
+
     private static long number(InputStream in, char marker) throws IOException {
         int first = in.read();
         if (first < 0) {
