--- a/review/rig2/src/Case.java
+++ b/review/rig2/src/Case.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 
-/** Runs one case. Arguments: the repository's root and the folder of the case. */
+/** Runs one case. Arguments: the repository's root and the file of the record. */
 abstract class Case {
     /** A final answer counts up to half a second after its time, and every limit is 50 ms longer on sockets. */
     static final double LOST_AFTER_MS = 550;
@@ -28,7 +28,7 @@
     static void run(Case played, String[] arguments) throws IOException {
         played.root = Path.of(arguments[0]).toAbsolutePath().normalize();
         played.trouble = !"0".equals(System.getenv("TROUBLE"));
-        played.record = new Record(Path.of(arguments[1]).resolve("record.txt"));
+        played.record = new Record(Path.of(arguments[1]));
         played.temp = Files.createTempDirectory("review-case");
         Path temp = played.temp;
         Runtime.getRuntime().addShutdownHook(new Thread(() -> delete(temp)));
