Timers of a request end with it, so that withdrawn requests leave nothing behind

Cause: Doorman scheduled the alarms that the policy orders for a request and kept no handle on them. They stayed until they were due, also after the request was withdrawn, and a latency target grows with the size that a client names: 345 s at most.

Evidence: a histogram of the heap 18 s into the case shows 242,993 scheduled tasks and 238,229 WakeAt, where at most 1,800 requests were open.

Change: a request owns its timers (RequestTimers) and Doorman.finishRequest cancels them, whatever ended it; an alarm due after the request's latest end is not scheduled. Netty's queue removes a cancelled task in logarithmic time. Related, found by reading: the time-out of an attempt that ended within its send, a connection's read time-out that replaced a pending one, the hold timer of a cancelled attempt with places of a budget. GET /admin/memory counts requests, attempts, the policy's requests and timers. OpenRequestMemoryTest counted a timer as a reference; it uses the event loop's queue now and allows backups: 3,109 bytes a request, so REQUEST_STATE_BYTES is 4,096 (3,072 before).

Why it works: the count of timers follows the count of open requests, which is bounded in bytes. The alarms were of no use after the end: the policy ignores those of closed requests, so no decision changes (ActionChecksumTest is unchanged).

--- a/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
+++ b/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
@@ -179,6 +179,11 @@
         }
     }
 
+    /** Returns the number of requests that are not closed, or of which an attempt has not ended. */
+    public int openRequestCount() {
+        return openRequests.size();
+    }
+
     // ---- The ordinary path -----------------------------------------------------------------------------
 
     private void onRequest(Request request) {
--- a/decision/src/main/java/barleyspur/decision/RoutingPolicy.java
+++ b/decision/src/main/java/barleyspur/decision/RoutingPolicy.java
@@ -408,8 +408,22 @@
     /** Gives the final answer that the request has failed and may or may not have taken effect. */
     record Fail(long request) implements Action {}
 
-    /** Orders an {@link Alarm} at {@code atMs}. */
-    record WakeAt(double atMs, long token) implements Action {}
+    /**
+     * Orders an {@link Alarm} at {@code atMs}. An alarm that belongs to a request is not needed any more once that
+     * request has its final answer or its client has left.
+     */
+    record WakeAt(double atMs, long token) implements Action {
+
+        /** Returns whether the alarm belongs to a request. */
+        public boolean belongsToRequest() {
+            return token >= 0;
+        }
+
+        /** Returns the id of the request that the alarm belongs to. */
+        public long request() {
+            return AlarmToken.request(token);
+        }
+    }
 
     /** Sends a health check to a node. */
     record Probe(long node) implements Action {}
--- a/doorman/src/main/java/barleyspur/DoormanServer.java
+++ b/doorman/src/main/java/barleyspur/DoormanServer.java
@@ -146,7 +146,7 @@
                         limits.connectionIdleMs(),
                         limits.maxSockets() / SOCKET_SHARES),
                 settings.reportFields());
-        RoutingPolicy policy = new LeastRecentlyLostPolicy(settings, configuration.seed());
+        LeastRecentlyLostPolicy policy = new LeastRecentlyLostPolicy(settings, configuration.seed());
         // The configuration's seed is not used here: several doormans, and successive processes of one, may share it
         // but have to be distinguishable.
         long randomSeed = ownSettings.fleet() == null ? 0 : new SecureRandom().nextLong();
@@ -215,7 +215,7 @@
             // Only a platform that configures an administration address runs upgrades with two processes at a time.
             Routes.Builder routes =
                     new LifecycleRoutes(lifecycle, clock, this::onLifecycleChanged).addTo(Routes.builder());
-            new MemoryReport(inputBudgets).addTo(routes);
+            new MemoryReport(inputBudgets, doorman, policy, clock).addTo(routes);
             if (fleet != null) {
                 fleet.addTo(routes);
             }
--- a/doorman/src/main/java/barleyspur/MemoryReport.java
+++ b/doorman/src/main/java/barleyspur/MemoryReport.java
@@ -2,6 +2,10 @@
 
 import barleyspur.admin.Routes;
 import barleyspur.admin.http.HttpResponse;
+import barleyspur.decision.LeastRecentlyLostPolicy;
+import barleyspur.doorman.Clock;
+import barleyspur.doorman.Doorman;
+import barleyspur.doorman.EventLoopClock;
 import barleyspur.front.thrift.InputBudgets;
 import barleyspur.transport.ByteBudget;
 import io.netty.buffer.PooledByteBufAllocator;
@@ -13,16 +17,23 @@
 
 /**
  * Reports where the memory of a doorman is: {@code GET /admin/memory}. All values are bytes but {@code refused}, which
- * counts refusals since the start.
+ * counts refusals since the start, and the counts of what is open, by which a leak shows: once no request is open, there
+ * are no attempts, no requests in the routing policy, and only the timers that connections and subsystems need.
  */
 final class MemoryReport {
 
     private static final int OK = 200;
 
     private final InputBudgets inputBudgets;
+    private final Doorman doorman;
+    private final LeastRecentlyLostPolicy policy;
+    private final Clock clock;
 
-    MemoryReport(InputBudgets inputBudgets) {
+    MemoryReport(InputBudgets inputBudgets, Doorman doorman, LeastRecentlyLostPolicy policy, Clock clock) {
         this.inputBudgets = inputBudgets;
+        this.doorman = doorman;
+        this.policy = policy;
+        this.clock = clock;
     }
 
     /** Adds the route to {@code routes}. */
@@ -36,7 +47,18 @@
                 .put("direct", direct())
                 .put("partial_frames", budget(inputBudgets.partialFrames()))
                 .put("request_bodies", budget(inputBudgets.bodies()))
-                .put("open_requests", budget(inputBudgets.requests()));
+                .put("open_requests", budget(inputBudgets.requests()))
+                .put("open", open());
+    }
+
+    private JSONObject open() {
+        int timers = clock.pendingTimers();
+        return new JSONObject()
+                .put("requests", doorman.openRequests())
+                .put("attempts", doorman.openAttempts())
+                .put("policy_requests", policy.openRequestCount())
+                .put("timers", timers)
+                .put("timer_bytes", (long) timers * EventLoopClock.TIMER_BYTES);
     }
 
     private static JSONObject heap() {
--- a/doorman/src/main/java/barleyspur/budget/net/BudgetedDepots.java
+++ b/doorman/src/main/java/barleyspur/budget/net/BudgetedDepots.java
@@ -142,14 +142,19 @@
         /** The node may still be processing the attempt, so its place is returned only when it must be done. */
         private void releaseAfterMaxHold() {
             if (!placeLimiters.isEmpty()) {
+                cancelHoldTimer();
                 clock.schedule(Math.max(0, acquiredMs + maxHoldMs - clock.nowMs()), this::releasePlaces);
             }
         }
 
-        private void releasePlaces() {
+        private void cancelHoldTimer() {
             if (holdTimer != null) {
                 holdTimer.cancel();
             }
+        }
+
+        private void releasePlaces() {
+            cancelHoldTimer();
             double nowMs = clock.nowMs();
             placeLimiters.forEach(limiter -> limiter.release(acquiredMs, nowMs));
             placeLimiters.clear();
--- a/doorman/src/main/java/barleyspur/doorman/Clock.java
+++ b/doorman/src/main/java/barleyspur/doorman/Clock.java
@@ -28,6 +28,11 @@
     /** Runs {@code task} on the event loop after {@code delayMs}, never from within this call. */
     Timer schedule(double delayMs, Runnable task);
 
+    /** Returns the number of timers that have neither run nor been cancelled; 0 where the clock doesn't count them. */
+    default int pendingTimers() {
+        return 0;
+    }
+
     /** A scheduled task. */
     interface Timer {
         /** Cancels the task if it has not run yet. */
--- a/doorman/src/main/java/barleyspur/doorman/Doorman.java
+++ b/doorman/src/main/java/barleyspur/doorman/Doorman.java
@@ -55,6 +55,8 @@
     private long lastId;
     /** The number of requests that have not been answered yet. */
     private int pendingResponses;
+    /** The number of attempts that have not ended, of all requests. */
+    private int openAttempts;
 
     private boolean draining;
     private Runnable drainCallback;
@@ -103,16 +105,16 @@
         stallMargin.observe(nowMs, nowMs - arrivedMs);
         RoutingPolicy.RequestClass requestClass = settings.classes().get(request.category());
         double marginMs = stallMargin.marginMs(request.remainingMs(), nowMs);
-        RequestContext context = new RequestContext(lastId, request, handler, arrivedMs, marginMs);
+        RequestContext context =
+                new RequestContext(lastId, request, handler, arrivedMs, marginMs, new RequestTimers(clock));
         contexts.put(context.id, context);
         recentIds.add(request.id());
         RequestTrace.requestAccepted(request, nowMs - arrivedMs);
         pendingResponses++;
         // Guarantees every request an answer even if the policy never gives one: at this time half of the answer
         // slack remains.
-        context.answerTimer = clock.schedule(
-                context.deadlineMs - nowMs + settings.answerSlackMs() / 2,
-                () -> failWithoutPolicy(context, "left unanswered"));
+        context.latestEndMs = context.deadlineMs + settings.answerSlackMs() / 2;
+        context.timers.schedule(context.latestEndMs - nowMs, () -> failWithoutPolicy(context, "left unanswered"));
         dispatch(new RoutingPolicy.Request(
                 context.id,
                 request.category(),
@@ -136,6 +138,16 @@
         dispatch(new RoutingPolicy.Retuned(next));
     }
 
+    /** Returns the number of requests that are not answered yet, or of which an attempt has not ended. */
+    public int openRequests() {
+        return contexts.size();
+    }
+
+    /** Returns the number of attempts that have not ended. */
+    public int openAttempts() {
+        return openAttempts;
+    }
+
     /** Returns the longest time for which a refused client may be asked to stay away. */
     public double maxRetryAfterMs() {
         return settings.maxRetryAfterMs();
@@ -212,7 +224,7 @@
     private void finishRequest(RequestContext context, String outcome) {
         context.finished = true;
         RequestTrace.requestFinished(context, outcome, clock.nowMs() - context.arrivedAtMs);
-        context.answerTimer.cancel();
+        context.timers.end();
         context.request.body().release();
         pendingResponses--;
         if (drainCallback != null) {
@@ -324,7 +336,7 @@
         } else if (action instanceof RoutingPolicy.Fail fail) {
             fail(fail.request());
         } else if (action instanceof RoutingPolicy.WakeAt wake) {
-            clock.schedule(wake.atMs() - clock.nowMs(), () -> dispatch(new RoutingPolicy.Alarm(wake.token())));
+            scheduleAlarm(wake);
         } else if (action instanceof RoutingPolicy.Probe probe) {
             probe(probe.node());
         } else if (action instanceof RoutingPolicy.HangUp hangUp) {
@@ -341,6 +353,23 @@
         }
     }
 
+    /**
+     * Schedules an alarm. One that belongs to a request ends with it; one that is due only when the request must have
+     * ended is left out.
+     */
+    private void scheduleAlarm(RoutingPolicy.WakeAt wake) {
+        double delayMs = wake.atMs() - clock.nowMs();
+        Runnable alarm = () -> dispatch(new RoutingPolicy.Alarm(wake.token()));
+        if (!wake.belongsToRequest()) {
+            clock.schedule(delayMs, alarm);
+            return;
+        }
+        RequestContext context = contexts.get(wake.request());
+        if (context != null && wake.atMs() < context.latestEndMs) {
+            context.timers.schedule(delayMs, alarm);
+        }
+    }
+
     /**
      * Fails a request. If no byte of any attempt was written, the request cannot have run and is refused instead, so
      * that the client knows that a retry is safe.
@@ -384,6 +413,7 @@
         int number = context.attempts.size();
         context.attempts.add(attempt);
         context.openAttempts++;
+        openAttempts++;
         RequestTrace.attemptSent(context, number, node, get);
         double remainingMs = context.deadlineMs - nowMs;
         double attemptTimeoutMs = timeoutMs == 0 ? remainingMs : Math.min(timeoutMs, remainingMs);
@@ -410,7 +440,10 @@
                         endAttempt(context, number, answer);
                     }
                 });
-        attempt.timeoutTimer = clock.schedule(attemptTimeoutMs, () -> cancelAttempt(context, number, Result.TIMEOUT));
+        if (!attempt.ended) {
+            attempt.timeoutTimer =
+                    clock.schedule(attemptTimeoutMs, () -> cancelAttempt(context, number, Result.TIMEOUT));
+        }
     }
 
     /**
@@ -492,6 +525,7 @@
         attempt.ended = true;
         attempt.mayHaveRun = attempt.written && answer.result().mayHaveRun();
         context.openAttempts--;
+        openAttempts--;
         if (attempt.timeoutTimer != null) {
             attempt.timeoutTimer.cancel();
         }
--- a/doorman/src/main/java/barleyspur/doorman/RequestContext.java
+++ b/doorman/src/main/java/barleyspur/doorman/RequestContext.java
@@ -59,7 +59,11 @@
     final double arrivedAtMs;
     final double deadlineMs;
     final List<Attempt> attempts = new ArrayList<>(2);
-    Clock.Timer answerTimer;
+    /** The timers of this request, but for those of its attempts, which may end later. */
+    final RequestTimers timers;
+    /** When the request is failed if it has not ended before. */
+    double latestEndMs;
+
     int openAttempts;
     boolean finished;
 
@@ -67,12 +71,19 @@
      * Creates the context of a request that arrived at {@code arrivedAtMs}. Its deadline is {@code marginMs} before its
      * time limit.
      */
-    RequestContext(long id, Request request, ResponseHandler handler, double arrivedAtMs, double marginMs) {
+    RequestContext(
+            long id,
+            Request request,
+            ResponseHandler handler,
+            double arrivedAtMs,
+            double marginMs,
+            RequestTimers timers) {
         this.id = id;
         this.request = request;
         this.handler = handler;
         this.arrivedAtMs = arrivedAtMs;
         this.deadlineMs = arrivedAtMs + request.remainingMs() - marginMs;
+        this.timers = timers;
     }
 
     /** Returns all attempts but {@code attempt}. */
--- a/doorman/src/main/java/barleyspur/front/thrift/InputBudgets.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/InputBudgets.java
@@ -16,7 +16,7 @@
      * What an open request takes on the heap without its body: its fields, its state in the core and the routing policy,
      * its timers and its attempts.
      */
-    public static final int REQUEST_STATE_BYTES = 3_072;
+    public static final int REQUEST_STATE_BYTES = 4_096;
 
     /** The parts of the direct memory and of the heap, as divisors, that the budgets may use. */
     private static final int PARTIAL_FRAMES_DIVISOR = 12;
--- a/doorman/src/main/java/barleyspur/front/thrift/RequestReadTimeout.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/RequestReadTimeout.java
@@ -50,6 +50,7 @@
 
     /** Starts the time-out for the first request. */
     void startFirstRequestTimer() {
+        stop();
         timer = clock.schedule(INACTIVITY_TIMEOUT_MS, listener::firstRequestTimedOut);
     }
 
@@ -66,7 +67,7 @@
     void update(boolean connected, boolean used) {
         boolean partialFrame = connected && decoder.hasPartialFrame();
         if (used || partialFrame) {
-            timer.cancel();
+            stop();
         }
         if (!partialFrame) {
             receiving = false;
@@ -83,6 +84,7 @@
     }
 
     private void startPartialRequestTimer(double delayMs) {
+        stop();
         timer = clock.schedule(delayMs, () -> {
             if (nothingPending.getAsBoolean()) {
                 listener.partialRequestTimedOut();
@@ -94,6 +96,8 @@
 
     /** Cancels the time-out. */
     void stop() {
-        timer.cancel();
+        if (timer != null) {
+            timer.cancel();
+        }
     }
 }
--- a/doorman/src/test/java/barleyspur/front/thrift/ClientConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ClientConnectionTest.java
@@ -33,15 +33,15 @@
 /** A client connection in front of a doorman whose routing decisions are scripted by each test. */
 class ClientConnectionTest implements Clock {
 
-    static final RoutingPolicy.Settings SETTINGS = SettingsReader.read(
-            SettingsReader.parseLines(
-                    """
+    static final String SETTINGS_LINES =
+            """
         groupSize=1\nmyNumber=0\nmyZone=0\nresolutionMs=2\ngrades.count=1\ngrades.0.promiseMs=400
         grades.0.hardLimitMs=5000\ngrades.0.repeat=repeatable\nfamilyInfo.midKind=2\nfamilyInfo.masterKind=3
         familyInfo.paceKbPerS=7600\nlimits.sendCap=2\nrules.fallMs=1500\nrules.answerSlackMs=8
         rules.drainGraceMs=1000\nrules.coldFrom=0.24\nrules.coldMs=17000\nrules.tipMultiple=4
         limits.retryAfter=true\nlimits.maxRetryAfterMs=800
-        """));
+        """;
+    static final RoutingPolicy.Settings SETTINGS = SettingsReader.read(SettingsReader.parseLines(SETTINGS_LINES));
     static final RequestClassRegistry CLASSES = RequestClassRegistry.of(List.of("small"), SETTINGS.classes());
     private static final int MAX_PENDING = 2;
     private static final int MAX_PARTIAL_BYTES = 40_000;
--- a/doorman/src/test/java/barleyspur/front/thrift/OpenRequestMemoryTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/OpenRequestMemoryTest.java
@@ -3,12 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import barleyspur.config.SettingsReader;
 import barleyspur.decision.LeastRecentlyLostPolicy;
 import barleyspur.decision.RoutingPolicy;
 import barleyspur.depot.DepotClient;
 import barleyspur.doorman.Clock;
 import barleyspur.doorman.Doorman;
+import barleyspur.doorman.EventLoopClock;
 import barleyspur.doorman.NodeListing;
+import barleyspur.doorman.SocketPollTimes;
 import barleyspur.lifecycle.Lifecycle;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -30,18 +33,24 @@
     private static final int MAX_TOKEN_BYTES = 256;
     private static final int MAX_DEPOT_CONNECTIONS = 341;
 
-    private final List<Runnable> timers = new ArrayList<>();
+    /** A request orders the most timers where a backup attempt is allowed. */
+    private static final RoutingPolicy.Settings SETTINGS = SettingsReader.read(
+            SettingsReader.parseLines(ClientConnectionTest.SETTINGS_LINES + "\nlimits.mayDuplicate=true"));
+
+    private static final double HOUR_MS = 3_600_000;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopClock loopClock = new EventLoopClock(group.next(), new SocketPollTimes());
 
     @Override
     public double nowMs() {
         return 1_000_000;
     }
 
-    /** Keeps each timer as the event loop's queue would. */
+    /** Keeps each timer in the queue of an event loop, as the process does, and lets none become due. */
     @Override
     public Timer schedule(double delayMs, Runnable task) {
-        timers.add(task);
-        return () -> {};
+        return loopClock.schedule(delayMs + HOUR_MS, task);
     }
 
     private static List<NodeListing> nodes() {
@@ -63,7 +72,8 @@
         return fields;
     }
 
-    private static long usedHeapBytes() {
+    private long usedHeapBytes() {
+        group.next().submit(() -> {}).syncUninterruptibly();
         System.gc();
         return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
     }
@@ -71,7 +81,6 @@
     /** The bound on open requests is one in bytes only if none takes more than it is counted for. */
     @Test
     void openRequestTakesNoMoreThanItIsCountedFor() {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         List<EmbeddedChannel> depotChannels = new ArrayList<>();
         DepotClient depots = new DepotClient(
                 (address, handlers) -> {
@@ -82,12 +91,8 @@
                 this,
                 new DepotClient.Limits(REQUESTS_PER_CLIENT, Integer.MAX_VALUE, MAX_DEPOT_CONNECTIONS),
                 List.of());
-        Doorman doorman = new Doorman(
-                ClientConnectionTest.SETTINGS,
-                Integer.MAX_VALUE,
-                new LeastRecentlyLostPolicy(ClientConnectionTest.SETTINGS, 1),
-                this,
-                depots);
+        Doorman doorman =
+                new Doorman(SETTINGS, Integer.MAX_VALUE, new LeastRecentlyLostPolicy(SETTINGS, 1), this, depots);
         doorman.onNodeList(true, nodes());
         Lifecycle lifecycle = new Lifecycle();
         lifecycle.startServing(nowMs());
