A size that a client names counts only once a depot has served the request

Cause: onRequest gave each named size to WorkEstimator at arrival. While the mean was raised, each usual answer counted as that much work in PeerThroughput, whose peak never fell and is what a cold node's budget is measured by.

Evidence: a trace on virtual time: estimate and peak 100 ms and 5.9 before the claims, 9,421 and 148 after them, 100 and 158 ten seconds later. It is the peak that lasts; the tiny size 0.001 acts through the estimate (5 ms, 65 after ten seconds).

Change: samples are served requests only, at most as long as the answer's latency and eight times the estimate, with one weight in both directions. PeerThroughput counts requests of each class and turns them into work by the estimates of the moment; peaks are forgotten after ten minutes. The mean work that scales limits is taken from the estimates: named sizes changed it at arrival, by a factor of four both ways. Samples below the mean had 20 times the weight of those above: with the operators' sizes the estimate settled at 0.45 to 0.27 of the mean (0.63 at sigma 0.4), and at 0.97 to 1.01 now.

Why it works: no claim reaches state before an answer confirms it, and a wrong estimate leaves nothing behind in a rate.

Tests: ClaimedSizeTest, 8 of the 13 cases that compile on the old code failed before (a cold parent asked 152 times, 61 allowed). ActionChecksumTest: all six sums recorded anew, since estimates and so the decisions at cold nodes and at limits changed.

--- a/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
+++ b/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
@@ -188,12 +188,10 @@
 
     private void onRequest(Request request) {
         retryTokens = Math.min(MAX_RETRY_TOKENS, retryTokens + RETRY_TOKENS_PER_REQUEST);
-        if (request.sizeKb() > 0) {
-            workEstimator.addSample(request.classIndex(), request.sizeKb() / settings.paceKbPerMs());
-        }
         double sampleWeight = meanWorkMs == 0 ? 1 : DEMAND_SAMPLE_WEIGHT;
         meanWorth += (settings.classes().get(request.classIndex()).worth() - meanWorth) * sampleWeight;
-        meanWorkMs += (workMs(request) - meanWorkMs) * sampleWeight;
+        // The mean of the class, as the size that this request names is not confirmed yet.
+        meanWorkMs += (workEstimator.meanMs(request.classIndex()) - meanWorkMs) * sampleWeight;
         OpenRequest pending = new OpenRequest(request, nowMs + request.remainingMs(), random.nextDouble());
         openRequests.put(request.id(), pending);
         // Rule 1: the clock advances in ticks, so an alarm that is surely in time is set two ticks early.
@@ -387,7 +385,7 @@
      * against the mean. Where limits are reached, the requests worth most for their work are admitted
      * first.
      */
-    private double priorityOf(Request request) {
+    double priorityOf(Request request) {
         double density = settings.classes().get(request.classIndex()).worth() / Math.max(1, workMs(request));
         return Math.max(1 / MAX_PRIORITY, Math.min(MAX_PRIORITY, density * meanWorkMs / meanWorth));
     }
@@ -806,9 +804,9 @@
                 : workEstimator.meanMs(request.classIndex());
     }
 
-    private void recordThroughput(TrackedNode node, double workMs) {
+    private void recordThroughput(TrackedNode node, int classIndex) {
         (nodes.isCache(node) ? cacheThroughput : parentThroughput)
-                .add(workMs, nodes.peers(node).size(), nowMs);
+                .add(classIndex, nodes.peers(node).size(), workEstimator, nowMs);
     }
 
     private ColdRule coldRule(TrackedNode node) {
@@ -851,13 +849,14 @@
 
     /**
      * Returns the work in a millisecond that a warm peer of a cold node serves for this doorman: the
-     * highest average seen, or this doorman's share of the node's size if that is more.
+     * highest average of the last minutes, or this doorman's share of the node's size if that is more.
      */
     private double warmPeerRate(TrackedNode coldNode) {
         boolean isCache = nodes.isCache(coldNode);
         int doormans = isCache ? settings.doormansPerZone().get(settings.zone()) : settings.doormanCount();
         double shareOfSize = settings.weighBySize() ? coldNode.listing.size() / Math.max(1, doormans) : 0;
-        return Math.max(shareOfSize, (isCache ? cacheThroughput : parentThroughput).peakPerPeer());
+        PeerThroughput throughput = isCache ? cacheThroughput : parentThroughput;
+        return Math.max(shareOfSize, throughput.peakWorkPerPeer(workEstimator, nowMs));
     }
 
     // ---- Health ----------------------------------------------------------------------------------------
@@ -967,13 +966,16 @@
 
     private void onServed(OpenRequest pending, Attempt attempt, Outcome outcome, boolean usedSource) {
         attributeErrors(pending, true);
-        if (pending.request.sizeKb() <= 0) {
-            workEstimator.addSample(pending.request.classIndex(), outcome.latencyMs());
+        int classIndex = pending.request.classIndex();
+        if (pending.request.sizeKb() > 0) {
+            workEstimator.addSized(classIndex, workMs(pending.request), outcome.latencyMs());
+        } else {
+            workEstimator.addUnsized(classIndex, outcome.latencyMs());
         }
-        recordThroughput(attempt.target, attempt.workMs);
+        recordThroughput(attempt.target, classIndex);
         recordSuccess(attempt.target, attempt.isTrial);
         if (usedSource) {
-            recordThroughput(attempt.source, attempt.workMs);
+            recordThroughput(attempt.source, classIndex);
             recordSuccess(attempt.source, attempt.isSourceTrial);
         }
     }
