Requests that are withdrawn pay for no retries and backup attempts of others

What callers saw: nothing yet; found while the state that a client's words reach was listed. A bad client that withdraws requests at full speed kept both budgets full, so nothing bounded retries and backups while depots fail or are slow.

Cause: retry tokens were added when a request arrived, and a backup token by each attempt for a held copy that ended without an answer; a request that is withdrawn at once did both.

Change: retry tokens are added when the first attempt of a request ends; neither kind by an attempt that ended as its client left, unless it was overdue by then.

Why it works: a token needs an answer, a failure or a time-out of a node, or an attempt that took longer than its target.

--- a/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
+++ b/decision/src/main/java/barleyspur/decision/LeastRecentlyLostPolicy.java
@@ -62,7 +62,7 @@
     private static final int REQUIRED_TRIALS = 3;
     /** If fewer than this share of the location's caches is usable, exclusions are ignored. */
     private static final double MIN_USABLE_SHARE = 0.34;
-    /** Retry tokens that each request adds. A further attempt costs one. */
+    /** Retry tokens that the first attempt of each request adds when it ends. A further attempt costs one. */
     private static final double RETRY_TOKENS_PER_REQUEST = 0.3;
     /** The most retry tokens that are saved up. */
     private static final double MAX_RETRY_TOKENS = 30;
@@ -166,7 +166,9 @@
         } else if (event instanceof Alarm alarm) {
             onAlarm(alarm.token());
         } else if (event instanceof Gone gone && openRequests.containsKey(gone.request())) {
-            close(openRequests.get(gone.request()));
+            OpenRequest withdrawn = openRequests.get(gone.request());
+            withdrawn.withdrawn = true;
+            close(withdrawn);
         } else if (event instanceof Members members) {
             onMembers(members);
         } else if (event instanceof Purged purge) {
@@ -187,7 +189,6 @@
     // ---- The ordinary path -----------------------------------------------------------------------------
 
     private void onRequest(Request request) {
-        retryTokens = Math.min(MAX_RETRY_TOKENS, retryTokens + RETRY_TOKENS_PER_REQUEST);
         double sampleWeight = meanWorkMs == 0 ? 1 : DEMAND_SAMPLE_WEIGHT;
         meanWorth += (settings.classes().get(request.classIndex()).worth() - meanWorth) * sampleWeight;
         // The mean of the class, as the size that this request names is not confirmed yet.
@@ -662,11 +663,7 @@
         recordOutcomeLateness(currentRequest, attempt, outcome);
         attributeOutcome(currentRequest, attempt, outcome);
         updateCopyLocations(currentRequest.request, attempt, outcome);
-        boolean late = outcome.latencyMs() > latencyTargetMs(currentRequest);
-        double earned = attempt.fill || !unanswered && !late
-                ? 0
-                : !unanswered ? -BACKUP_TOKENS_PER_HIT : late ? BACKUP_TOKENS_PER_HIT : 1;
-        backupTokens = Math.max(0, Math.min(MAX_BACKUP_TOKENS, backupTokens + earned));
+        earnTokens(currentRequest, attempt, outcome, unanswered);
         if (outcome.closed() && currentRequest.hasAttemptsInFlight()) {
             close(currentRequest);
         }
@@ -677,6 +674,31 @@
         removeIfDone(currentRequest);
     }
 
+    /**
+     * Adds the retry and backup tokens that the end of an attempt is worth. A request whose client left shows
+     * nothing of a node: without this, requests that are withdrawn at full speed would pay for any number of
+     * retries and backups of the others.
+     */
+    private void earnTokens(OpenRequest request, Attempt attempt, Outcome outcome, boolean unanswered) {
+        boolean neverTried = request.withdrawn && unanswered || outcome.result() == Result.MOOT;
+        if (outcome.attempt() == 0 && !neverTried) {
+            retryTokens = Math.min(MAX_RETRY_TOKENS, retryTokens + RETRY_TOKENS_PER_REQUEST);
+        }
+        if (attempt.fill) {
+            return;
+        }
+        boolean late = outcome.latencyMs() > latencyTargetMs(request);
+        double earned = 0;
+        if (unanswered && late) {
+            earned = BACKUP_TOKENS_PER_HIT;
+        } else if (unanswered && !request.withdrawn) {
+            earned = 1;
+        } else if (!unanswered && late) {
+            earned = -BACKUP_TOKENS_PER_HIT;
+        }
+        backupTokens = Math.max(0, Math.min(MAX_BACKUP_TOKENS, backupTokens + earned));
+    }
+
     /** Decides whether a request of which all attempts have ended is tried again. */
     private void onAllAttemptsFailed(OpenRequest pending, Attempt lastAttempt, Outcome outcome) {
         // Behind every parent is the same origin: a further fill would fail as well, and add to the load.
--- a/decision/src/main/java/barleyspur/decision/OpenRequest.java
+++ b/decision/src/main/java/barleyspur/decision/OpenRequest.java
@@ -22,6 +22,8 @@
     final List<UnattributedError> unattributedErrors = new ArrayList<>(0);
     /** Whether the final answer was given or has begun. */
     boolean closed;
+    /** Whether the client has left, or the request was ended from outside. */
+    boolean withdrawn;
     /** The number of attempts that have ended. */
     int endedAttempts;
 
