ConnectionEnding ends a client connection, moved out of ClientConnection

Change: the causes of an end, the close of idle and of evicted connections, and the use of LingeringClose are a class of their own, which asks the connection what is open on it. No rule is changed.

--- a/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
@@ -22,7 +22,6 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -39,45 +38,17 @@
  * limit of this connection, or of the {@link InputBudgets} of all, it is refused at once and not kept, and a client that
  * sends far more than its limit without waiting for answers is disconnected.
  *
- * <p>The server closes a connection through {@link LingeringClose}, unless the client is gone or doesn't read; then
- * the channel is closed immediately.
+ * <p>{@link ConnectionEnding} ends the connection.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<Object>
-        implements ResponseWriter.Listener, RequestReadTimeout.Listener {
-
-    /** Reasons for which a connection ends. */
-    private enum EndCause {
-        /** The client closed it, or shut down its sending side. */
-        CLIENT_CLOSED,
-        /** It was reset, or another I/O error occurred. */
-        BROKEN,
-        /** It had no pending request, and the lifecycle requires idle connections to be closed. */
-        IDLE,
-        /** It had no pending request and was closed in favour of a new connection. */
-        EVICTED,
-        /** Its input was invalid or incomplete, or the client did not read its responses. */
-        REJECTED,
-        /** The client reads nothing, so that no data has been written for too long. */
-        STUCK,
-        /** A response could not be written. */
-        ANSWER_LOST
-    }
+        implements ResponseWriter.Listener, RequestReadTimeout.Listener, ConnectionEnding.Connection {
 
     private static final Logger LOG = LoggerFactory.getLogger("front");
     private static final String DISPATCH = "dispatch";
-    /** How long the client has to read the last responses and close its side before the channel is closed. */
-    static final double LINGER_MS = 500;
     /** Unwritten responses, as a multiple of the limit on pending requests, at which the client is disconnected. */
     private static final int MAX_UNWRITTEN_FACTOR = 2;
     /** Retry delay sent with requests that are refused during a drain or hand-off; the connection then closes. */
     static final long DRAIN_RETRY_AFTER_MS = 50;
-    /**
-     * The longest time for which input may lie unread when an idle connection is closed. A client sends a request once
-     * more that crosses a close within 50 ms.
-     */
-    private static final double MAX_UNREAD_MS = 20;
-
-    private static final int POLL_DELAY_MS = 1;
     /** Number of invalid calls after which a connection without pending requests is closed. */
     private static final int MAX_INVALID_CALLS = 8;
 
@@ -106,12 +77,11 @@
     private int excessRequests;
 
     private Channel channel;
-    private LingeringClose lingeringClose;
+    private ConnectionEnding ending;
     private ResponseWriter responses;
     private RequestReadTimeout readTimeout;
     private boolean used;
     private int invalidCalls;
-    private EndCause endCause = EndCause.CLIENT_CLOSED;
 
     ClientConnection(ServerContext server, ThriftFrameDecoder decoder) {
         this.server = server;
@@ -124,7 +94,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
-        lingeringClose = new LingeringClose(channel, server.clock());
+        ending = new ConnectionEnding(channel, server.clock(), server.lifecycle(), this);
         responses = new ResponseWriter(
                 channel,
                 server.clock(),
@@ -140,7 +110,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) throws ThriftCall.MalformedCallException {
-        if (lingeringClose.hasBegun()) {
+        if (ending.hasBegun()) {
             return;
         }
         if (message instanceof ThriftFrameDecoder.UnheldFrame unheld) {
@@ -219,7 +189,7 @@
     }
 
     private void closeIfAnswersAreUnread() {
-        if (!lingeringClose.hasBegun() && responses.unwritten() >= MAX_UNWRITTEN_FACTOR * server.maxPending()) {
+        if (!ending.hasBegun() && responses.unwritten() >= MAX_UNWRITTEN_FACTOR * server.maxPending()) {
             log.warn("connection closed: it asks for more and reads no answers", "client", channel.remoteAddress());
             closeWithError(ThriftProtocol.PROTOCOL_ERROR, "answers are not read");
         }
@@ -252,14 +222,14 @@
     private void processReceived() {
         excessRequests = 0;
         for (ReceivedRequest next = received.poll(); next != null; next = received.poll()) {
-            if (lingeringClose.hasBegun() || !channel.isActive()) {
+            if (ending.hasBegun() || !channel.isActive()) {
                 next.release();
             } else {
                 dispatch(next);
             }
         }
         closeIfAnswersAreUnread();
-        if (!lingeringClose.hasBegun()) {
+        if (!ending.hasBegun()) {
             updateReadTimeout();
         }
     }
@@ -306,64 +276,66 @@
     }
 
     private void markIdleIfNothingPending() {
-        if (pending.isEmpty() && !lingeringClose.hasBegun() && used) {
+        if (pending.isEmpty() && !ending.hasBegun() && used) {
             if (decoder.hasPartialFrame()) {
                 server.registry().markReceiving(this);
             } else {
                 server.registry().markIdle(this, server.clock().nowMs());
             }
-            scheduleCloseIfIdle();
+            ending.scheduleCloseIfIdle();
         }
     }
 
-    /** Checks after all input of this iteration, and after the response that made the connection idle. */
-    private void scheduleCloseIfIdle() {
-        if (server.lifecycle().closesIdleConnections()) {
-            channel.eventLoop().execute(this::closeIfIdle);
-        }
+    /** Closes the connection if the lifecycle requires it and nothing is open on it. */
+    void closeIfIdle() {
+        ending.closeIfIdle();
     }
 
-    /**
-     * Closes the connection if the lifecycle requires idle connections to be closed and this one has no pending
-     * request, no unwritten response and no partly received frame. A connection that has never been used is left to the
-     * read time-out, because its first request may be under way, until the lifecycle expects no further requests.
-     */
-    void closeIfIdle() {
-        boolean idle =
-                pending.isEmpty() && received.isEmpty() && responses.unwritten() == 0 && !decoder.hasPartialFrame();
-        if (idle
-                && server.lifecycle().closesIdleConnections()
-                && (used || server.lifecycle().closesUnusedConnections())) {
-            if (mayHaveUnreadInput()) {
-                runAfterNextPoll(this::closeIfIdle);
-            } else {
-                close(EndCause.IDLE);
-            }
-        }
+    /** Closes the connection in favour of a new one, unless a request has just been read on it. */
+    void evict() {
+        ending.evict();
     }
 
-    /**
-     * Returns whether a request may lie unread in the socket for so long that the client would not send it again: after
-     * an iteration in which the event loop was busy, or the process was paused.
-     */
-    private boolean mayHaveUnreadInput() {
-        return server.clock().nowMs() - server.clock().lastPollMs() > MAX_UNREAD_MS;
+    /** Closes the channel if it is lingering, because its file descriptor is needed. */
+    void closeWithoutLinger() {
+        ending.closeWithoutLinger();
     }
 
-    /** Runs a task once the event loop has polled the sockets; the task checks that, as it may run before. */
-    private void runAfterNextPoll(Runnable task) {
-        channel.eventLoop().schedule(task, POLL_DELAY_MS, TimeUnit.MILLISECONDS);
+    @Override
+    public boolean hasRequests() {
+        return !pending.isEmpty() || !received.isEmpty();
     }
 
-    /** Starts to close the connection; further input is discarded. */
-    private void close(EndCause cause) {
-        if (!lingeringClose.hasBegun() && channel.isActive()) {
-            endCause = cause;
-            server.registry().markClosing(this);
-            readTimeout.stop();
-            decoder.startDiscarding(lingeringClose::onDiscarded);
-            lingeringClose.begin(LINGER_MS);
-        }
+    @Override
+    public boolean hasPendingRequests() {
+        return !pending.isEmpty();
+    }
+
+    @Override
+    public boolean hasUnwrittenMessages() {
+        return responses.unwritten() > 0;
+    }
+
+    @Override
+    public boolean hasPartialRequest() {
+        return decoder.hasPartialFrame();
+    }
+
+    @Override
+    public boolean wasUsed() {
+        return used;
+    }
+
+    @Override
+    public void onClosing(LingeringClose lingeringClose) {
+        server.registry().markClosing(this);
+        readTimeout.stop();
+        decoder.startDiscarding(lingeringClose::onDiscarded);
+    }
+
+    @Override
+    public void onEvictionPostponed() {
+        server.registry().markIdle(this, server.clock().nowMs());
     }
 
     /** Responds to an invalid call. Closes the connection after several, so that endless ones can't load the loop. */
@@ -380,7 +352,7 @@
      * the client hasn't read yet.
      */
     private void closeWithError(int kind, String message) {
-        if (lingeringClose.hasBegun()) {
+        if (ending.hasBegun()) {
             return;
         }
         List<PendingResponse> unfinished = new ArrayList<>(pending.values());
@@ -394,7 +366,7 @@
             next.release();
         }
         responses.writeException("", 0, kind, message);
-        close(EndCause.REJECTED);
+        ending.close(ConnectionEnding.Cause.REJECTED);
     }
 
     private void dispatch(ReceivedRequest next) {
@@ -469,14 +441,14 @@
     @Override
     public void allWritten() {
         if (pending.isEmpty()) {
-            scheduleCloseIfIdle();
+            ending.scheduleCloseIfIdle();
         }
     }
 
     @Override
     public void stalled() {
         log.warn("connection closed: it does not read its answers", "client", channel.remoteAddress());
-        closeImmediately(EndCause.STUCK);
+        ending.closeImmediately(ConnectionEnding.Cause.STUCK);
     }
 
     @Override
@@ -487,38 +459,7 @@
                 channel.remoteAddress(),
                 "cause",
                 cause);
-        closeImmediately(EndCause.ANSWER_LOST);
-    }
-
-    /** Closes the channel immediately: no response could reach the client any more. */
-    private void closeImmediately(EndCause cause) {
-        endCause = cause;
-        channel.close();
-    }
-
-    /** Closes the connection in favour of a new one, unless a request has just been read on it. */
-    void evict() {
-        channel.eventLoop().execute(this::closeForNewConnection);
-    }
-
-    private void closeForNewConnection() {
-        if (pending.isEmpty() && received.isEmpty() && mayHaveUnreadInput()) {
-            runAfterNextPoll(this::closeForNewConnection);
-        } else if (pending.isEmpty() && received.isEmpty()) {
-            close(EndCause.EVICTED);
-        } else if (pending.isEmpty()) {
-            // The request may prove to be invalid, so the connection has to stay a candidate for eviction.
-            server.registry().markIdle(this, server.clock().nowMs());
-        }
-    }
-
-    /** Closes the channel if it is lingering, because its file descriptor is needed. */
-    void closeWithoutLinger() {
-        channel.eventLoop().execute(() -> {
-            if (lingeringClose.hasBegun()) {
-                channel.close();
-            }
-        });
+        ending.closeImmediately(ConnectionEnding.Cause.ANSWER_LOST);
     }
 
     /**
@@ -527,17 +468,17 @@
      */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        responses.writabilityChanged(!channel.isWritable() && channel.isActive() && !lingeringClose.hasBegun());
+        responses.writabilityChanged(!channel.isWritable() && channel.isActive() && !ending.hasBegun());
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        lingeringClose.onClosed();
+        ending.onClosed();
         server.registry().remove(this);
         readTimeout.stop();
         responses.stopStallTimer();
         RequestTrace.connectionEnded(
-                channel.remoteAddress(), endCause, pending.size() + received.size(), responses.unwritten());
+                channel.remoteAddress(), ending.cause(), pending.size() + received.size(), responses.unwritten());
         received.forEach(ReceivedRequest::release);
         received.clear();
         List<PendingResponse> unfinished = new ArrayList<>(pending.values());
@@ -560,12 +501,12 @@
                     ctx.channel().remoteAddress(),
                     "cause",
                     cause.getMessage());
-            closeImmediately(EndCause.BROKEN);
+            ending.closeImmediately(ConnectionEnding.Cause.BROKEN);
         } else if (cause instanceof ThriftCall.MalformedCallException || cause instanceof DecoderException) {
             closeMalformed((Exception) cause);
         } else {
             log.warn("connection closed", "client", ctx.channel().remoteAddress(), "cause", cause);
-            closeImmediately(EndCause.BROKEN);
+            ending.closeImmediately(ConnectionEnding.Cause.BROKEN);
         }
     }
 }
--- a/doorman/src/test/java/barleyspur/front/thrift/ClientConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ClientConnectionTest.java
@@ -193,7 +193,7 @@
         assertEquals(MAX_PENDING, events.size(), "two responses are unwritten, so no third request is accepted");
         assertTrue(channel.isOpen());
         dispatch(4, "small");
-        advance(ClientConnection.LINGER_MS);
+        advance(ConnectionEnding.LINGER_MS);
         assertFalse(channel.isOpen(), "four responses are unwritten");
         blocker.release();
     }
@@ -319,7 +319,7 @@
         channel.pipeline().fireChannelReadComplete();
         channel.runPendingTasks();
         assertEquals(List.of(), events, "no request of a disconnected client is accepted");
-        advance(ClientConnection.LINGER_MS);
+        advance(ConnectionEnding.LINGER_MS);
         assertFalse(channel.isOpen());
     }
 
@@ -416,7 +416,7 @@
         assertTrue(Unpooled.wrappedBuffer(channel.<ByteBuf>readOutbound()).readableBytes() > 0);
         channel.writeInbound(Unpooled.wrappedBuffer(new byte[300_000]));
         assertFalse(channel.config().isAutoRead(), "reading stops at the limit of discarded bytes");
-        advance(ClientConnection.LINGER_MS);
+        advance(ConnectionEnding.LINGER_MS);
         assertFalse(channel.isOpen());
     }
 
@@ -440,12 +440,12 @@
         actionSink.accept(new RoutingPolicy.Refuse(((RoutingPolicy.Request) events.get(0)).id(), 0));
         doorman.onGroupPurged(1, 0);
         advance(RequestReadTimeout.INACTIVITY_TIMEOUT_MS);
-        advance(ClientConnection.LINGER_MS);
+        advance(ConnectionEnding.LINGER_MS);
         assertFalse(other.isOpen());
         assertTrue(channel.isOpen());
         channel.writeInbound(Unpooled.wrappedBuffer(new byte[] {0, 0, 0}));
         advance(RequestReadTimeout.INACTIVITY_TIMEOUT_MS);
-        advance(ClientConnection.LINGER_MS);
+        advance(ConnectionEnding.LINGER_MS);
         assertFalse(channel.isOpen(), "incomplete request");
     }
 
@@ -455,7 +455,7 @@
             assertTrue(channel.config().isAutoRead());
             dispatch(i, "unheard-of", "9b1f03aa5c7e2d41");
         }
-        advance(ClientConnection.LINGER_MS);
+        advance(ConnectionEnding.LINGER_MS);
         assertFalse(channel.isOpen());
     }
 
@@ -496,7 +496,7 @@
         assertEquals(0, registry.closingCount());
         registry.evictLeastActive(0).evict();
         channel.runPendingTasks();
-        advance(ClientConnection.LINGER_MS);
+        advance(ConnectionEnding.LINGER_MS);
         assertFalse(channel.isOpen());
     }
 
@@ -520,7 +520,7 @@
                 2,
                 events.stream().filter(RoutingPolicy.Request.class::isInstance).count(),
                 "no third request is accepted");
-        advance(ClientConnection.LINGER_MS);
+        advance(ConnectionEnding.LINGER_MS);
         assertFalse(channel.isOpen(), "no request is pending any more");
     }
 }
