A connection that still owes answers, or whose client is still reading them, is not closed as idle

Cause: three places asked in three ways whether a connection is idle: an eviction by its requests alone, a drain by queued answers too, neither by answers that the socket has taken and the client has not read. LingeringClose ended on a clock alone.

Change: ConnectionEnding.isSettled is the one question; eviction, quiesce and hand-off ask it. UnreadAnswers estimates how long the client may be reading, by the pace that the protocol names (1 MB a second, less a fifth) and no more answers than it may have requests open. A drain waits for readers until 3 s after the quiesce, or 1 s before a hand-off ends; where no connection is settled the newcomer is turned away. LingeringClose has states: queued output is written first, bounded by the longest deadline and the time its bytes take; then the client has the time to read and 0.5 s.

Why it works: no close begins, and no forced close comes, before the client can have read what it is owed, and each wait has a bound that doesn't depend on the client.

--- a/doorman/src/main/java/barleyspur/admin/AdminConnection.java
+++ b/doorman/src/main/java/barleyspur/admin/AdminConnection.java
@@ -67,7 +67,7 @@
 
     /**
      * Writes the response and shuts down the sending side; the channel closes once the client has closed its side, or
-     * after {@link #LINGER_MS}. An immediate close with unread input would reset the connection, and the client
+     * {@link #LINGER_MS} after that. An immediate close with unread input would reset the connection, and the client
      * could lose the response.
      */
     void respond(HttpResponse response) {
@@ -78,7 +78,7 @@
         requestTimeout.cancel();
         server.requestEnded(channel);
         channel.write(response.encode(channel.alloc()));
-        lingeringClose.begin(LINGER_MS);
+        lingeringClose.begin(LINGER_MS, () -> LINGER_MS);
     }
 
     @Override
--- a/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ClientConnection.java
@@ -96,14 +96,8 @@
         channel = ctx.channel();
         ending = new ConnectionEnding(channel, server.clock(), server.lifecycle(), this);
         responses = new ResponseWriter(
-                channel,
-                server.clock(),
-                server.backpressure(),
-                log,
-                () -> server.classes().get().longestDeadlineMs(),
-                this);
-        readTimeout = new RequestReadTimeout(
-                server.clock(), decoder, () -> server.classes().get().longestDeadlineMs(), pending::isEmpty, this);
+                channel, server.clock(), server.backpressure(), log, this::longestWaitMs, server.maxPending(), this);
+        readTimeout = new RequestReadTimeout(server.clock(), decoder, this::longestWaitMs, pending::isEmpty, this);
         server.registry().addNew(this, server.clock().nowMs());
         readTimeout.startFirstRequestTimer();
     }
@@ -291,7 +285,17 @@
         ending.closeIfIdle();
     }
 
-    /** Closes the connection in favour of a new one, unless a request has just been read on it. */
+    /** Returns whether nothing is owed to the client, so that the connection may be closed. */
+    boolean isSettled() {
+        return ending.isSettled();
+    }
+
+    /** Returns whether the client may still be reading answers, while the connection is being closed. */
+    boolean isDelivering() {
+        return ending.isDelivering();
+    }
+
+    /** Closes the connection in favour of a new one, unless something is owed on it meanwhile. */
     void evict() {
         ending.evict();
     }
@@ -316,6 +320,16 @@
         return responses.unwritten() > 0;
     }
 
+    @Override
+    public double remainingReadMs() {
+        return responses.remainingReadMs();
+    }
+
+    @Override
+    public double longestWaitMs() {
+        return server.classes().get().longestDeadlineMs();
+    }
+
     @Override
     public boolean hasPartialRequest() {
         return decoder.hasPartialFrame();
--- a/doorman/src/main/java/barleyspur/front/thrift/ConnectionEnding.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ConnectionEnding.java
@@ -10,6 +10,10 @@
  * Ends one client connection: when the lifecycle requires idle connections to be closed, in favour of a new connection,
  * or because it can't be kept. Except where the client can't be reached any more, it is closed through
  * {@link LingeringClose}.
+ *
+ * <p>Whether a connection may be ended is one question, {@link #isSettled}: the client is owed an answer to each request
+ * that was received, and the time to read it. Each wait for that has a bound: a client that reads nothing is given up
+ * after the longest deadline of all requests, and the lifecycle tells until when a drain waits for readers.
  */
 final class ConnectionEnding {
 
@@ -19,9 +23,9 @@
         CLIENT_CLOSED,
         /** It was reset, or another I/O error occurred. */
         BROKEN,
-        /** It had no pending request, and the lifecycle requires idle connections to be closed. */
+        /** Nothing was owed on it, and the lifecycle requires idle connections to be closed. */
         IDLE,
-        /** It had no pending request and was closed in favour of a new connection. */
+        /** Nothing was owed on it, and it was closed in favour of a new connection. */
         EVICTED,
         /** Its input was invalid or incomplete, or the client did not read its responses. */
         REJECTED,
@@ -42,9 +46,15 @@
         /** Returns whether messages are queued that the socket has not taken yet. */
         boolean hasUnwrittenMessages();
 
+        /** Returns for how long the client may still be reading answers, in milliseconds. */
+        double remainingReadMs();
+
         /** Returns whether part of a request has been received. */
         boolean hasPartialRequest();
 
+        /** Returns the longest time that any client waits for a response. */
+        double longestWaitMs();
+
         /** Returns whether the client has sent a valid call. */
         boolean wasUsed();
 
@@ -55,11 +65,11 @@
         void onEvictionPostponed();
     }
 
-    /** How long the client has to read the last responses and close its side before the channel is closed. */
+    /** How long the client has to close its side, once it must have read the last responses. */
     static final double LINGER_MS = 500;
     /**
-     * The longest time for which input may lie unread when an idle connection is closed. A client sends a request once
-     * more that crosses a close within 50 ms.
+     * The longest time for which a request may lie unread here, or answers at the client, when an idle connection is
+     * closed. A client sends a request once more that crosses a close within 50 ms.
      */
     private static final double MAX_UNREAD_MS = 20;
 
@@ -71,6 +81,8 @@
     private final Connection connection;
     private final LingeringClose lingeringClose;
     private Cause cause = Cause.CLIENT_CLOSED;
+    /** Checks again whether the connection is settled; null if no check is due. */
+    private Clock.Timer settledTimer;
 
     ConnectionEnding(Channel channel, Clock clock, Lifecycle lifecycle, Connection connection) {
         this.channel = channel;
@@ -98,33 +110,57 @@
     }
 
     /**
-     * Closes the connection if the lifecycle requires idle connections to be closed and this one has no pending
-     * request, no unwritten response and no partly received frame. A connection that has never been used is left to the
-     * read time-out, because its first request may be under way, until the lifecycle expects no further requests.
+     * Returns whether nothing is owed to the client: no request that was received is without its answer, all answers
+     * have been written, and the client has had the time to read them.
+     */
+    boolean isSettled() {
+        return !connection.hasRequests()
+                && !connection.hasUnwrittenMessages()
+                && connection.remainingReadMs() <= MAX_UNREAD_MS;
+    }
+
+    /**
+     * Closes the connection if the lifecycle requires idle connections to be closed, and this one is settled and has no
+     * partly received frame. A connection that has never been used is left to the read time-out, because its first
+     * request may be under way, until the lifecycle expects no further requests.
      */
     void closeIfIdle() {
         boolean idle =
                 !connection.hasRequests() && !connection.hasUnwrittenMessages() && !connection.hasPartialRequest();
-        if (idle
-                && lifecycle.closesIdleConnections()
-                && (connection.wasUsed() || lifecycle.closesUnusedConnections())) {
-            if (mayHaveUnreadInput()) {
-                runAfterNextPoll(this::closeIfIdle);
-            } else {
-                close(Cause.IDLE);
-            }
+        boolean closes =
+                lifecycle.closesIdleConnections() && (connection.wasUsed() || lifecycle.closesUnusedConnections());
+        if (!idle || !closes || hasBegun()) {
+            return;
+        }
+        double waitMs = Math.min(connection.remainingReadMs(), lifecycle.remainingReadersWaitMs(clock.nowMs()));
+        if (mayHaveUnreadInput()) {
+            runAfterNextPoll(this::closeIfIdle);
+        } else if (waitMs > MAX_UNREAD_MS) {
+            // What the client sends before it can have seen the end would be thrown away.
+            checkAgainAfter(waitMs);
+        } else {
+            close(Cause.IDLE);
+        }
+    }
+
+    private void checkAgainAfter(double delayMs) {
+        if (settledTimer == null) {
+            settledTimer = clock.schedule(delayMs, () -> {
+                settledTimer = null;
+                closeIfIdle();
+            });
         }
     }
 
-    /** Closes the connection in favour of a new one, unless a request has just been read on it. */
+    /** Closes the connection in favour of a new one, unless something is owed on it meanwhile. */
     void evict() {
         channel.eventLoop().execute(this::closeForNewConnection);
     }
 
     private void closeForNewConnection() {
-        if (!connection.hasRequests() && mayHaveUnreadInput()) {
+        if (isSettled() && mayHaveUnreadInput()) {
             runAfterNextPoll(this::closeForNewConnection);
-        } else if (!connection.hasRequests()) {
+        } else if (isSettled()) {
             close(Cause.EVICTED);
         } else if (!connection.hasPendingRequests()) {
             // The request may prove to be invalid, so the connection has to stay a candidate for eviction.
@@ -150,7 +186,8 @@
         if (!hasBegun() && channel.isActive()) {
             cause = closeCause;
             connection.onClosing(lingeringClose);
-            lingeringClose.begin(LINGER_MS);
+            double maxDrainMs = connection.longestWaitMs() + connection.remainingReadMs();
+            lingeringClose.begin(maxDrainMs, () -> connection.remainingReadMs() + LINGER_MS);
         }
     }
 
@@ -169,8 +206,16 @@
         });
     }
 
+    /** Returns whether the client may still be reading answers, while the connection is being closed. */
+    boolean isDelivering() {
+        return channel.isActive() && connection.remainingReadMs() > 0;
+    }
+
     /** Reports that the channel is closed. */
     void onClosed() {
+        if (settledTimer != null) {
+            settledTimer.cancel();
+        }
         lingeringClose.onClosed();
     }
 }
--- a/doorman/src/main/java/barleyspur/front/thrift/ResponseWriter.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ResponseWriter.java
@@ -37,19 +37,28 @@
     private final RateLimitedLog log;
     private final DoubleSupplier longestWaitMs;
     private final Listener listener;
+    private final UnreadAnswers unread;
     private Clock.Timer stallTimer;
     /** When the last message was written to the socket, or when the socket stopped being writable. */
     private double stalledSinceMs;
     /** Number of messages that are queued and not yet written to the socket. */
     private int unwritten;
 
-    /** Creates a writer; {@code longestWaitMs} supplies the longest time that any client waits for a response. */
+    private long unwrittenBytes;
+
+    /**
+     * Creates a writer.
+     *
+     * @param longestWaitMs   supplies the longest time that any client waits for a response
+     * @param maxOpenRequests how many requests a client may have open
+     */
     ResponseWriter(
             Channel channel,
             Clock clock,
             ResponseBackpressure backpressure,
             RateLimitedLog log,
             DoubleSupplier longestWaitMs,
+            int maxOpenRequests,
             Listener listener) {
         this.channel = channel;
         this.clock = clock;
@@ -57,6 +66,7 @@
         this.log = log;
         this.longestWaitMs = longestWaitMs;
         this.listener = listener;
+        this.unread = new UnreadAnswers(maxOpenRequests);
     }
 
     /** Returns the number of messages that are queued and not yet written to the socket. */
@@ -64,6 +74,11 @@
         return unwritten;
     }
 
+    /** Returns for how long the client may still be reading what has been queued or written, in milliseconds. */
+    double remainingReadMs() {
+        return unread.remainingMs(clock.nowMs()) + unwrittenBytes / UnreadAnswers.READ_BYTES_PER_MS;
+    }
+
     /** Returns whether a response with this body may be queued, as the client has not too many unread ones. */
     boolean mayQueue(ByteBuf body) {
         return queue.mayQueue(body.readableBytes());
@@ -116,16 +131,19 @@
         int bytes = message.readableBytes();
         queue.add(bodyBytes);
         unwritten++;
+        unwrittenBytes += bytes;
         channel.writeAndFlush(message).addListener(future -> {
             queue.add(-bodyBytes);
             RequestTrace.answerWritten(requestId, outcome, bytes, future.cause());
-            written(future.cause());
+            written(bytes, future.cause());
         });
     }
 
-    private void written(Throwable failure) {
+    private void written(int bytes, Throwable failure) {
         stalledSinceMs = clock.nowMs();
+        unread.add(bytes, stalledSinceMs);
         unwritten--;
+        unwrittenBytes -= bytes;
         if (failure != null && channel.isActive()) {
             listener.writeFailed(failure);
         } else if (unwritten == 0) {
--- a/doorman/src/main/java/barleyspur/front/thrift/ThriftServer.java
+++ b/doorman/src/main/java/barleyspur/front/thrift/ThriftServer.java
@@ -49,7 +49,8 @@
     private final int maxConnections;
     private final ChannelGroup connections;
     private final RateLimitedLog log;
-    private final ConnectionRegistry<ClientConnection> registry = new ConnectionRegistry<>();
+    private final ConnectionRegistry<ClientConnection> registry =
+            new ConnectionRegistry<>(ClientConnection::isSettled, ClientConnection::isDelivering);
     private final ClientConnection.ServerContext context;
     private final boolean sharePort;
     private RequestClassRegistry classes;
--- a/doorman/src/main/java/barleyspur/lifecycle/Lifecycle.java
+++ b/doorman/src/main/java/barleyspur/lifecycle/Lifecycle.java
@@ -9,7 +9,8 @@
  * the operators), leaving (SIGTERM: the process ends once open requests are answered) and handing off (SIGTERM while a
  * successor listens on the same address, during an upgrade).
  *
- * <p>While quiesced, a connection is closed as soon as it has no open request. The load balancer in front of the
+ * <p>While quiesced, a connection is closed as soon as it has no open request and its client must have read all
+ * answers. The load balancer in front of the
  * doorman counts a violation of the rule on lost requests if, 4 s after the call, a connection is still held idle or
  * with a request from the last 2 s. A request that crosses such a close is sent once more by its client, as the
  * protocol's rule on closes requires.
@@ -22,6 +23,16 @@
      * 2 s, 4 s after the call; requests accepted within this time are at least 3 s old by then.
      */
     static final double QUIESCED_ACCEPT_MS = 1_000;
+    /**
+     * How long after a quiesce a connection is kept whose client may still be reading answers. The client has a second
+     * to see the end.
+     */
+    static final double QUIESCED_READERS_WAIT_MS = 3_000;
+    /**
+     * How long before a handing-off process ends such a connection is closed, so that its client can still read the
+     * last answers.
+     */
+    static final double HANDING_OFF_READERS_MARGIN_MS = 1_000;
     /**
      * How long after SIGTERM a process that hands off accepts every request. The protocol allows SIGKILL to leave
      * requests unanswered that arrived within 0.7 s of SIGTERM; the difference allows for deviations of the platform's
@@ -165,6 +176,20 @@
         return phase == Phase.QUIESCED || phase == Phase.HANDING_OFF || graceEnded;
     }
 
+    /**
+     * Returns for how long a connection without open requests is kept while its client may still be reading answers. It
+     * would send further requests meanwhile. After SIGTERM without a successor clients send none any more.
+     */
+    public double remainingReadersWaitMs(double nowMs) {
+        double untilMs =
+                switch (phase) {
+                    case QUIESCED -> phaseStartMs + QUIESCED_READERS_WAIT_MS;
+                    case HANDING_OFF -> answerDeadlineMs() - HANDING_OFF_READERS_MARGIN_MS;
+                    case STARTING, SERVING, LEAVING -> nowMs;
+                };
+        return Math.max(0, untilMs - nowMs);
+    }
+
     /** Returns whether connections that have not sent any request yet have to be closed too. */
     public boolean closesUnusedConnections() {
         return graceEnded;
--- a/doorman/src/test/java/barleyspur/front/thrift/ClientConnectionTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ClientConnectionTest.java
@@ -59,7 +59,8 @@
             },
             this,
             new UnresponsiveDepots());
-    private final ConnectionRegistry<ClientConnection> registry = new ConnectionRegistry<>();
+    private final ConnectionRegistry<ClientConnection> registry =
+            new ConnectionRegistry<>(ClientConnection::isSettled, ClientConnection::isDelivering);
     private final Lifecycle lifecycle = new Lifecycle();
     private final List<Runnable> timers = new ArrayList<>();
     private final InputBudgets budgets = new InputBudgets(
@@ -462,7 +463,7 @@
     /** The least active connections are evicted first, and connections with pending requests never. */
     @Test
     void leastActiveConnectionsAreEvictedFirst() {
-        ConnectionRegistry<String> connections = new ConnectionRegistry<>();
+        ConnectionRegistry<String> connections = new ConnectionRegistry<>(settled -> true, delivering -> false);
         List.of("silent", "idle", "busy", "left").forEach(c -> connections.addNew(c, 0));
         connections.markBusy("busy");
         connections.markIdle("idle", 100);
--- a/doorman/src/test/java/barleyspur/front/thrift/ConnectionFailureTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ConnectionFailureTest.java
@@ -34,6 +34,10 @@
 class ConnectionFailureTest {
 
     private static final String DONE = "how=h,digest=4be0c1927d55a6f3,dated=1000";
+    private static final int LARGEST_BODY_BYTES = 240_000;
+    /** More answers than the buffers of a socket hold, and fewer bytes than may be unread. */
+    private static final int SLOW_READER_REQUESTS = 30;
+
     private static final int SERVED = 0;
     private static final int REFUSED = 1;
     private static final int FAILED = 2;
@@ -354,6 +358,43 @@
         }
     }
 
+    /**
+     * Guards against answers that are cut off: a client that reads slowly has no pending request while its answers are
+     * queued, and was closed in favour of idle clients that filled the descriptors.
+     */
+    @Test
+    void answersOfASlowReaderAreNotCutOffByIdleClients() throws Exception {
+        try (DoormanTestBed doorman =
+                new DoormanTestBed(folder, c -> c.getJSONObject("limits").put("sockets", 96))) {
+            doorman.box.serve();
+            TestConnection slow = doorman.clientWithSmallReceiveBuffer();
+            for (int i = 1; i <= SLOW_READER_REQUESTS; i++) {
+                slow.write(dispatch(i, id(i)));
+            }
+            byte[] largest = new byte[LARGEST_BODY_BYTES];
+            for (int i = 1; i <= SLOW_READER_REQUESTS; i++) {
+                doorman.box.nextRequest().answer("DONE", DONE, largest);
+            }
+            List<TestConnection> idle = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                TestConnection client = doorman.client();
+                client.write(alive(1));
+                assertEquals(SERVED, readOutcome(client, 1));
+                idle.add(client);
+            }
+            doorman.advanceClock(2 * ConnectionEnding.LINGER_MS);
+            for (int i = 1; i <= SLOW_READER_REQUESTS; i++) {
+                byte[] answer = slow.readFrame();
+                assertNotNull(answer, "the connection has ended after " + (i - 1) + " answers");
+                assertTrue(answer.length > LARGEST_BODY_BYTES);
+            }
+            slow.close();
+            for (TestConnection client : idle) {
+                client.close();
+            }
+        }
+    }
+
     /**
      * Part of a request may arrive in the same event loop iteration in which its idle connection is evicted. It must be
      * discarded without resetting the connection, so that the client still receives the previous response.
--- a/doorman/src/test/java/barleyspur/front/thrift/ResponseWriterTest.java
+++ b/doorman/src/test/java/barleyspur/front/thrift/ResponseWriterTest.java
@@ -39,6 +39,7 @@
             new ResponseBackpressure(1_000, overLimit -> {}),
             new RateLimitedLog(LoggerFactory.getLogger("front"), this),
             () -> 5_000,
+            2,
             this);
     private boolean writesFail;
 
